--- /dev/null
+++ b/cmake/AzurecrossDependencies.cmake
@@ -0,0 +1,15 @@
+# Libraries that the modules link with. All come from Debian packages; the
+# list of packages is in tools/packages.txt.
+find_package(Threads REQUIRED)
+find_package(Boost 1.81 REQUIRED COMPONENTS log json url unit_test_framework)
+find_package(prometheus-cpp REQUIRED COMPONENTS core)
+find_package(cxxopts REQUIRED)
+find_package(nng REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(URCU_BP REQUIRED IMPORTED_TARGET liburcu-bp)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(PROTOBUF REQUIRED IMPORTED_TARGET protobuf)
+find_program(CCACHE_PROGRAM ccache)
+if(CCACHE_PROGRAM)
+  set(CMAKE_CXX_COMPILER_LAUNCHER "${CCACHE_PROGRAM}")
+endif()
--- /dev/null
+++ b/modules/azurecross_core/logging/Log.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "../types/Identifiers.h"
+#include "../types/NameTable.h"
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace azurecross {
+
+/** Severity of a log record. */
+enum class LogLevel
+{
+  Debug,
+  Info,
+  Warning,
+  Error,
+};
+
+inline constexpr NameTable<LogLevel, 4> kLogLevelNames{
+  { { { LogLevel::Debug, "debug" },
+      { LogLevel::Info, "info" },
+      { LogLevel::Warning, "warning" },
+      { LogLevel::Error, "error" } } }
+};
+
+/** One named value of a log record. */
+struct LogField
+{
+  using Value = std::variant<std::string_view, std::int64_t, double, bool>;
+
+  LogField(std::string_view aName, std::string_view aValue)
+    : name_(aName)
+    , value_(aValue)
+  {
+  }
+  LogField(std::string_view aName, const char* aValue)
+    : name_(aName)
+    , value_(std::string_view(aValue))
+  {
+  }
+  LogField(std::string_view aName, const std::string& aValue)
+    : name_(aName)
+    , value_(std::string_view(aValue))
+  {
+  }
+  template<typename Tag>
+  LogField(std::string_view aName, const StrongId<Tag, std::string>& aId)
+    : name_(aName)
+    , value_(std::string_view(aId.GetValue()))
+  {
+  }
+  LogField(std::string_view aName, bool aValue)
+    : name_(aName)
+    , value_(aValue)
+  {
+  }
+  LogField(std::string_view aName, double aValue)
+    : name_(aName)
+    , value_(aValue)
+  {
+  }
+  template<typename Integer>
+  requires std::is_integral_v<Integer> LogField(std::string_view aName,
+                                                Integer aValue)
+    : name_(aName)
+    , value_(static_cast<std::int64_t>(aValue))
+  {
+  }
+
+  std::string_view name_;
+  Value value_;
+};
+
+/** Sets up JSON-line logging to standard error from this level upwards. */
+void
+StartLogging(LogLevel aLowestLevel, std::string_view aProgram);
+
+/** @returns whether records of this level are written. */
+bool
+IsLogged(LogLevel aLevel);
+
+/**
+ * Writes one JSON line with the time, level, message and fields.
+ *
+ * @code
+ * WriteLog(LogLevel::Info, "listening", { { "port", port } });
+ * @endcode
+ */
+void
+WriteLog(LogLevel aLevel,
+         std::string_view aMessage,
+         std::initializer_list<LogField> aFields = {});
+
+} // namespace azurecross
--- /dev/null
+++ b/modules/azurecross_core/time/Time.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace azurecross {
+
+using Duration = std::chrono::nanoseconds;
+
+/**
+ * The clock of the decision core. It has no `now()`: a shell passes the
+ * current time with each event, so that a bench can drive the core on a
+ * virtual clock.
+ */
+struct CoreClock
+{
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<CoreClock, duration>;
+  static constexpr bool is_steady = true; // NOLINT: name fixed by the standard
+};
+
+/** A point in time of the decision core. */
+using Time = CoreClock::time_point;
+
+/** @returns the monotonic time of this machine, for shells. */
+inline Time
+ReadMonotonicTime()
+{
+  return Time(std::chrono::duration_cast<Duration>(
+    std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+/** @returns milliseconds since the Unix epoch, for records people read. */
+inline std::int64_t
+ReadUnixMilliseconds()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+inline double
+ToSeconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+inline Duration
+FromSeconds(double aSeconds)
+{
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(aSeconds));
+}
+
+} // namespace azurecross
