Add the arbiter with length prediction and fair queues

The daemon needs the decision core's interface before the control thread can be wired. This adds Arbiter for one group: order by rank with a floor for lesser work, start-time fair queues by customer, bounded queues with early refusal, admission by predicted peak memory and by learned speed, fixed shares, rebuilding from in-flight lists and explanations.

Memory is forecast at twelve horizons from a Kaplan-Meier estimate of output lengths; forecasts of single generations add up, so a check costs twelve comparisons whatever the batch size. Pacing, health and prefix placement are in the interface and have no effect yet.

Identifiers.h gets a NOLINT, because clang-tidy reports rewritten comparisons of strong ids.

--- a/modules/azurecross_core/types/Identifiers.h
+++ b/modules/azurecross_core/types/Identifiers.h
@@ -28,6 +28,8 @@
 
   const Value& GetValue() const { return value_; }
 
+  // clang-tidy takes the 0 of rewritten comparisons for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const StrongId&, const StrongId&) = default;
   friend bool operator==(const StrongId&, const StrongId&) = default;
 
--- /dev/null
+++ b/modules/azurecross_policy/admission/BackendServerModel.cpp
@@ -0,0 +1,217 @@
+#include "BackendServerModel.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace azurecross {
+namespace {
+
+/** The mean gap is held to these fractions of the target, because prefill of
+ * other prompts makes single gaps longer than the mean. Lesser work stops
+ * earlier, so that urgent work finds a free slot at once. */
+constexpr double kUrgentGapFraction = 0.8;
+constexpr double kLesserGapFraction = 0.7;
+/** Share of `maxConcurrent` open to lesser work where no gap is known. */
+constexpr double kLesserSlotFraction = 0.9;
+/** Standard deviations of predicted memory kept free. Lesser work keeps more,
+ * for the same reason as above. */
+constexpr double kUrgentDeviations = 2.0;
+constexpr double kLesserDeviations = 3.0;
+/** Forgetting factor per observed gap: about 500 observations count. */
+constexpr double kForget = 0.998;
+/** Weight of the assumed speed before anything is known. */
+constexpr double kAssumedWeight = 20.0;
+/** Assumed batch size at which a new engine reaches the target gap; it is low
+ * because a limit that is too high delays every stream on the engine. */
+constexpr double kAssumedBatch = 32.0;
+/** Share of the target that an assumed engine needs for an empty batch. */
+constexpr double kAssumedIntercept = 0.4;
+/** The limit goes at most this far beyond the largest batch seen, because the
+ * fitted line says little about larger ones. */
+constexpr double kExtrapolation = 1.25;
+constexpr double kExtrapolationSlots = 4.0;
+/** Decay of the largest batch seen, per observed gap. */
+constexpr double kLargestDecay = 0.9999;
+constexpr std::uint32_t kFitInterval = 16;
+constexpr double kPreemptionTrust = 0.97;
+constexpr double kLowestTrust = 0.7;
+constexpr double kTrustRecovery = 0.0005;
+
+} // namespace
+
+BackendServerModel::BackendServerModel(Duration aTargetGap)
+  : targetGap_(aTargetGap)
+{
+  const double target = ToSeconds(aTargetGap);
+  intercept_ = kAssumedIntercept * target;
+  slope_ = (1.0 - kAssumedIntercept) * target / kAssumedBatch;
+}
+
+void
+BackendServerModel::Describe(const BackendServerDescription& aDescription)
+{
+  description_ = aDescription;
+  UpdateLimits();
+  UpdateMemoryShare();
+}
+
+void
+BackendServerModel::SetMembers(std::uint32_t aMembers)
+{
+  members_ = std::max(aMembers, 1U);
+  UpdateLimits();
+  UpdateMemoryShare();
+}
+
+void
+BackendServerModel::AddRequest(Rank aRank, const MemoryForecast& aForecast)
+{
+  ++running_[static_cast<std::size_t>(aRank)];
+  largestRunning_ =
+    std::max(largestRunning_, static_cast<double>(GetRunning()));
+  memory_.Add(aForecast);
+  UpdateMemoryShare();
+}
+
+void
+BackendServerModel::RemoveRequest(Rank aRank, const MemoryForecast& aForecast)
+{
+  --running_[static_cast<std::size_t>(aRank)];
+  memory_.Subtract(aForecast);
+  if (GetRunning() == 0) {
+    // Removes rounding errors left by the subtractions.
+    memory_ = {};
+  }
+  UpdateMemoryShare();
+}
+
+void
+BackendServerModel::UpdateForecast(const MemoryForecast& aOld,
+                                   const MemoryForecast& aNew)
+{
+  memory_.Subtract(aOld);
+  memory_.Add(aNew);
+  UpdateMemoryShare();
+}
+
+void
+BackendServerModel::ObserveGap(Duration aGap)
+{
+  const double running = GetRunning();
+  const double gap = ToSeconds(aGap);
+  sumWeight_ = sumWeight_ * kForget + 1.0;
+  sumRunning_ = sumRunning_ * kForget + running;
+  sumGap_ = sumGap_ * kForget + gap;
+  sumRunningSquared_ = sumRunningSquared_ * kForget + running * running;
+  sumRunningGap_ = sumRunningGap_ * kForget + running * gap;
+  largestRunning_ = std::max(largestRunning_ * kLargestDecay, running);
+  if (++observations_ % kFitInterval == 0) {
+    FitSpeed();
+    UpdateLimits();
+  }
+}
+
+void
+BackendServerModel::FitSpeed()
+{
+  // Two assumed points, at an empty and at an assumed batch, keep the fit
+  // defined while all observations have the same batch size. They are scaled
+  // to the observed speed, so that they only fix the shape of the line.
+  const double target = ToSeconds(targetGap_);
+  const double meanRunning = sumRunning_ / sumWeight_;
+  const double meanGap = sumGap_ / sumWeight_;
+  const double assumedAtMean =
+    target * (kAssumedIntercept +
+              (1.0 - kAssumedIntercept) * meanRunning / kAssumedBatch);
+  const double scale = meanGap / assumedAtMean;
+  const double low = kAssumedIntercept * target * scale;
+  const double high = target * scale;
+  const double weight = sumWeight_ + 2.0 * kAssumedWeight;
+  const double running = sumRunning_ + kAssumedWeight * kAssumedBatch;
+  const double gap = sumGap_ + kAssumedWeight * (low + high);
+  const double squared =
+    sumRunningSquared_ + kAssumedWeight * kAssumedBatch * kAssumedBatch;
+  const double product = sumRunningGap_ + kAssumedWeight * kAssumedBatch * high;
+  const double determinant = weight * squared - running * running;
+  const double slope = (weight * product - running * gap) / determinant;
+  // More load never makes an engine faster; a fit that says so is noise.
+  slope_ = std::max(slope, 0.01 * target / kAssumedBatch);
+  intercept_ = std::max(0.0, (gap - slope_ * running) / weight);
+}
+
+void
+BackendServerModel::UpdateLimits()
+{
+  const std::uint32_t hardLimit = description_.maxConcurrent_;
+  if (description_.memoryTokens_ == 0) {
+    const auto lesser =
+      static_cast<std::uint32_t>(std::floor(hardLimit * kLesserSlotFraction));
+    limits_ = { std::max(hardLimit / members_, 1U),
+                std::max(lesser / members_, 1U) };
+    return;
+  }
+  const double target = ToSeconds(targetGap_);
+  const double reach =
+    std::max(largestRunning_, kAssumedBatch * kLesserGapFraction) *
+      kExtrapolation +
+    kExtrapolationSlots;
+  const auto computeLimit = [&](double aFraction) {
+    const double batch = (target * aFraction - intercept_) / slope_;
+    const double bounded =
+      std::clamp(std::min(batch, reach), 1.0, static_cast<double>(hardLimit));
+    return std::max(static_cast<std::uint32_t>(bounded) / members_, 1U);
+  };
+  limits_ = { computeLimit(kUrgentGapFraction),
+              computeLimit(kLesserGapFraction) };
+}
+
+void
+BackendServerModel::ObserveLoad(const BackendServerLoad& aLoad)
+{
+  if (aLoad.totalMemoryTokens_ > 0 && description_.memoryTokens_ > 0) {
+    description_.memoryTokens_ = aLoad.totalMemoryTokens_;
+  }
+  const bool hasRisen = hasPreemptions_ && aLoad.preemptions_ > preemptions_;
+  memoryTrust_ = hasRisen
+                   ? std::max(kLowestTrust, memoryTrust_ * kPreemptionTrust)
+                   : std::min(1.0, memoryTrust_ + kTrustRecovery);
+  preemptions_ = aLoad.preemptions_;
+  hasPreemptions_ = true;
+}
+
+bool
+BackendServerModel::HasMemoryFor(const MemoryForecast& aForecast,
+                                 Rank aRank) const
+{
+  // A request that fits into no reserve still has to run somewhere.
+  if (description_.memoryTokens_ == 0 || GetRunning() == 0) {
+    return true;
+  }
+  const double deviations =
+    aRank == Rank::Urgent ? kUrgentDeviations : kLesserDeviations;
+  const double usable = description_.memoryTokens_ * memoryTrust_ / members_;
+  for (std::size_t index = 0; index < MemoryForecast::kHorizonCount; ++index) {
+    const double mean = memory_.mean_[index] + aForecast.mean_[index];
+    const double variance =
+      std::max(0.0, memory_.variance_[index] + aForecast.variance_[index]);
+    const double room = usable - mean;
+    if (room < 0.0 || room * room < deviations * deviations * variance) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void
+BackendServerModel::UpdateMemoryShare()
+{
+  if (description_.memoryTokens_ == 0) {
+    memoryShare_ = 0.0;
+    return;
+  }
+  const double peak =
+    *std::max_element(memory_.mean_.begin(), memory_.mean_.end());
+  memoryShare_ = peak * members_ / (description_.memoryTokens_ * memoryTrust_);
+}
+
+} // namespace azurecross
--- /dev/null
+++ b/modules/azurecross_policy/arbitration/Arbiter.h
@@ -0,0 +1,163 @@
+#pragma once
+
+#include "../admission/LengthPredictor.h"
+#include "ArbiterAction.h"
+#include "ArbiterOptions.h"
+#include "ArbiterState.h"
+#include "GrantRequest.h"
+#include "GroupSummary.h"
+#include "Lane.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace azurecross {
+
+/**
+ * Decides which request runs where in one arbitration group.
+ *
+ * It is a plain state machine: it reads no clock and does no I/O. Every
+ * function that can decide something appends its decisions to `aActions`;
+ * times must not decrease. The owner delivers the actions to the entries that
+ * asked. Call `Tick` about every 100 ms.
+ *
+ * Repeated messages are harmless: a repeated `Enqueue` of a queued request is
+ * ignored and that of a granted one repeats its grant, and reports on unknown
+ * grants are ignored.
+ */
+class Arbiter
+{
+public:
+  explicit Arbiter(const ArbiterOptions& aOptions = {});
+
+  /** Replaces the group's list; what was learned about known servers stays.
+   * A backend server that is no longer listed gets no new requests. */
+  void SetBackendServers(
+    const std::vector<BackendServerDescription>& aDescriptions,
+    Time aNow,
+    ArbiterActions& aActions);
+
+  /** Uses only 1 / `aMembers` of the capacity, for an entry that can't reach
+   * the home entry; 1 is the whole capacity. */
+  void SetFixedShare(std::uint32_t aMembers);
+
+  /** Asks for a slot. A request that names the backend server of its own
+   * grant as excluded is a retry, and releases that grant as failed. */
+  void Enqueue(const GrantRequest& aRequest,
+               Time aNow,
+               ArbiterActions& aActions);
+
+  /** Takes the number of output tokens so far, about every 250 ms. */
+  void ReportProgress(GrantId aGrant,
+                      std::uint32_t aTokens,
+                      Time aNow,
+                      ArbiterActions& aActions);
+
+  /** Returns a slot. */
+  void Release(GrantId aGrant,
+               GrantOutcome aOutcome,
+               Time aNow,
+               ArbiterActions& aActions);
+
+  /** Removes a queued request, or releases its grant as cancelled. */
+  void Cancel(const RequestId& aRequest, Time aNow, ArbiterActions& aActions);
+
+  /** Drops the queued requests and the grants of an entry that has died. */
+  void ReleaseEntry(const EntryId& aEntry, Time aNow, ArbiterActions& aActions);
+
+  void ReportLoad(const BackendServerLoad& aLoad,
+                  Time aNow,
+                  ArbiterActions& aActions);
+
+  /** Takes an engine's cache event; it may be late and out of order. */
+  void ReportCacheEvent(const CacheEvent& aEvent, Time aNow);
+
+  /** Counts grants made by an earlier home entry, after a home change. */
+  void ReportInFlight(const std::vector<InFlightGrant>& aGrants, Time aNow);
+
+  /** Refuses requests that can't meet their deadline and updates limits. */
+  void Tick(Time aNow, ArbiterActions& aActions);
+
+  GroupSummary Summarize() const;
+
+  /** @returns why a request is where it is, one reason per line; empty if the
+   * request is not known any more. */
+  std::vector<std::string> Explain(const RequestId& aRequest) const;
+
+  /** The busiest minute so far, in charged tokens, to be kept in the store. */
+  double ExportPeak() const;
+  /** Takes the busiest minute from the store; a lower value is ignored. */
+  void LoadPeak(double aTokensPerMinute);
+
+private:
+  using Server = ArbiterServer;
+  using Queued = QueuedRequest;
+  using Granted = GrantedRequest;
+
+  Lane* FindLane(const ModelName& aModel);
+  void UpdateLanes();
+  void UpdateSlots();
+  MemoryForecast Forecast(const GrantRequest& aRequest,
+                          LengthPredictor::ClassIndex aClass,
+                          std::uint32_t aTokens) const;
+  double ComputeWait(const Lane& aLane, const GrantRequest& aRequest) const;
+  bool MakeRoom(Lane& aLane,
+                const GrantRequest& aRequest,
+                ArbiterActions& aActions);
+  bool IsRepeat(const GrantRequest& aRequest,
+                Time aNow,
+                ArbiterActions& aActions);
+  void Refuse(const GrantRequest& aRequest,
+              ErrorCode aReason,
+              double aWaitSeconds,
+              ArbiterActions& aActions);
+  void RemoveQueued(std::uint64_t aNumber);
+  bool CanTakeLesser(const Lane& aLane) const;
+  bool IsLesserOwed(const Lane& aLane) const;
+  void Dispatch(Lane& aLane, Time aNow, ArbiterActions& aActions);
+  void DispatchAll(Time aNow, ArbiterActions& aActions);
+  bool GrantNext(Lane& aLane,
+                 Rank aRank,
+                 Rank aLimitRank,
+                 Time aNow,
+                 ArbiterActions& aActions);
+  bool TryGrant(std::uint64_t aNumber,
+                Rank aLimitRank,
+                Time aNow,
+                ArbiterActions& aActions);
+  std::optional<Placement> Place(const Lane& aLane,
+                                 const GrantRequest& aRequest,
+                                 const MemoryForecast& aForecast,
+                                 Rank aLimitRank) const;
+  void AddGrant(GrantId aGrant, Granted aGranted, Time aNow);
+  std::vector<std::string> ExplainQueued(const Queued& aQueued) const;
+  std::vector<std::string> ExplainGranted(const Granted& aGranted) const;
+  void ReleaseGrant(GrantId aGrant, GrantOutcome aOutcome, Time aNow);
+  void RefuseLate(Time aNow, ArbiterActions& aActions);
+
+  ArbiterOptions options_;
+  Random random_;
+  LengthPredictor lengths_;
+  std::uint32_t members_ = 1;
+  std::deque<Server> servers_;
+  std::unordered_map<BackendServerId, std::uint32_t> serverIndexes_;
+  /** Lanes by model; the order fixes the order of decisions. */
+  std::map<ModelName, std::unique_ptr<Lane>> lanes_;
+  /** Queued requests by number, in order of arrival. */
+  std::unordered_map<std::uint64_t, Queued> queued_;
+  std::unordered_map<RequestId, std::uint64_t> queuedNumbers_;
+  std::set<std::pair<Time, std::uint64_t>> deadlines_;
+  std::unordered_map<GrantId, Granted> granted_;
+  std::unordered_map<RequestId, GrantId> grantIds_;
+  std::uint64_t nextNumber_ = 0;
+  std::uint64_t nextGrant_ = 0;
+  Time lastTick_;
+  bool hasTicked_ = false;
+};
+
+} // namespace azurecross
--- /dev/null
+++ b/modules/azurecross_policy/arbitration/ArbiterDispatch.cpp
@@ -0,0 +1,287 @@
+#include "Arbiter.h"
+
+#include <algorithm>
+
+namespace azurecross {
+namespace {
+
+/** Prompt tokens that wait for prefill and count as much as a full engine. */
+constexpr double kFullPendingPrompt = 8192.0;
+/** A refused caller is told to wait at least this long. */
+constexpr double kShortestRetryAfter = 1.0;
+constexpr double kLongestRetryAfter = 60.0;
+
+bool
+IsExcluded(const GrantRequest& aRequest, const BackendServerId& aServer)
+{
+  return std::find(aRequest.excluded_.begin(),
+                   aRequest.excluded_.end(),
+                   aServer) != aRequest.excluded_.end();
+}
+
+} // namespace
+
+bool
+Arbiter::IsRepeat(const GrantRequest& aRequest,
+                  Time aNow,
+                  ArbiterActions& aActions)
+{
+  if (queuedNumbers_.contains(aRequest.request_)) {
+    return true;
+  }
+  const auto known = grantIds_.find(aRequest.request_);
+  if (known == grantIds_.end()) {
+    return false;
+  }
+  const GrantId grant = known->second;
+  const Granted& granted = granted_.at(grant);
+  const BackendServerId& server =
+    servers_[granted.placement_.server_].model_.GetDescription().id_;
+  if (IsExcluded(aRequest, server)) {
+    ReleaseGrant(grant, GrantOutcome::Failed, aNow);
+    return false;
+  }
+  aActions.emplace_back(
+    GrantAction{ aRequest.request_, aRequest.entry_, grant, server });
+  return true;
+}
+
+void
+Arbiter::Enqueue(const GrantRequest& aRequest,
+                 Time aNow,
+                 ArbiterActions& aActions)
+{
+  if (IsRepeat(aRequest, aNow, aActions)) {
+    return;
+  }
+  Lane* lane = FindLane(aRequest.model_);
+  const bool hasServer =
+    lane != nullptr &&
+    std::any_of(
+      lane->servers_.begin(), lane->servers_.end(), [&](std::uint32_t aIndex) {
+        return aRequest.excluded_.empty() ||
+               !IsExcluded(aRequest,
+                           servers_[aIndex].model_.GetDescription().id_);
+      });
+  if (!hasServer) {
+    Refuse(aRequest, ErrorCode::NoBackendServer, 0.0, aActions);
+    return;
+  }
+  const double wait = ComputeWait(*lane, aRequest);
+  if (aRequest.deadline_ != Time::max() &&
+      aNow + FromSeconds(wait) > aRequest.deadline_) {
+    Refuse(aRequest, ErrorCode::DeadlineUnreachable, wait, aActions);
+    return;
+  }
+  if (!MakeRoom(*lane, aRequest, aActions)) {
+    Refuse(aRequest, ErrorCode::QueueFull, wait, aActions);
+    return;
+  }
+  const std::uint64_t number = nextNumber_++;
+  Queued queued{ aRequest, lane, 0, aNow };
+  queued.lengthClass_ =
+    lengths_.FindClass(aRequest.route_, aRequest.model_, aRequest.customer_);
+  queued_.emplace(number, std::move(queued));
+  queuedNumbers_.emplace(aRequest.request_, number);
+  deadlines_.emplace(aRequest.deadline_, number);
+  lane->queues_[static_cast<std::size_t>(aRequest.rank_)].Push(
+    aRequest.customer_, number);
+  Dispatch(*lane, aNow, aActions);
+}
+
+double
+Arbiter::ComputeWait(const Lane& aLane, const GrantRequest& aRequest) const
+{
+  const auto rank = static_cast<std::size_t>(aRequest.rank_);
+  const FairQueue& queue = aLane.queues_[rank];
+  const std::size_t items = queue.CountItems();
+  const double rate = aLane.grantRate_[rank];
+  if (items == 0 || rate <= 0.0) {
+    return 0.0;
+  }
+  // The fair queue serves every customer about equally, so a customer with
+  // few items doesn't wait for the whole queue of a customer with many.
+  const std::size_t own = queue.CountItemsOf(aRequest.customer_);
+  const std::size_t customers = queue.CountBacklogged() + (own == 0 ? 1 : 0);
+  const std::size_t ahead = std::min(items, (own + 1) * customers);
+  return static_cast<double>(ahead) / rate;
+}
+
+bool
+Arbiter::MakeRoom(Lane& aLane,
+                  const GrantRequest& aRequest,
+                  ArbiterActions& aActions)
+{
+  FairQueue& queue = aLane.queues_[static_cast<std::size_t>(aRequest.rank_)];
+  if (queue.CountItems() < options_.queueLimit_) {
+    return true;
+  }
+  const auto number = queue.FindNewestOfLongest();
+  if (!number) {
+    return false;
+  }
+  const GrantRequest last = queued_.at(*number).request_;
+  if (queue.CountItemsOf(last.customer_) <=
+      queue.CountItemsOf(aRequest.customer_) + 1) {
+    return false;
+  }
+  const double wait = ComputeWait(aLane, last);
+  RemoveQueued(*number);
+  Refuse(last, ErrorCode::QueueFull, wait, aActions);
+  return true;
+}
+
+void
+Arbiter::Refuse(const GrantRequest& aRequest,
+                ErrorCode aReason,
+                double aWaitSeconds,
+                ArbiterActions& aActions)
+{
+  const Duration base = FromSeconds(
+    std::clamp(aWaitSeconds, kShortestRetryAfter, kLongestRetryAfter));
+  // Jitter keeps refused callers from returning all at once.
+  const Duration retryAfter = base + base / 2 - random_.Jitter(base / 2, 1.0);
+  aActions.emplace_back(
+    RefuseAction{ aRequest.request_, aRequest.entry_, aReason, retryAfter });
+}
+
+void
+Arbiter::RemoveQueued(std::uint64_t aNumber)
+{
+  const auto position = queued_.find(aNumber);
+  const GrantRequest& request = position->second.request_;
+  position->second.lane_->queues_[static_cast<std::size_t>(request.rank_)]
+    .Remove(request.customer_, aNumber);
+  deadlines_.erase({ request.deadline_, aNumber });
+  queuedNumbers_.erase(request.request_);
+  queued_.erase(position);
+}
+
+void
+Arbiter::RefuseLate(Time aNow, ArbiterActions& aActions)
+{
+  while (!deadlines_.empty() && deadlines_.begin()->first <= aNow) {
+    const std::uint64_t number = deadlines_.begin()->second;
+    const Queued queued = queued_.at(number);
+    const double wait = ComputeWait(*queued.lane_, queued.request_);
+    RemoveQueued(number);
+    Refuse(queued.request_, ErrorCode::DeadlineUnreachable, wait, aActions);
+  }
+}
+
+bool
+Arbiter::IsLesserOwed(const Lane& aLane) const
+{
+  const double floor = options_.lesserFloor_ * aLane.slots_;
+  return aLane.queues_[static_cast<std::size_t>(Rank::Lesser)].CountItems() >
+           0 &&
+         aLane.running_[static_cast<std::size_t>(Rank::Lesser)] < floor;
+}
+
+bool
+Arbiter::CanTakeLesser(const Lane& /*aLane*/) const
+{
+  return true;
+}
+
+void
+Arbiter::DispatchAll(Time aNow, ArbiterActions& aActions)
+{
+  for (auto& [model, lane] : lanes_) {
+    Dispatch(*lane, aNow, aActions);
+  }
+}
+
+void
+Arbiter::Dispatch(Lane& aLane, Time aNow, ArbiterActions& aActions)
+{
+  while (IsLesserOwed(aLane) &&
+         GrantNext(aLane, Rank::Lesser, Rank::Urgent, aNow, aActions)) {
+  }
+  while (GrantNext(aLane, Rank::Urgent, Rank::Urgent, aNow, aActions)) {
+  }
+  if (aLane.queues_[static_cast<std::size_t>(Rank::Urgent)].CountItems() > 0) {
+    return;
+  }
+  while (CanTakeLesser(aLane) &&
+         GrantNext(aLane, Rank::Lesser, Rank::Lesser, aNow, aActions)) {
+  }
+}
+
+bool
+Arbiter::GrantNext(Lane& aLane,
+                   Rank aRank,
+                   Rank aLimitRank,
+                   Time aNow,
+                   ArbiterActions& aActions)
+{
+  FairQueue& queue = aLane.queues_[static_cast<std::size_t>(aRank)];
+  const auto number = queue.FindNext();
+  return number && TryGrant(*number, aLimitRank, aNow, aActions);
+}
+
+bool
+Arbiter::TryGrant(std::uint64_t aNumber,
+                  Rank aLimitRank,
+                  Time aNow,
+                  ArbiterActions& aActions)
+{
+  const Queued& queued = queued_.at(aNumber);
+  const GrantRequest& request = queued.request_;
+  const MemoryForecast forecast = Forecast(request, queued.lengthClass_, 0);
+  const auto placement = Place(*queued.lane_, request, forecast, aLimitRank);
+  if (!placement) {
+    return false;
+  }
+  Granted granted;
+  granted.request_ = request;
+  granted.lane_ = queued.lane_;
+  granted.lengthClass_ = queued.lengthClass_;
+  granted.placement_ = *placement;
+  granted.forecast_ = forecast;
+  granted.waited_ = aNow - queued.queuedAt_;
+  granted.isFloor_ = request.rank_ != aLimitRank;
+  const GrantId grant(nextGrant_++);
+  aActions.emplace_back(
+    GrantAction{ request.request_,
+                 request.entry_,
+                 grant,
+                 servers_[placement->server_].model_.GetDescription().id_ });
+  granted.lane_->queues_[static_cast<std::size_t>(request.rank_)].PopNext();
+  RemoveQueued(aNumber);
+  AddGrant(grant, std::move(granted), aNow);
+  return true;
+}
+
+std::optional<Placement>
+Arbiter::Place(const Lane& aLane,
+               const GrantRequest& aRequest,
+               const MemoryForecast& aForecast,
+               Rank aLimitRank) const
+{
+  std::optional<Placement> best;
+  for (std::uint32_t index : aLane.servers_) {
+    const Server& server = servers_[index];
+    const BackendServerModel& model = server.model_;
+    const std::uint32_t limit = model.GetLimit(aLimitRank);
+    const std::uint32_t running = model.GetRunning();
+    if (!server.IsUsable() || running >= limit) {
+      continue;
+    }
+    const double slotShare = static_cast<double>(running) / limit;
+    const double score =
+      std::max(slotShare, model.ComputeMemoryShare()) +
+      static_cast<double>(model.GetPendingPrompt()) / kFullPendingPrompt;
+    if ((best && score >= best->score_) ||
+        !model.HasMemoryFor(aForecast, aLimitRank) ||
+        (!aRequest.excluded_.empty() &&
+         IsExcluded(aRequest, model.GetDescription().id_))) {
+      continue;
+    }
+    best =
+      Placement{ index, score, running, limit, model.ComputeMemoryShare(), 0 };
+  }
+  return best;
+}
+
+} // namespace azurecross
--- /dev/null
+++ b/modules/azurecross_policy/arbitration/ArbiterState.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "../admission/BackendServerModel.h"
+#include "../admission/LengthPredictor.h"
+#include "GrantRequest.h"
+
+#include <cstdint>
+
+namespace azurecross {
+
+struct Lane;
+
+/** A backend server as the arbiter sees it. */
+struct ArbiterServer
+{
+  BackendServerModel model_;
+  /** False once it is no longer in the group's list. */
+  bool isListed_ = true;
+  bool isEjected_ = false;
+
+  bool IsUsable() const
+  {
+    return isListed_ && !isEjected_ && !model_.GetDescription().isLeaving_;
+  }
+};
+
+/** A request that waits for a slot. */
+struct QueuedRequest
+{
+  GrantRequest request_;
+  Lane* lane_ = nullptr;
+  LengthPredictor::ClassIndex lengthClass_ = 0;
+  Time queuedAt_;
+};
+
+/** Where a request was placed, and what decided it. */
+struct Placement
+{
+  std::uint32_t server_ = 0;
+  double score_ = 0.0;
+  /** State of the backend server just before the grant. */
+  std::uint32_t running_ = 0;
+  std::uint32_t limit_ = 0;
+  double memoryShare_ = 0.0;
+  /** Blocks of the prompt that the backend server is thought to hold. */
+  std::uint32_t prefixBlocks_ = 0;
+};
+
+/** A request that holds a slot. */
+struct GrantedRequest
+{
+  GrantRequest request_;
+  Lane* lane_ = nullptr;
+  LengthPredictor::ClassIndex lengthClass_ = 0;
+  Placement placement_;
+  MemoryForecast forecast_;
+  Duration waited_{};
+  /** Lesser work granted because it had less than its floor. */
+  bool isFloor_ = false;
+  std::uint32_t tokens_ = 0;
+  /** Output tokens charged to the customer, first by prediction. */
+  double chargedTokens_ = 0.0;
+  Time lastProgress_;
+};
+
+} // namespace azurecross
--- /dev/null
+++ b/modules/azurecross_policy/fairness/FairQueue.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <azurecross_core/azurecross_core.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace azurecross {
+
+/**
+ * Start-time fair queue over customers.
+ *
+ * The customer with the lowest charge goes next, and its items leave in order.
+ * Charges arrive as the work is done, before or after an item leaves. A
+ * customer that returns after a pause starts at the present virtual time, so
+ * it has no saved credit. All operations cost at most the logarithm of the
+ * number of customers and items.
+ */
+class FairQueue
+{
+public:
+  /** Items of one customer leave in rising order. */
+  using Item = std::uint64_t;
+
+  void Push(const CustomerId& aCustomer, Item aItem);
+
+  /** @returns whether the item was queued. */
+  bool Remove(const CustomerId& aCustomer, Item aItem);
+
+  /** @returns the item that goes next, or nothing if the queue is empty. */
+  std::optional<Item> FindNext() const;
+
+  /** Removes the item that `FindNext` returned. */
+  void PopNext();
+
+  /** Adds to a customer's charge; a negative cost returns an advance. */
+  void Charge(const CustomerId& aCustomer, double aCost);
+
+  /** @returns the newest item of the customer with the most items. */
+  std::optional<Item> FindNewestOfLongest() const;
+
+  std::size_t CountItems() const { return itemCount_; }
+  std::size_t CountItemsOf(const CustomerId& aCustomer) const;
+  /** @returns how many customers have items queued. */
+  std::size_t CountBacklogged() const { return backlogged_.size(); }
+  /** @returns how many customers are remembered; idle ones are dropped. */
+  std::size_t CountCustomers() const { return customers_.size(); }
+  /** @returns how far a customer's charge lies above the virtual time. */
+  double ComputeLag(const CustomerId& aCustomer) const;
+
+private:
+  struct Customer
+  {
+    /** Order of first arrival; breaks ties the same way in every run. */
+    std::uint64_t number_ = 0;
+    double charge_ = 0.0;
+    std::set<Item> items_;
+  };
+  using Customers = std::unordered_map<CustomerId, Customer>;
+  using Entry = Customers::value_type;
+
+  /** Orders customers by a key, then by number. */
+  template<typename Key>
+  struct Ordered
+  {
+    Key key_;
+    std::uint64_t number_;
+    Entry* entry_;
+
+    bool operator<(const Ordered& aOther) const
+    {
+      return std::pair(key_, number_) < std::pair(aOther.key_, aOther.number_);
+    }
+  };
+
+  Entry& FindOrAdd(const CustomerId& aCustomer);
+  void SetLength(Entry& aEntry, std::size_t aOldLength);
+  void SetIdle(Entry& aEntry);
+  void AdvanceVirtualTime(double aTime);
+
+  Customers customers_;
+  std::set<Ordered<double>> backlogged_;
+  std::set<Ordered<double>> idle_;
+  std::set<Ordered<std::size_t>> byLength_;
+  std::size_t itemCount_ = 0;
+  std::uint64_t nextNumber_ = 0;
+  double virtualTime_ = 0.0;
+};
+
+} // namespace azurecross
--- /dev/null
+++ b/tests/policy_tests/AdmissionTests.cpp
@@ -0,0 +1,87 @@
+#include "ArbiterFixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cmath>
+
+namespace azurecross {
+
+BOOST_AUTO_TEST_SUITE(AdmissionTests)
+
+// Guards against a prediction that stays put while a generation outlives it.
+BOOST_AUTO_TEST_CASE(PredictionRisesWithLength)
+{
+  LengthPredictor lengths;
+  const auto index =
+    lengths.FindClass(RouteName("r"), ModelName("m"), CustomerId("c"));
+  for (int count = 0; count < 500; ++count) {
+    const std::uint32_t length = count % 10 == 0 ? 5000 : 100;
+    lengths.ObserveGrowth(index, 0, length);
+    lengths.ObserveEnd(index, length);
+  }
+  BOOST_TEST(lengths.PredictSurvival(index, 0, 400) < 0.2);
+  BOOST_TEST(lengths.PredictSurvival(index, 400, 4000) > 0.8);
+  BOOST_TEST(lengths.PredictLength(index, 0, 0) < 1500.0);
+  BOOST_TEST(lengths.PredictLength(index, 400, 0) > 3500.0);
+  BOOST_TEST(lengths.PredictLength(index, 400, 500) <= 500.0);
+}
+
+// Guards against long generations that are not counted until they end.
+BOOST_AUTO_TEST_CASE(RunningGenerationsAreCensoredObservations)
+{
+  LengthPredictor lengths;
+  const auto index =
+    lengths.FindClass(RouteName("r"), ModelName("m"), CustomerId("c"));
+  const double before = lengths.PredictSurvival(index, 0, 2000);
+  for (int count = 0; count < 200; ++count) {
+    lengths.ObserveGrowth(index, 0, 2900);
+  }
+  BOOST_TEST(lengths.PredictSurvival(index, 0, 2000) > before);
+  BOOST_TEST(lengths.PredictSurvival(index, 0, 2000) > 0.8);
+}
+
+// Guards against a batch limit that ignores an engine's real speed.
+BOOST_AUTO_TEST_CASE(LimitFollowsSpeed)
+{
+  const auto learn = [](double aBase, double aPerRequest) {
+    BackendServerModel model(std::chrono::milliseconds(37));
+    model.Describe(ArbiterFixture::MakeEngine("s"));
+    for (int step = 0; step < 4000; ++step) {
+      if (model.GetRunning() < model.GetLimit(Rank::Urgent)) {
+        model.AddRequest(Rank::Urgent, {});
+      } else {
+        model.RemoveRequest(Rank::Urgent, {});
+      }
+      model.ObserveGap(FromSeconds(aBase + aPerRequest * model.GetRunning()));
+    }
+    return model.GetLimit(Rank::Urgent);
+  };
+  const std::uint32_t fast = learn(0.008, 0.0005);
+  const std::uint32_t slow = learn(0.016, 0.001);
+  BOOST_TEST(fast > 35U);
+  BOOST_TEST(fast <= 44U);
+  BOOST_TEST(slow < 16U);
+  BOOST_TEST(slow > 9U);
+}
+
+// Guards against admission by present use, which fills memory mid-decode.
+BOOST_AUTO_TEST_CASE(AdmissionCountsFutureMemory)
+{
+  BackendServerModel model(std::chrono::milliseconds(37));
+  auto description = ArbiterFixture::MakeEngine("s");
+  description.memoryTokens_ = 10'000;
+  model.Describe(description);
+  MemoryForecast growing;
+  growing.mean_[0] = 100.0;
+  growing.mean_[7] = 2100.0;
+  int admitted = 0;
+  while (admitted < 100 && model.HasMemoryFor(growing, Rank::Urgent)) {
+    model.AddRequest(Rank::Urgent, growing);
+    ++admitted;
+  }
+  BOOST_TEST(admitted == 4);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace azurecross
--- /dev/null
+++ b/tests/policy_tests/ArbiterFixture.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <azurecross_policy/azurecross_policy.h>
+
+#include <string>
+#include <vector>
+
+namespace azurecross {
+
+/** Builds small groups and requests for tests. */
+struct ArbiterFixture
+{
+  static BackendServerDescription MakeEngine(const std::string& aId)
+  {
+    return { BackendServerId(aId), { ModelName("m") }, 100'000, 64, false };
+  }
+
+  static BackendServerDescription MakeService(const std::string& aId,
+                                              std::uint32_t aSlots)
+  {
+    return { BackendServerId(aId), {}, 0, aSlots, false };
+  }
+
+  static GrantRequest MakeRequest(const std::string& aId,
+                                  Rank aRank = Rank::Urgent,
+                                  const std::string& aCustomer = "c")
+  {
+    GrantRequest request;
+    request.request_ = RequestId(aId);
+    request.entry_ = EntryId("e1");
+    request.customer_ = CustomerId(aCustomer);
+    request.rank_ = aRank;
+    request.route_ = RouteName("r");
+    request.model_ = ModelName("m");
+    request.promptTokens_ = 100;
+    return request;
+  }
+
+  static GrantRequest MakeCall(const std::string& aId,
+                               Rank aRank = Rank::Urgent,
+                               const std::string& aCustomer = "c")
+  {
+    GrantRequest request = MakeRequest(aId, aRank, aCustomer);
+    request.model_ = {};
+    request.promptTokens_ = 0;
+    return request;
+  }
+
+  template<typename Action>
+  static std::vector<Action> Select(const ArbiterActions& aActions)
+  {
+    std::vector<Action> selected;
+    for (const ArbiterAction& action : aActions) {
+      if (const auto* match = std::get_if<Action>(&action)) {
+        selected.push_back(*match);
+      }
+    }
+    return selected;
+  }
+
+  /** Empties the list of actions. @returns what it held of one kind. */
+  template<typename Action>
+  std::vector<Action> Take()
+  {
+    auto selected = Select<Action>(actions_);
+    actions_.clear();
+    return selected;
+  }
+
+  Time Advance(Duration aStep)
+  {
+    now_ += aStep;
+    return now_;
+  }
+
+  Arbiter arbiter_;
+  ArbiterActions actions_;
+  Time now_{};
+};
+
+} // namespace azurecross
--- /dev/null
+++ b/tests/policy_tests/ArbiterTests.cpp
@@ -0,0 +1,231 @@
+#include "ArbiterFixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace azurecross {
+
+BOOST_FIXTURE_TEST_SUITE(ArbiterTests, ArbiterFixture)
+
+// Guards against grants beyond a plain service's limit, and against a slot
+// that is lost on release.
+BOOST_AUTO_TEST_CASE(ServiceSlotsBoundGrants)
+{
+  arbiter_.SetBackendServers({ MakeService("s1", 2) }, now_, actions_);
+  for (const char* id : { "a", "b", "c" }) {
+    arbiter_.Enqueue(MakeCall(id), now_, actions_);
+  }
+  const auto grants = Take<GrantAction>();
+  BOOST_REQUIRE(grants.size() == 2U);
+  arbiter_.Release(grants[0].grant_, GrantOutcome::Completed, now_, actions_);
+  const auto next = Take<GrantAction>();
+  BOOST_REQUIRE(next.size() == 1U);
+  BOOST_TEST(next[0].request_ == RequestId("c"));
+}
+
+// Guards against urgent work that waits behind earlier lesser work.
+BOOST_AUTO_TEST_CASE(UrgentGoesBeforeLesser)
+{
+  arbiter_.SetBackendServers({ MakeService("s1", 1) }, now_, actions_);
+  arbiter_.Enqueue(MakeCall("running"), now_, actions_);
+  const auto running = Take<GrantAction>();
+  BOOST_REQUIRE(running.size() == 1U);
+  ArbiterOptions options;
+  options.lesserFloor_ = 0.0;
+  Arbiter arbiter(options);
+  arbiter.SetBackendServers({ MakeService("s1", 1) }, now_, actions_);
+  arbiter.Enqueue(MakeCall("first"), now_, actions_);
+  arbiter.Enqueue(MakeCall("lesser", Rank::Lesser), now_, actions_);
+  arbiter.Enqueue(MakeCall("urgent"), now_, actions_);
+  const auto first = Take<GrantAction>();
+  BOOST_REQUIRE(first.size() == 1U);
+  arbiter.Release(first[0].grant_, GrantOutcome::Completed, now_, actions_);
+  const auto next = Take<GrantAction>();
+  BOOST_REQUIRE(next.size() == 1U);
+  BOOST_TEST(next[0].request_ == RequestId("urgent"));
+}
+
+// Guards against a lesser request that starves behind an urgent flood.
+BOOST_AUTO_TEST_CASE(LesserKeepsFloor)
+{
+  arbiter_.SetBackendServers({ MakeService("s1", 10) }, now_, actions_);
+  for (int index = 0; index < 50; ++index) {
+    arbiter_.Enqueue(MakeCall("u" + std::to_string(index)), now_, actions_);
+  }
+  auto grants = Take<GrantAction>();
+  BOOST_REQUIRE(grants.size() == 10U);
+  arbiter_.Enqueue(MakeCall("lesser", Rank::Lesser), now_, actions_);
+  arbiter_.Release(grants[0].grant_, GrantOutcome::Completed, now_, actions_);
+  const auto next = Take<GrantAction>();
+  BOOST_REQUIRE(next.size() == 1U);
+  BOOST_TEST(next[0].request_ == RequestId("lesser"));
+}
+
+// Guards against a customer's flood that delays another customer.
+BOOST_AUTO_TEST_CASE(SmallCustomerPassesFlood)
+{
+  arbiter_.SetBackendServers({ MakeService("s1", 1) }, now_, actions_);
+  for (int index = 0; index < 20; ++index) {
+    arbiter_.Enqueue(
+      MakeCall("l" + std::to_string(index), Rank::Urgent, "large"),
+      now_,
+      actions_);
+  }
+  arbiter_.Enqueue(MakeCall("small", Rank::Urgent, "small"), now_, actions_);
+  const auto first = Take<GrantAction>();
+  BOOST_REQUIRE(first.size() == 1U);
+  arbiter_.Release(first[0].grant_, GrantOutcome::Completed, now_, actions_);
+  const auto next = Take<GrantAction>();
+  BOOST_REQUIRE(next.size() == 1U);
+  BOOST_TEST(next[0].request_ == RequestId("small"));
+}
+
+// Guards against an unbounded queue, and against a flood that takes the place
+// of another customer's request in a full queue.
+BOOST_AUTO_TEST_CASE(FullQueueRefusesLongestCustomer)
+{
+  ArbiterOptions options;
+  options.queueLimit_ = 4;
+  Arbiter arbiter(options);
+  arbiter.SetBackendServers({ MakeService("s1", 1) }, now_, actions_);
+  for (int index = 0; index < 5; ++index) {
+    arbiter.Enqueue(
+      MakeCall("l" + std::to_string(index), Rank::Urgent, "large"),
+      now_,
+      actions_);
+  }
+  BOOST_TEST(Take<RefuseAction>().empty());
+  arbiter.Enqueue(MakeCall("small", Rank::Urgent, "small"), now_, actions_);
+  const auto refused = Take<RefuseAction>();
+  BOOST_REQUIRE(refused.size() == 1U);
+  BOOST_TEST(refused[0].request_ == RequestId("l4"));
+  BOOST_TEST((refused[0].reason_ == ErrorCode::QueueFull));
+  BOOST_TEST((refused[0].retryAfter_ > Duration::zero()));
+  BOOST_TEST(arbiter.Summarize().queued_[0] == 4U);
+}
+
+// Guards against a lost reply that leaves the entry without an answer, and
+// against a second slot for one request.
+BOOST_AUTO_TEST_CASE(RepeatedRequestRepeatsItsGrant)
+{
+  arbiter_.SetBackendServers({ MakeService("s1", 2) }, now_, actions_);
+  arbiter_.Enqueue(MakeCall("a"), now_, actions_);
+  arbiter_.Enqueue(MakeCall("a"), now_, actions_);
+  const auto grants = Take<GrantAction>();
+  BOOST_REQUIRE(grants.size() == 2U);
+  BOOST_TEST(grants[0].grant_ == grants[1].grant_);
+  BOOST_TEST(arbiter_.Summarize().running_[0] == 1U);
+}
+
+// Guards against a retry on the backend server that just failed.
+BOOST_AUTO_TEST_CASE(RetryAvoidsExcludedBackendServer)
+{
+  arbiter_.SetBackendServers(
+    { MakeService("s1", 4), MakeService("s2", 4) }, now_, actions_);
+  arbiter_.Enqueue(MakeCall("a"), now_, actions_);
+  const auto first = Take<GrantAction>();
+  BOOST_REQUIRE(first.size() == 1U);
+  GrantRequest retry = MakeCall("a");
+  retry.excluded_ = { first[0].backendServer_ };
+  arbiter_.Enqueue(retry, now_, actions_);
+  const auto second = Take<GrantAction>();
+  BOOST_REQUIRE(second.size() == 1U);
+  BOOST_TEST(second[0].backendServer_ != first[0].backendServer_);
+  retry.excluded_.push_back(second[0].backendServer_);
+  arbiter_.Enqueue(retry, now_, actions_);
+  const auto refused = Take<RefuseAction>();
+  BOOST_REQUIRE(refused.size() == 1U);
+  BOOST_TEST((refused[0].reason_ == ErrorCode::NoBackendServer));
+  BOOST_TEST(arbiter_.Summarize().running_[0] == 0U);
+}
+
+// Guards against new work for a backend server that is leaving.
+BOOST_AUTO_TEST_CASE(LeavingBackendServerGetsNothing)
+{
+  auto leaving = MakeService("s1", 4);
+  leaving.isLeaving_ = true;
+  arbiter_.SetBackendServers({ leaving, MakeService("s2", 1) }, now_, actions_);
+  arbiter_.Enqueue(MakeCall("a"), now_, actions_);
+  arbiter_.Enqueue(MakeCall("b"), now_, actions_);
+  const auto grants = Take<GrantAction>();
+  BOOST_REQUIRE(grants.size() == 1U);
+  BOOST_TEST(grants[0].backendServer_ == BackendServerId("s2"));
+}
+
+// Guards against slots that are granted twice after the home entry changed.
+BOOST_AUTO_TEST_CASE(InFlightGrantsAreCounted)
+{
+  arbiter_.SetBackendServers({ MakeService("s1", 2) }, now_, actions_);
+  arbiter_.ReportInFlight(
+    { { GrantId(7), MakeCall("old"), BackendServerId("s1"), 0 } }, now_);
+  arbiter_.Enqueue(MakeCall("a"), now_, actions_);
+  arbiter_.Enqueue(MakeCall("b"), now_, actions_);
+  BOOST_TEST(Take<GrantAction>().size() == 1U);
+  arbiter_.Release(GrantId(7), GrantOutcome::Completed, now_, actions_);
+  BOOST_TEST(Take<GrantAction>().size() == 1U);
+}
+
+// Guards against full use of the capacity by each of several entries that
+// can't reach the home entry.
+BOOST_AUTO_TEST_CASE(FixedShareScalesCapacity)
+{
+  arbiter_.SetFixedShare(3);
+  arbiter_.SetBackendServers({ MakeService("s1", 9) }, now_, actions_);
+  for (int index = 0; index < 9; ++index) {
+    arbiter_.Enqueue(MakeCall("a" + std::to_string(index)), now_, actions_);
+  }
+  BOOST_TEST(Take<GrantAction>().size() == 3U);
+  arbiter_.SetFixedShare(1);
+  arbiter_.Tick(now_, actions_);
+  BOOST_TEST(Take<GrantAction>().size() == 6U);
+}
+
+// Guards against a queued request that nobody answers.
+BOOST_AUTO_TEST_CASE(LateRequestIsRefused)
+{
+  arbiter_.SetBackendServers({ MakeService("s1", 1) }, now_, actions_);
+  arbiter_.Enqueue(MakeCall("a"), now_, actions_);
+  GrantRequest late = MakeCall("b");
+  late.deadline_ = now_ + std::chrono::seconds(1);
+  arbiter_.Enqueue(late, now_, actions_);
+  actions_.clear();
+  arbiter_.Tick(Advance(std::chrono::milliseconds(900)), actions_);
+  BOOST_TEST(actions_.empty());
+  arbiter_.Tick(Advance(std::chrono::milliseconds(200)), actions_);
+  const auto refused = Take<RefuseAction>();
+  BOOST_REQUIRE(refused.size() == 1U);
+  BOOST_TEST((refused[0].reason_ == ErrorCode::DeadlineUnreachable));
+}
+
+// Guards against slots that a dead entry holds for ever.
+BOOST_AUTO_TEST_CASE(DeadEntryReleasesItsGrants)
+{
+  arbiter_.SetBackendServers({ MakeService("s1", 1) }, now_, actions_);
+  arbiter_.Enqueue(MakeCall("a"), now_, actions_);
+  GrantRequest other = MakeCall("b");
+  other.entry_ = EntryId("e2");
+  arbiter_.Enqueue(other, now_, actions_);
+  actions_.clear();
+  arbiter_.ReleaseEntry(EntryId("e1"), now_, actions_);
+  const auto grants = Take<GrantAction>();
+  BOOST_REQUIRE(grants.size() == 1U);
+  BOOST_TEST(grants[0].request_ == RequestId("b"));
+}
+
+// Guards against an operator who gets no reason for a waiting request.
+BOOST_AUTO_TEST_CASE(ExplainGivesReasons)
+{
+  arbiter_.SetBackendServers({ MakeService("s1", 1) }, now_, actions_);
+  arbiter_.Enqueue(MakeCall("a"), now_, actions_);
+  arbiter_.Enqueue(MakeCall("b"), now_, actions_);
+  const auto granted = arbiter_.Explain(RequestId("a"));
+  BOOST_REQUIRE(!granted.empty());
+  BOOST_TEST(granted[0].find("s1") != std::string::npos);
+  const auto queued = arbiter_.Explain(RequestId("b"));
+  BOOST_REQUIRE(queued.size() >= 4U);
+  BOOST_TEST(queued.back() == "s1: no slot, 1 of 1 slots");
+  BOOST_TEST(arbiter_.Explain(RequestId("x")).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace azurecross
--- /dev/null
+++ b/tests/policy_tests/FairQueueTests.cpp
@@ -0,0 +1,120 @@
+#include <azurecross_policy/azurecross_policy.h>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <map>
+
+namespace azurecross {
+
+BOOST_AUTO_TEST_SUITE(FairQueueTests)
+
+// Guards against a share that depends on how much a customer asks for.
+BOOST_AUTO_TEST_CASE(BackloggedCustomersGetEqualShares)
+{
+  FairQueue queue;
+  const CustomerId large("large");
+  const CustomerId small("small");
+  FairQueue::Item item = 0;
+  for (; item < 1000; ++item) {
+    queue.Push(large, item);
+  }
+  for (; item < 1100; ++item) {
+    queue.Push(small, item);
+  }
+  int fromSmall = 0;
+  for (int step = 0; step < 200; ++step) {
+    const bool isSmall = *queue.FindNext() >= 1000;
+    queue.PopNext();
+    queue.Charge(isSmall ? small : large, 10.0);
+    fromSmall += isSmall ? 1 : 0;
+  }
+  BOOST_TEST(fromSmall == 100);
+}
+
+// Guards against credit that a customer saves up while it is idle.
+BOOST_AUTO_TEST_CASE(IdleCustomerSavesNoCredit)
+{
+  FairQueue queue;
+  const CustomerId busy("busy");
+  const CustomerId idle("idle");
+  queue.Push(idle, 0);
+  queue.PopNext();
+  queue.Charge(idle, 1.0);
+  FairQueue::Item item = 1;
+  for (; item < 2000; ++item) {
+    queue.Push(busy, item);
+  }
+  for (int step = 0; step < 1000; ++step) {
+    queue.PopNext();
+    queue.Charge(busy, 10.0);
+  }
+  for (int count = 0; count < 100; ++count) {
+    queue.Push(idle, item++);
+  }
+  int fromIdle = 0;
+  for (int step = 0; step < 20; ++step) {
+    const bool isIdle = *queue.FindNext() >= 2000;
+    queue.PopNext();
+    queue.Charge(isIdle ? idle : busy, 10.0);
+    fromIdle += isIdle ? 1 : 0;
+  }
+  BOOST_TEST(fromIdle <= 11);
+}
+
+// Guards against memory that grows with every customer ever seen.
+BOOST_AUTO_TEST_CASE(IdleCustomersAreForgotten)
+{
+  FairQueue queue;
+  for (FairQueue::Item item = 0; item < 10'000; ++item) {
+    const CustomerId customer("c" + std::to_string(item));
+    queue.Push(customer, item);
+    queue.PopNext();
+    queue.Charge(customer, 1.0);
+    const CustomerId steady("steady");
+    queue.Push(steady, item);
+    queue.PopNext();
+    queue.Charge(steady, 1.0);
+  }
+  BOOST_TEST(queue.CountCustomers() < 100U);
+}
+
+// Guards against items lost or delivered twice, in any order of calls.
+RC_BOOST_PROP(EveryItemLeavesOnce, (const std::vector<std::uint8_t>& aCalls))
+{
+  FairQueue queue;
+  std::map<FairQueue::Item, CustomerId> expected;
+  FairQueue::Item next = 0;
+  for (const std::uint8_t call : aCalls) {
+    const CustomerId customer(std::to_string(call % 5));
+    switch (call % 4) {
+      case 0:
+      case 1:
+        queue.Push(customer, next);
+        expected.emplace(next++, customer);
+        break;
+      case 2: {
+        const auto item = queue.FindNext();
+        RC_ASSERT(item.has_value() == !expected.empty());
+        if (item) {
+          RC_ASSERT(expected.erase(*item) == 1U);
+          queue.PopNext();
+        }
+        break;
+      }
+      default:
+        queue.Charge(customer, call - 100.0);
+        if (!expected.empty()) {
+          const auto [item, owner] = *expected.begin();
+          RC_ASSERT(queue.Remove(owner, item));
+          RC_ASSERT(!queue.Remove(owner, item));
+          expected.erase(item);
+        }
+    }
+    RC_ASSERT(queue.CountItems() == expected.size());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace azurecross
