--- a/modules/azurecross_http/server/HttpServer.cpp
+++ b/modules/azurecross_http/server/HttpServer.cpp
@@ -11,6 +11,9 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <sys/socket.h>
+
+#include <cerrno>
 #include <set>
 
 namespace azurecross {
@@ -122,6 +125,19 @@
     open_ = open_ && !code;
   }
 
+  bool IsPeerGone() override
+  {
+    char byte = 0;
+    const auto length = ::recv(stream_.socket().native_handle(),
+                               &byte,
+                               1,
+                               MSG_PEEK | MSG_DONTWAIT); // NOLINT: bit flags
+    const bool isWaiting =
+      length > 0 || (length < 0 && (errno == EAGAIN || errno == EINTR));
+    open_ = open_ && isWaiting;
+    return !open_;
+  }
+
   void Abort() override
   {
     open_ = false;
--- a/modules/azurecross_http/server/HttpServer.h
+++ b/modules/azurecross_http/server/HttpServer.h
@@ -45,6 +45,8 @@
   virtual boost::asio::awaitable<bool> WritePart(std::string_view aPart) = 0;
   /** Ends a chunked response. */
   virtual boost::asio::awaitable<void> FinishStream() = 0;
+  /** @returns whether the peer has closed or reset the connection. */
+  virtual bool IsPeerGone() = 0;
   /** Drops the connection without an answer or in mid-answer. */
   virtual void Abort() = 0;
 };
