--- /dev/null
+++ b/bench/policy/Simulation.cpp
@@ -0,0 +1,519 @@
+#include "Simulation.h"
+
+#include "ArbiterPolicy.h"
+#include "BaselinePolicy.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace azurecross::bench {
+namespace {
+
+constexpr Duration kProgressInterval = std::chrono::milliseconds(250);
+constexpr Duration kLoadInterval = std::chrono::milliseconds(500);
+constexpr Duration kTickInterval = std::chrono::milliseconds(100);
+/** The platform's VM list shows a death or a return after this. */
+constexpr Duration kVmListLag = std::chrono::seconds(3);
+/** Attempts per request before the caller gets an error. */
+constexpr std::size_t kMaximumAttempts = 4;
+/** Share of cache events that never arrive. */
+constexpr double kLostCacheEvents = 0.05;
+
+} // namespace
+
+template<RunnablePolicy Policy>
+Simulation<Policy>::Simulation(const Scenario& aScenario,
+                               const std::vector<Arrival>& aArrivals,
+                               const PolicyOptions& aOptions)
+  : scenario_(aScenario)
+  , arrivals_(aArrivals)
+  , policy_(aOptions)
+  , recorder_(aScenario, aArrivals)
+  , random_(aOptions.seed_ + 17)
+  , streams_(aArrivals.size())
+{
+  for (const EngineParameters& parameters : aScenario.workload_.engines_) {
+    engines_.push_back({ FakeEngine(parameters) });
+  }
+  for (std::size_t index = 0; index < aArrivals.size(); ++index) {
+    Schedule(aArrivals[index].time_, EventKind::Arrival, index);
+  }
+  for (std::size_t index = 0; index < aScenario.faults_.size(); ++index) {
+    Schedule(Time(FromSeconds(aScenario.faults_[index].seconds_)),
+             EventKind::Fault,
+             index);
+  }
+  Schedule(Time(kProgressInterval), EventKind::Progress, 0);
+  Schedule(Time(kLoadInterval), EventKind::Load, 0);
+  Schedule(Time(kTickInterval), EventKind::Tick, 0);
+}
+
+template<RunnablePolicy Policy>
+Figures
+Simulation<Policy>::Run()
+{
+  const Time end(FromSeconds(scenario_.durationSeconds_));
+  while (!events_.empty() && events_.top().time_ < end) {
+    const Event event = events_.top();
+    events_.pop();
+    now_ = event.time_;
+    Handle(event);
+  }
+  Figures figures = recorder_.Compute(streams_);
+  for (const EngineState& state : engines_) {
+    figures.preemptions_ += state.engine_.CountPreemptions();
+  }
+  figures.decisionP50_ = policy_.GetTimer().ComputeQuantile(0.5);
+  figures.decisionP99_ = policy_.GetTimer().ComputeQuantile(0.99);
+  return figures;
+}
+
+template<RunnablePolicy Policy>
+void
+Simulation<Policy>::Schedule(Time aTime, EventKind aKind, std::size_t aIndex)
+{
+  events_.push({ aTime, nextEvent_++, aKind, aIndex });
+}
+
+template<RunnablePolicy Policy>
+void
+Simulation<Policy>::Handle(const Event& aEvent)
+{
+  switch (aEvent.kind_) {
+    case EventKind::Arrival:
+      streams_[aEvent.index_].hasArrived_ = true;
+      Schedule(now_ + arrivals_[aEvent.index_].deadline_,
+               EventKind::Deadline,
+               aEvent.index_);
+      Ask(aEvent.index_);
+      break;
+    case EventKind::Step:
+      if (engines_[aEvent.index_].generation_ == aEvent.number_) {
+        FinishStep(aEvent.index_);
+      }
+      break;
+    case EventKind::Deadline:
+      TakeDeadline(aEvent.index_);
+      break;
+    case EventKind::Progress:
+      CollectProgress();
+      Schedule(now_ + kProgressInterval, EventKind::Progress, 0);
+      break;
+    case EventKind::Load:
+      CollectLoad();
+      Schedule(now_ + kLoadInterval, EventKind::Load, 0);
+      break;
+    case EventKind::Tick:
+      policy_.Tick(now_, decisions_);
+      Schedule(now_ + kTickInterval, EventKind::Tick, 0);
+      break;
+    case EventKind::Fault:
+      TakeFault(scenario_.faults_[aEvent.index_]);
+      break;
+    case EventKind::VmList: {
+      std::vector<bool> live;
+      for (const EngineState& state : engines_) {
+        live.push_back(state.isAlive_);
+      }
+      policy_.SetLive(live, now_, decisions_);
+    }
+  }
+  ApplyDecisions();
+}
+
+template<RunnablePolicy Policy>
+GrantRequest
+Simulation<Policy>::MakeGrantRequest(std::size_t aRequest) const
+{
+  const Arrival& arrival = arrivals_[aRequest];
+  const RouteProfile& profile = arrival.rank_ == Rank::Urgent
+                                  ? scenario_.workload_.urgent_
+                                  : scenario_.workload_.lesser_;
+  GrantRequest request;
+  request.request_ = MakeRequestId(aRequest);
+  request.entry_ = EntryId("e" + std::to_string(arrival.entry_));
+  request.customer_ = CustomerId("c" + std::to_string(arrival.customer_));
+  request.rank_ = arrival.rank_;
+  request.route_ = RouteName(profile.name_);
+  request.model_ = ModelName("m");
+  request.promptTokens_ = arrival.prompt_;
+  if (arrival.prefix_ != 0) {
+    request.prefixHashes_ = { arrival.prefix_ };
+  }
+  request.deadline_ = arrival.time_ + arrival.deadline_;
+  request.excluded_ = streams_[aRequest].excluded_;
+  return request;
+}
+
+template<RunnablePolicy Policy>
+void
+Simulation<Policy>::Ask(std::size_t aRequest)
+{
+  const Arrival& arrival = arrivals_[aRequest];
+  policy_.Enqueue(aRequest,
+                  MakeGrantRequest(aRequest),
+                  arrival.entry_,
+                  arrival.zone_,
+                  now_,
+                  decisions_);
+}
+
+template<RunnablePolicy Policy>
+void
+Simulation<Policy>::ApplyDecisions()
+{
+  // Carrying out a decision can lead to further ones.
+  while (!decisions_.empty()) {
+    const Decisions decisions = std::exchange(decisions_, {});
+    for (const Decision& decision : decisions) {
+      Stream& stream = streams_[decision.request_];
+      if (stream.state_ != StreamState::Queued) {
+        continue;
+      }
+      if (decision.isGranted_) {
+        Submit(decision.request_, decision.server_);
+      } else {
+        stream.state_ = StreamState::Refused;
+      }
+    }
+  }
+}
+
+template<RunnablePolicy Policy>
+void
+Simulation<Policy>::Submit(std::size_t aRequest, std::size_t aServer)
+{
+  Stream& stream = streams_[aRequest];
+  EngineState& state = engines_[aServer];
+  stream.wasAdmitted_ = true;
+  stream.server_ = aServer;
+  if (!state.isAlive_) {
+    Retry(aRequest, aServer);
+    return;
+  }
+  stream.state_ = StreamState::Running;
+  running_.push_back(aRequest);
+  const Arrival& arrival = arrivals_[aRequest];
+  EngineJob job;
+  job.request_ = aRequest;
+  job.rank_ = arrival.rank_;
+  job.prompt_ = arrival.prompt_;
+  job.output_ = arrival.output_;
+  job.prefix_ = arrival.prefix_;
+  job.prefixTokens_ = arrival.prefixTokens_;
+  recorder_.RecordPrompt(arrival.prompt_, now_);
+  state.engine_.Submit(job);
+  StartStep(aServer);
+}
+
+template<RunnablePolicy Policy>
+void
+Simulation<Policy>::Retry(std::size_t aRequest, std::size_t aServer)
+{
+  Stream& stream = streams_[aRequest];
+  policy_.Release(aRequest, GrantOutcome::Unreachable, now_, decisions_);
+  stream.excluded_.push_back(MakeServerId(aServer));
+  if (stream.excluded_.size() >= kMaximumAttempts) {
+    stream.state_ = StreamState::GaveUp;
+    return;
+  }
+  stream.state_ = StreamState::Queued;
+  Ask(aRequest);
+}
+
+template<RunnablePolicy Policy>
+void
+Simulation<Policy>::StartStep(std::size_t aServer)
+{
+  EngineState& state = engines_[aServer];
+  if (state.isStepping_ || !state.isAlive_) {
+    return;
+  }
+  const Duration duration = state.engine_.BeginStep();
+  if (duration == Duration::zero()) {
+    return;
+  }
+  state.isStepping_ = true;
+  state.generation_ = nextEvent_;
+  const Time start = std::max(now_, state.stalledUntil_);
+  Schedule(start + duration, EventKind::Step, aServer);
+}
+
+template<RunnablePolicy Policy>
+void
+Simulation<Policy>::FinishStep(std::size_t aServer)
+{
+  EngineState& state = engines_[aServer];
+  state.isStepping_ = false;
+  tokens_.clear();
+  state.engine_.EndStep(tokens_);
+  for (const EngineToken& token : tokens_) {
+    TakeToken(token);
+  }
+  ApplyDecisions();
+  StartStep(aServer);
+}
+
+template<RunnablePolicy Policy>
+void
+Simulation<Policy>::TakeToken(const EngineToken& aToken)
+{
+  Stream& stream = streams_[aToken.request_];
+  const Rank rank = arrivals_[aToken.request_].rank_;
+  recorder_.RecordToken(rank, now_);
+  if (stream.tokens_ == 0) {
+    stream.firstToken_ = now_;
+  } else {
+    recorder_.RecordGap(rank, now_ - stream.lastToken_, now_);
+  }
+  ++stream.tokens_;
+  stream.lastToken_ = now_;
+  if (aToken.isLast_) {
+    stream.state_ = StreamState::Completed;
+    // The last progress goes with the release.
+    policy_.ReportProgress(aToken.request_, stream.tokens_, now_, decisions_);
+    policy_.Release(aToken.request_, GrantOutcome::Completed, now_, decisions_);
+  }
+}
+
+template<RunnablePolicy Policy>
+void
+Simulation<Policy>::TakeDeadline(std::size_t aRequest)
+{
+  Stream& stream = streams_[aRequest];
+  const bool isOpen = stream.state_ == StreamState::Queued ||
+                      stream.state_ == StreamState::Running;
+  if (!isOpen || stream.tokens_ > 0) {
+    return;
+  }
+  if (stream.state_ == StreamState::Running) {
+    engines_[stream.server_].engine_.Cancel(aRequest);
+  }
+  stream.state_ = StreamState::GaveUp;
+  policy_.Release(aRequest, GrantOutcome::Cancelled, now_, decisions_);
+}
+
+template<RunnablePolicy Policy>
+void
+Simulation<Policy>::CollectProgress()
+{
+  std::erase_if(running_, [this](std::size_t aRequest) {
+    return streams_[aRequest].state_ != StreamState::Running;
+  });
+  for (std::size_t request : running_) {
+    progress_.push_back(
+      { now_ + scenario_.progressLag_, request, streams_[request].tokens_ });
+  }
+  while (!progress_.empty() && progress_.front().due_ <= now_) {
+    const Progress progress = progress_.front();
+    progress_.pop_front();
+    if (progress.tokens_ > 0) {
+      policy_.ReportProgress(
+        progress.request_, progress.tokens_, now_, decisions_);
+    }
+  }
+}
+
+template<RunnablePolicy Policy>
+void
+Simulation<Policy>::CollectLoad()
+{
+  for (std::size_t server = 0; server < engines_.size(); ++server) {
+    EngineState& state = engines_[server];
+    if (!state.isAlive_ || state.stalledUntil_ > now_) {
+      continue;
+    }
+    const FakeEngine& engine = state.engine_;
+    LoadReport report;
+    report.due_ = now_ + scenario_.loadLag_;
+    report.load_.id_ = MakeServerId(server);
+    report.load_.running_ = static_cast<std::uint32_t>(engine.CountRunning());
+    report.load_.waiting_ = static_cast<std::uint32_t>(engine.CountWaiting());
+    report.load_.usedMemoryTokens_ = engine.GetUsedMemory();
+    report.load_.totalMemoryTokens_ = engine.GetParameters().memoryTokens_;
+    report.load_.preemptions_ = engine.CountPreemptions();
+    report.load_.measured_ = now_;
+    report.cache_.id_ = report.load_.id_;
+    state.engine_.TakeCacheChanges(report.cache_.stored_,
+                                   report.cache_.removed_);
+    report.cache_.sequence_ = ++state.cacheSequence_;
+    report.isCacheLost_ = random_.DrawUnit() < kLostCacheEvents;
+    loads_.push_back(std::move(report));
+  }
+  while (!loads_.empty() && loads_.front().due_ <= now_) {
+    const LoadReport& report = loads_.front();
+    policy_.ReportLoad(report.load_, now_, decisions_);
+    if (!report.isCacheLost_) {
+      policy_.ReportCacheEvent(report.cache_, now_);
+    }
+    loads_.pop_front();
+  }
+}
+
+template<RunnablePolicy Policy>
+void
+Simulation<Policy>::TakeFault(const Fault& aFault)
+{
+  EngineState& state = engines_[aFault.server_];
+  switch (aFault.kind_) {
+    case FaultKind::EngineDeath:
+      KillEngine(aFault.server_);
+      break;
+    case FaultKind::EngineReturn:
+      state.isAlive_ = true;
+      Schedule(now_ + kVmListLag, EventKind::VmList, 0);
+      break;
+    case FaultKind::EngineSpeed:
+      state.engine_.SetSpeed(
+        scenario_.workload_.engines_[aFault.server_].speed_ * aFault.factor_);
+      break;
+    case FaultKind::EngineStall:
+      state.stalledUntil_ = now_ + FromSeconds(aFault.factor_);
+      break;
+    case FaultKind::ZoneCut:
+      policy_.SetCut(true);
+      CutZones();
+      break;
+    case FaultKind::ZoneHeal:
+      policy_.SetCut(false);
+      break;
+    case FaultKind::HomeLoss:
+      LoseHome();
+      break;
+    case FaultKind::HomeRecovery:
+      RecoverHome();
+  }
+}
+
+template<RunnablePolicy Policy>
+void
+Simulation<Policy>::KillEngine(std::size_t aServer)
+{
+  EngineState& state = engines_[aServer];
+  state.isAlive_ = false;
+  state.isStepping_ = false;
+  state.generation_ = UINT64_MAX;
+  state.engine_.Clear();
+  Schedule(now_ + kVmListLag, EventKind::VmList, 0);
+  for (std::size_t request : std::vector<std::size_t>(running_)) {
+    Stream& stream = streams_[request];
+    if (stream.state_ != StreamState::Running || stream.server_ != aServer) {
+      continue;
+    }
+    if (stream.tokens_ == 0) {
+      Retry(request, aServer);
+      continue;
+    }
+    stream.state_ = StreamState::Lost;
+    policy_.Release(request, GrantOutcome::Failed, now_, decisions_);
+  }
+}
+
+template<RunnablePolicy Policy>
+void
+Simulation<Policy>::CutZones()
+{
+  // Streams between zones break; those without a token are tried again in
+  // the caller's zone.
+  for (std::size_t request : std::vector<std::size_t>(running_)) {
+    Stream& stream = streams_[request];
+    if (stream.state_ != StreamState::Running ||
+        scenario_.engineZones_[stream.server_] == arrivals_[request].zone_) {
+      continue;
+    }
+    engines_[stream.server_].engine_.Cancel(request);
+    if (stream.tokens_ == 0) {
+      Retry(request, stream.server_);
+      continue;
+    }
+    stream.state_ = StreamState::Lost;
+    policy_.Release(request, GrantOutcome::Failed, now_, decisions_);
+  }
+}
+
+template<RunnablePolicy Policy>
+void
+Simulation<Policy>::LoseHome()
+{
+  // The home entry is entry 0; its callers' streams end with it.
+  for (std::size_t request = 0; request < streams_.size(); ++request) {
+    Stream& stream = streams_[request];
+    const bool isOpen = stream.state_ == StreamState::Queued ||
+                        stream.state_ == StreamState::Running;
+    if (!stream.hasArrived_ || !isOpen || arrivals_[request].entry_ != 0) {
+      continue;
+    }
+    if (stream.state_ == StreamState::Running) {
+      engines_[stream.server_].engine_.Cancel(request);
+    }
+    stream.state_ = StreamState::Lost;
+    policy_.Release(request, GrantOutcome::Cancelled, now_, decisions_);
+  }
+  policy_.LoseHome(now_);
+  AskQueuedAgain();
+}
+
+template<RunnablePolicy Policy>
+void
+Simulation<Policy>::RecoverHome()
+{
+  std::vector<InFlightGrant> grants;
+  std::uint64_t number = 1;
+  for (std::size_t request : running_) {
+    const Stream& stream = streams_[request];
+    if (stream.state_ == StreamState::Running) {
+      grants.push_back({ GrantId(number++),
+                         MakeGrantRequest(request),
+                         MakeServerId(stream.server_),
+                         stream.tokens_ });
+    }
+  }
+  policy_.RecoverHome(grants, now_);
+  AskQueuedAgain();
+}
+
+template<RunnablePolicy Policy>
+void
+Simulation<Policy>::AskQueuedAgain()
+{
+  if constexpr (std::is_same_v<Policy, BaselinePolicy>) {
+    return;
+  }
+  for (std::size_t request = 0; request < streams_.size(); ++request) {
+    if (streams_[request].hasArrived_ &&
+        streams_[request].state_ == StreamState::Queued) {
+      Ask(request);
+    }
+  }
+}
+
+Figures
+RunPolicy(const Scenario& aScenario,
+          const std::vector<Arrival>& aArrivals,
+          PolicyKind aKind,
+          std::uint64_t aSeed)
+{
+  PolicyOptions options;
+  options.kind_ = aKind;
+  options.zones_ = aScenario.engineZones_;
+  options.zoneCount_ = aScenario.zoneCount_;
+  options.entries_ = aScenario.workload_.entries_;
+  options.seed_ = aSeed;
+  options.isPaced_ = aScenario.isPaced_;
+  for (std::size_t server = 0; server < aScenario.workload_.engines_.size();
+       ++server) {
+    const EngineParameters& engine = aScenario.workload_.engines_[server];
+    options.servers_.push_back({ MakeServerId(server),
+                                 { ModelName("m") },
+                                 engine.memoryTokens_,
+                                 engine.maxBatch_,
+                                 false });
+  }
+  if (aKind == PolicyKind::RoundRobin ||
+      aKind == PolicyKind::LeastOutstanding) {
+    return Simulation<BaselinePolicy>(aScenario, aArrivals, options).Run();
+  }
+  return Simulation<ArbiterPolicy>(aScenario, aArrivals, options).Run();
+}
+
+} // namespace azurecross::bench
--- a/modules/azurecross_policy/admission/BackendServerModel.cpp
+++ b/modules/azurecross_policy/admission/BackendServerModel.cpp
@@ -78,7 +78,7 @@
 {
   --running_[static_cast<std::size_t>(aRank)];
   memory_.Subtract(aForecast);
-  if (GetRunning() == 0) {
+  if (running_[0] + running_[1] == 0) {
     // Removes rounding errors left by the subtractions.
     memory_ = {};
   }
@@ -179,6 +179,16 @@
   hasPreemptions_ = true;
 }
 
+void
+BackendServerModel::ObserveOthers(const BackendServerLoad& aLoad)
+{
+  const std::uint32_t own = running_[0] + running_[1];
+  const std::uint32_t reported = aLoad.running_ + aLoad.waiting_;
+  otherRunning_ = reported > own ? reported - own : 0;
+  otherMemory_ = std::max(0.0, aLoad.usedMemoryTokens_ - memory_.mean_[0]);
+  UpdateMemoryShare();
+}
+
 bool
 BackendServerModel::HasMemoryFor(const MemoryForecast& aForecast,
                                  Rank aRank) const
@@ -189,7 +199,8 @@
   }
   const double deviations =
     aRank == Rank::Urgent ? kUrgentDeviations : kLesserDeviations;
-  const double usable = description_.memoryTokens_ * memoryTrust_ / members_;
+  const double usable =
+    description_.memoryTokens_ * memoryTrust_ / members_ - otherMemory_;
   for (std::size_t index = 0; index < MemoryForecast::kHorizonCount; ++index) {
     const double mean = memory_.mean_[index] + aForecast.mean_[index];
     const double variance =
@@ -210,7 +221,8 @@
     return;
   }
   const double peak =
-    *std::max_element(memory_.mean_.begin(), memory_.mean_.end());
+    *std::max_element(memory_.mean_.begin(), memory_.mean_.end()) +
+    otherMemory_;
   memoryShare_ = peak * members_ / (description_.memoryTokens_ * memoryTrust_);
 }
 
--- a/modules/azurecross_policy/admission/BackendServerModel.h
+++ b/modules/azurecross_policy/admission/BackendServerModel.h
@@ -43,6 +43,9 @@
   /** Learns the memory size and reacts to preemptions. */
   void ObserveLoad(const BackendServerLoad& aLoad);
 
+  /** Counts what a load report shows beyond this view's own requests. */
+  void ObserveOthers(const BackendServerLoad& aLoad);
+
   /** @returns whether memory is predicted to suffice with one more request.
    */
   bool HasMemoryFor(const MemoryForecast& aForecast, Rank aRank) const;
@@ -55,7 +58,10 @@
   {
     return limits_[static_cast<std::size_t>(aRank)];
   }
-  std::uint32_t GetRunning() const { return running_[0] + running_[1]; }
+  std::uint32_t GetRunning() const
+  {
+    return running_[0] + running_[1] + otherRunning_;
+  }
   std::uint32_t GetRunning(Rank aRank) const
   {
     return running_[static_cast<std::size_t>(aRank)];
@@ -82,6 +88,9 @@
   std::uint32_t members_ = 1;
   std::array<std::uint32_t, kRankCount> running_{};
   std::array<std::uint32_t, kRankCount> limits_{};
+  /** Requests and memory of other views, from load reports. */
+  std::uint32_t otherRunning_ = 0;
+  double otherMemory_ = 0.0;
   MemoryForecast memory_;
   std::int64_t pendingPrompt_ = 0;
   double memoryShare_ = 0.0;
--- a/modules/azurecross_policy/arbitration/Arbiter.cpp
+++ b/modules/azurecross_policy/arbitration/Arbiter.cpp
@@ -267,7 +267,11 @@
 {
   const auto position = serverIndexes_.find(aLoad.id_);
   if (position != serverIndexes_.end()) {
-    servers_[position->second].model_.ObserveLoad(aLoad);
+    BackendServerModel& model = servers_[position->second].model_;
+    model.ObserveLoad(aLoad);
+    if (options_.placementChoices_ > 0) {
+      model.ObserveOthers(aLoad);
+    }
   }
 }
 
--- a/modules/azurecross_policy/arbitration/Arbiter.h
+++ b/modules/azurecross_policy/arbitration/Arbiter.h
@@ -34,6 +34,11 @@
 {
 public:
   explicit Arbiter(const ArbiterOptions& aOptions = {});
+  Arbiter(const Arbiter&) = delete;
+  Arbiter& operator=(const Arbiter&) = delete;
+  Arbiter(Arbiter&&) = default;
+  Arbiter& operator=(Arbiter&&) = default;
+  ~Arbiter() = default;
 
   /** Replaces the group's list; what was learned about known servers stays.
    * A backend server that is no longer listed gets no new requests. */
@@ -133,7 +138,7 @@
   std::optional<Placement> Place(const Lane& aLane,
                                  const GrantRequest& aRequest,
                                  const MemoryForecast& aForecast,
-                                 Rank aLimitRank) const;
+                                 Rank aLimitRank);
   void AddGrant(GrantId aGrant, Granted aGranted, Time aNow);
   std::vector<std::string> ExplainQueued(const Queued& aQueued) const;
   std::vector<std::string> ExplainGranted(const Granted& aGranted) const;
--- a/modules/azurecross_policy/arbitration/ArbiterDispatch.cpp
+++ b/modules/azurecross_policy/arbitration/ArbiterDispatch.cpp
@@ -257,10 +257,15 @@
 Arbiter::Place(const Lane& aLane,
                const GrantRequest& aRequest,
                const MemoryForecast& aForecast,
-               Rank aLimitRank) const
+               Rank aLimitRank)
 {
   std::optional<Placement> best;
-  for (std::uint32_t index : aLane.servers_) {
+  const std::size_t choices = options_.placementChoices_;
+  const std::size_t count = choices == 0 ? aLane.servers_.size() : choices;
+  for (std::size_t step = 0; step < count; ++step) {
+    const std::uint32_t index =
+      aLane.servers_[choices == 0 ? step
+                                  : random_.DrawBelow(aLane.servers_.size())];
     const Server& server = servers_[index];
     const BackendServerModel& model = server.model_;
     const std::uint32_t limit = model.GetLimit(aLimitRank);
--- a/modules/azurecross_policy/arbitration/ArbiterOptions.h
+++ b/modules/azurecross_policy/arbitration/ArbiterOptions.h
@@ -20,6 +20,12 @@
   double promptWeight_ = 0.1;
   /** Whether lesser work stays under the minute already paid for. */
   bool isPaced_ = false;
+  /**
+   * How many random backend servers are considered for each request; 0 is all
+   * of them. With 2 or more the arbiter counts requests of other entries from
+   * load reports, so that entries can work without a home entry.
+   */
+  std::size_t placementChoices_ = 0;
   /**
    * Seeds all random choices and the upper half of grant ids. Each home entry
    * of a group must use another seed, so that grant ids never repeat.
--- a/modules/azurecross_policy/azurecross_policy.h
+++ b/modules/azurecross_policy/azurecross_policy.h
@@ -8,3 +8,4 @@
  */
 
 #include "arbitration/Arbiter.h"
+#include "routing/ZoneRouter.h"
