Estimate waits from how long slots are held

Counted grants gave a wrong rate whenever a queue was short, so urgent work was refused in floods of lesser work, and requests were granted with too little time left for their first token.

--- a/bench/policy/Figures.h
+++ b/bench/policy/Figures.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -27,8 +28,8 @@
   double busiestMinute_ = 0.0;
   std::optional<double> busiestMinuteLeast_;
   std::uint64_t refused_ = 0;
-  /** Refused although a later request of the same customer and rank got its
-   * first token before the refused one's deadline. */
+  /** Refused although no request of its zone and rank was queued any more at
+   * some moment before its deadline, so that it could have been served. */
   std::uint64_t wronglyRefused_ = 0;
   double decisionP50_ = 0.0;
   double decisionP99_ = 0.0;
@@ -45,6 +46,8 @@
 
   void RecordGap(Rank aRank, Duration aGap, Time aNow);
   void RecordToken(Rank aRank, Time aNow);
+  /** No request of this rank from this zone is queued now. */
+  void RecordQueueEmpty(std::size_t aZone, Rank aRank, Time aNow);
   void RecordPrompt(std::uint32_t aTokens, Time aNow);
 
   Figures Compute(const std::vector<Stream>& aStreams) const;
@@ -67,6 +70,8 @@
   double stallSeconds_ = 0.0;
   std::array<std::uint64_t, kRankCount> tokens_{};
   std::vector<double> minutes_;
+  /** Times at which a queue was empty, in order. */
+  std::map<std::pair<std::size_t, Rank>, std::vector<Time>> emptied_;
 };
 
 } // namespace azurecross::bench
--- a/bench/policy/Simulation.h
+++ b/bench/policy/Simulation.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <queue>
 #include <vector>
 
@@ -99,6 +100,7 @@
 
   void Schedule(Time aTime, EventKind aKind, std::size_t aIndex);
   void Handle(const Event& aEvent);
+  void SetState(std::size_t aRequest, StreamState aState);
   void Ask(std::size_t aRequest);
   void ApplyDecisions();
   void Submit(std::size_t aRequest, std::size_t aServer);
@@ -125,6 +127,8 @@
   std::vector<EngineState> engines_;
   std::vector<Stream> streams_;
   std::vector<std::size_t> running_;
+  /** Queued requests by zone and rank. */
+  std::map<std::pair<std::size_t, Rank>, std::size_t> queued_;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
   std::deque<Progress> progress_;
   std::deque<LoadReport> loads_;
--- /dev/null
+++ b/modules/azurecross_policy/admission/WaitEstimator.cpp
@@ -0,0 +1,87 @@
+#include "WaitEstimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace azurecross {
+namespace {
+
+/** Observations that count in the mean time a slot is held. */
+constexpr std::uint32_t kHoldWindow = 500;
+/** Weight of one first token in its smoothed time. */
+constexpr double kFirstTokenWeight = 0.02;
+/** Mean deviations added, which covers about 98 of 100 first tokens. */
+constexpr double kFirstTokenDeviations = 3.0;
+/** Time constant of the arrival rates. */
+constexpr double kArrivalSeconds = 5.0;
+
+} // namespace
+
+void
+WaitEstimator::ObserveHold(Rank aRank, Duration aHeld)
+{
+  const std::size_t index = GetIndex(aRank);
+  holds_[index] = std::min(holds_[index] + 1, kHoldWindow);
+  holdSeconds_[index] +=
+    (ToSeconds(aHeld) - holdSeconds_[index]) / holds_[index];
+}
+
+void
+WaitEstimator::ObserveFirstToken(Duration aAfterGrant)
+{
+  const double seconds = ToSeconds(aAfterGrant);
+  if (!hasFirstToken_) {
+    firstTokenSeconds_ = seconds;
+    hasFirstToken_ = true;
+    return;
+  }
+  const double difference = seconds - firstTokenSeconds_;
+  firstTokenSeconds_ += kFirstTokenWeight * difference;
+  firstTokenDeviation_ +=
+    kFirstTokenWeight * (std::abs(difference) - firstTokenDeviation_);
+}
+
+void
+WaitEstimator::Tick(Duration aElapsed)
+{
+  const double elapsed = ToSeconds(aElapsed);
+  const double weight = -std::expm1(-elapsed / kArrivalSeconds);
+  for (std::size_t index = 0; index < kRankCount; ++index) {
+    const double rate = arrivals_[index] / elapsed;
+    arrivals_[index] = 0;
+    arrivalRate_[index] += weight * (rate - arrivalRate_[index]);
+  }
+}
+
+double
+WaitEstimator::PredictRate(
+  Rank aRank,
+  const std::array<std::uint32_t, kRankCount>& aRunning,
+  std::uint32_t aSlots,
+  double aLesserFloor) const
+{
+  double released = 0.0;
+  for (std::size_t index = 0; index < kRankCount; ++index) {
+    if (holdSeconds_[index] > 0.0) {
+      released += aRunning[index] / holdSeconds_[index];
+    }
+  }
+  const std::size_t lesser = GetIndex(Rank::Lesser);
+  const double floorRate = holdSeconds_[lesser] > 0.0
+                             ? aLesserFloor * aSlots / holdSeconds_[lesser]
+                             : 0.0;
+  if (aRank == Rank::Lesser) {
+    return std::max(released - arrivalRate_[GetIndex(Rank::Urgent)], floorRate);
+  }
+  const double lesserDemand = std::min(arrivalRate_[lesser], floorRate);
+  return std::max(released - lesserDemand, 0.5 * released);
+}
+
+Duration
+WaitEstimator::GetFirstTokenMargin() const
+{
+  return FromSeconds(firstTokenSeconds_ +
+                     kFirstTokenDeviations * firstTokenDeviation_);
+}
+
+} // namespace azurecross
--- a/modules/azurecross_policy/arbitration/Arbiter.cpp
+++ b/modules/azurecross_policy/arbitration/Arbiter.cpp
@@ -5,8 +5,6 @@
 namespace azurecross {
 namespace {
 
-/** Smoothing of the grant rate: the weight of one second's grants. */
-constexpr double kRateSmoothing = 0.3;
 /** A progress report that follows sooner says little about the gap. */
 constexpr Duration kShortestGapSample = std::chrono::milliseconds(50);
 /** Charge for each request, so that calls of plain services, which have no
@@ -140,6 +138,7 @@
   const Duration elapsed = aNow - granted.lastProgress_;
   if (granted.tokens_ == 0) {
     model.AddPendingPrompt(-std::int64_t{ granted.request_.promptTokens_ });
+    granted.lane_->waits_.ObserveFirstToken(aNow - granted.grantedAt_);
   } else if (elapsed >= kShortestGapSample) {
     model.ObserveGap(elapsed / (aTokens - granted.tokens_));
   }
@@ -173,19 +172,19 @@
     aGranted.chargedTokens_ = lengths_.PredictLength(
       aGranted.lengthClass_, aGranted.tokens_, request.outputLimit_);
   }
+  aGranted.grantedAt_ = aNow;
   aGranted.lastProgress_ = aNow;
   aGranted.lane_->queues_[rank].Charge(request.customer_,
                                        kRequestCost + aGranted.chargedTokens_ +
                                          request.promptTokens_ *
                                            options_.promptWeight_);
   ++aGranted.lane_->running_[rank];
-  ++aGranted.lane_->grants_[rank];
   grantIds_[request.request_] = aGrant;
   granted_.emplace(aGrant, std::move(aGranted));
 }
 
 void
-Arbiter::ReleaseGrant(GrantId aGrant, GrantOutcome aOutcome, Time /*aNow*/)
+Arbiter::ReleaseGrant(GrantId aGrant, GrantOutcome aOutcome, Time aNow)
 {
   const auto position = granted_.find(aGrant);
   Granted& granted = position->second;
@@ -199,6 +198,7 @@
   if (aOutcome == GrantOutcome::Completed && granted.tokens_ > 0) {
     lengths_.ObserveEnd(granted.lengthClass_, granted.tokens_);
   }
+  granted.lane_->waits_.ObserveHold(request.rank_, aNow - granted.grantedAt_);
   granted.lane_->queues_[rank].Charge(request.customer_,
                                       granted.tokens_ - granted.chargedTokens_);
   --granted.lane_->running_[rank];
@@ -312,20 +312,12 @@
 void
 Arbiter::Tick(Time aNow, ArbiterActions& aActions)
 {
-  const double elapsed = ToSeconds(aNow - lastTick_);
-  if (hasTicked_ && elapsed <= 0.0) {
+  if (hasTicked_ && aNow <= lastTick_) {
     return;
   }
   for (auto& [model, lane] : lanes_) {
-    for (std::size_t rank = 0; rank < kRankCount; ++rank) {
-      const double grants = std::exchange(lane->grants_[rank], 0);
-      // Without a queue the rate says how much was asked for, not how much
-      // could be granted.
-      if (hasTicked_ && lane->queues_[rank].CountItems() > 0) {
-        const double weight = std::min(1.0, kRateSmoothing * elapsed);
-        double& rate = lane->grantRate_[rank];
-        rate += weight * (grants / elapsed - rate);
-      }
+    if (hasTicked_) {
+      lane->waits_.Tick(aNow - lastTick_);
     }
   }
   lastTick_ = aNow;
--- a/modules/azurecross_policy/arbitration/ArbiterDispatch.cpp
+++ b/modules/azurecross_policy/arbitration/ArbiterDispatch.cpp
@@ -7,6 +7,9 @@
 
 /** Prompt tokens that wait for prefill and count as much as a full engine. */
 constexpr double kFullPendingPrompt = 8192.0;
+/** A queued request may be expected to wait for this part of its time only,
+ * because predicted waits are off by about a third in a flood. */
+constexpr double kUsableWait = 0.7;
 /** A refused caller is told to wait at least this long. */
 constexpr double kShortestRetryAfter = 1.0;
 constexpr double kLongestRetryAfter = 60.0;
@@ -67,9 +70,12 @@
     Refuse(aRequest, ErrorCode::NoBackendServer, 0.0, aActions);
     return;
   }
+  lane->waits_.ObserveArrival(aRequest.rank_);
   const double wait = ComputeWait(*lane, aRequest);
+  const Duration usable =
+    aRequest.deadline_ - aNow - lane->waits_.GetFirstTokenMargin();
   if (aRequest.deadline_ != Time::max() &&
-      aNow + FromSeconds(wait) > aRequest.deadline_) {
+      wait > std::max(0.0, kUsableWait * ToSeconds(usable))) {
     Refuse(aRequest, ErrorCode::DeadlineUnreachable, wait, aActions);
     return;
   }
@@ -95,7 +101,8 @@
   const auto rank = static_cast<std::size_t>(aRequest.rank_);
   const FairQueue& queue = aLane.queues_[rank];
   const std::size_t items = queue.CountItems();
-  const double rate = aLane.grantRate_[rank];
+  const double rate = aLane.waits_.PredictRate(
+    aRequest.rank_, aLane.running_, aLane.slots_, options_.lesserFloor_);
   if (items == 0 || rate <= 0.0) {
     return 0.0;
   }
@@ -160,7 +167,13 @@
 void
 Arbiter::RefuseLate(Time aNow, ArbiterActions& aActions)
 {
-  while (!deadlines_.empty() && deadlines_.begin()->first <= aNow) {
+  // A request that can't get its first token in time is refused while that
+  // is still a truthful not_run.
+  Duration margin{};
+  for (const auto& [model, lane] : lanes_) {
+    margin = std::max(margin, lane->waits_.GetFirstTokenMargin());
+  }
+  while (!deadlines_.empty() && deadlines_.begin()->first - aNow <= margin) {
     const std::uint64_t number = deadlines_.begin()->second;
     const Queued queued = queued_.at(number);
     const double wait = ComputeWait(*queued.lane_, queued.request_);
--- a/modules/azurecross_policy/arbitration/ArbiterState.h
+++ b/modules/azurecross_policy/arbitration/ArbiterState.h
@@ -54,6 +54,7 @@
   LengthPredictor::ClassIndex lengthClass_ = 0;
   Placement placement_;
   MemoryForecast forecast_;
+  Time grantedAt_;
   Duration waited_{};
   /** Lesser work granted because it had less than its floor. */
   bool isFloor_ = false;
--- a/modules/azurecross_policy/arbitration/Lane.h
+++ b/modules/azurecross_policy/arbitration/Lane.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../admission/WaitEstimator.h"
 #include "../fairness/FairQueue.h"
 
 #include <array>
@@ -19,9 +20,7 @@
   std::array<std::uint32_t, kRankCount> running_{};
   /** Slots that the limits for urgent work allow at present. */
   std::uint32_t slots_ = 0;
-  /** Grants since the last tick, and the smoothed rate per second. */
-  std::array<std::uint32_t, kRankCount> grants_{};
-  std::array<double, kRankCount> grantRate_{};
+  WaitEstimator waits_;
 };
 
 } // namespace azurecross
