Keep what urgent work used recently free of lesser work

A lesser generation can hold its slot and memory for minutes, so a burst of urgent work after a quiet moment would have to wait for it. Lesser work now leaves free the decayed peak of urgent slots and memory plus a tenth.

--- a/modules/azurecross_policy/admission/MemoryForecast.h
+++ b/modules/azurecross_policy/admission/MemoryForecast.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -29,6 +30,12 @@
     }
   }
 
+  /** @returns the expected memory at the fullest horizon. */
+  double ComputePeak() const
+  {
+    return *std::max_element(mean_.begin(), mean_.end());
+  }
+
   void Subtract(const MemoryForecast& aOther)
   {
     for (std::size_t index = 0; index < kHorizonCount; ++index) {
--- a/modules/azurecross_policy/arbitration/Arbiter.cpp
+++ b/modules/azurecross_policy/arbitration/Arbiter.cpp
@@ -78,9 +78,12 @@
 {
   for (auto& [model, lane] : lanes_) {
     lane->slots_ = 0;
+    lane->memoryTokens_ = 0.0;
     for (std::uint32_t index : lane->servers_) {
       if (servers_[index].IsUsable()) {
-        lane->slots_ += servers_[index].model_.GetLimit(Rank::Urgent);
+        const BackendServerModel& server = servers_[index].model_;
+        lane->slots_ += server.GetLimit(Rank::Urgent);
+        lane->memoryTokens_ += server.GetDescription().memoryTokens_;
       }
     }
   }
@@ -148,6 +151,10 @@
   const MemoryForecast forecast =
     Forecast(granted.request_, granted.lengthClass_, aTokens);
   model.UpdateForecast(granted.forecast_, forecast);
+  MemoryForecast& laneMemory =
+    granted.lane_->memory_[static_cast<std::size_t>(granted.request_.rank_)];
+  laneMemory.Subtract(granted.forecast_);
+  laneMemory.Add(forecast);
   granted.forecast_ = forecast;
   if (aTokens > granted.chargedTokens_) {
     auto& queue =
@@ -179,6 +186,7 @@
                                          request.promptTokens_ *
                                            options_.promptWeight_);
   ++aGranted.lane_->running_[rank];
+  aGranted.lane_->memory_[rank].Add(aGranted.forecast_);
   grantIds_[request.request_] = aGrant;
   granted_.emplace(aGrant, std::move(aGranted));
 }
@@ -201,7 +209,11 @@
   granted.lane_->waits_.ObserveHold(request.rank_, aNow - granted.grantedAt_);
   granted.lane_->queues_[rank].Charge(request.customer_,
                                       granted.tokens_ - granted.chargedTokens_);
-  --granted.lane_->running_[rank];
+  granted.lane_->memory_[rank].Subtract(granted.forecast_);
+  if (--granted.lane_->running_[rank] == 0) {
+    // Removes rounding errors left by the subtractions.
+    granted.lane_->memory_[rank] = {};
+  }
   grantIds_.erase(request.request_);
   granted_.erase(position);
 }
@@ -323,6 +335,11 @@
   lastTick_ = aNow;
   hasTicked_ = true;
   UpdateSlots();
+  for (auto& [model, lane] : lanes_) {
+    const auto urgent = static_cast<std::size_t>(Rank::Urgent);
+    lane->urgentSlots_.Observe(lane->running_[urgent], aNow);
+    lane->urgentTokens_.Observe(lane->memory_[urgent].ComputePeak(), aNow);
+  }
   RefuseLate(aNow, aActions);
   DispatchAll(aNow, aActions);
 }
--- a/modules/azurecross_policy/arbitration/ArbiterDispatch.cpp
+++ b/modules/azurecross_policy/arbitration/ArbiterDispatch.cpp
@@ -10,6 +10,9 @@
 /** A queued request may be expected to wait for this part of its time only,
  * because predicted waits are off by about a third in a flood. */
 constexpr double kUsableWait = 0.7;
+/** Part of slots and memory that lesser work shares with the recent peak of
+ * urgent work; the rest is free for an urgent burst above that peak. */
+constexpr double kSharedPart = 0.9;
 /** A refused caller is told to wait at least this long. */
 constexpr double kShortestRetryAfter = 1.0;
 constexpr double kLongestRetryAfter = 60.0;
@@ -192,9 +195,18 @@
 }
 
 bool
-Arbiter::CanTakeLesser(const Lane& /*aLane*/) const
+Arbiter::CanTakeLesser(const Lane& aLane) const
 {
-  return true;
+  const auto lesser = static_cast<std::size_t>(Rank::Lesser);
+  const double slots =
+    kSharedPart * aLane.slots_ - aLane.urgentSlots_.GetLast();
+  if (aLane.running_[lesser] >= slots) {
+    return false;
+  }
+  const double memory =
+    kSharedPart * aLane.memoryTokens_ - aLane.urgentTokens_.GetLast();
+  return aLane.memoryTokens_ == 0.0 ||
+         aLane.memory_[lesser].ComputePeak() < memory;
 }
 
 void
--- a/modules/azurecross_policy/arbitration/Lane.h
+++ b/modules/azurecross_policy/arbitration/Lane.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "../admission/DecayingPeak.h"
+#include "../admission/MemoryForecast.h"
 #include "../admission/WaitEstimator.h"
 #include "../fairness/FairQueue.h"
 
@@ -20,7 +22,16 @@
   std::array<std::uint32_t, kRankCount> running_{};
   /** Slots that the limits for urgent work allow at present. */
   std::uint32_t slots_ = 0;
+  /** Memory of the backend servers, and its predicted use by rank. */
+  double memoryTokens_ = 0.0;
+  std::array<MemoryForecast, kRankCount> memory_;
   WaitEstimator waits_;
+  /** What urgent work used at most in the recent past; lesser work leaves it
+   * free, because a long lesser generation can't be taken back. */
+  DecayingPeak urgentSlots_{ kUrgentMemory };
+  DecayingPeak urgentTokens_{ kUrgentMemory };
+
+  static constexpr Duration kUrgentMemory = std::chrono::minutes(2);
 };
 
 } // namespace azurecross
