Ignore horizons that a new request is unlikely to reach

Engines ran at about half of their memory in a flood of lesser work while urgent requests of a few hundred tokens waited: two or three generations that might grow to 32,768 tokens made the far horizons uncertain, and a new request had to fit there too although it is gone long before. A horizon now counts only if the new request is expected to hold a tenth of its own peak then.

--- a/modules/azurecross_policy/admission/BackendServerModel.cpp
+++ b/modules/azurecross_policy/admission/BackendServerModel.cpp
@@ -17,6 +17,11 @@
  * for the same reason as above. */
 constexpr double kUrgentDeviations = 2.0;
 constexpr double kLesserDeviations = 3.0;
+/** A horizon counts if the new request is expected to hold at least this part
+ * of its own peak then. Few generations reach the far horizons, and keeping
+ * short requests out because of them would leave memory idle: they are gone
+ * long before. */
+constexpr double kRelevantPart = 0.1;
 /** Forgetting factor per observed gap: about 500 observations count. */
 constexpr double kForget = 0.998;
 /** Weight of the assumed speed before anything is known. */
@@ -201,7 +206,11 @@
     aRank == Rank::Urgent ? kUrgentDeviations : kLesserDeviations;
   const double usable =
     description_.memoryTokens_ * memoryTrust_ / members_ - otherMemory_;
+  const double relevant = kRelevantPart * aForecast.ComputePeak();
   for (std::size_t index = 0; index < MemoryForecast::kHorizonCount; ++index) {
+    if (aForecast.mean_[index] < relevant) {
+      continue;
+    }
     const double mean = memory_.mean_[index] + aForecast.mean_[index];
     const double variance =
       std::max(0.0, memory_.variance_[index] + aForecast.variance_[index]);
@@ -220,9 +229,7 @@
     memoryShare_ = 0.0;
     return;
   }
-  const double peak =
-    *std::max_element(memory_.mean_.begin(), memory_.mean_.end()) +
-    otherMemory_;
+  const double peak = memory_.ComputePeak() + otherMemory_;
   memoryShare_ = peak * members_ / (description_.memoryTokens_ * memoryTrust_);
 }
 
