Place requests by predicted gap instead of slots in use

Engines of unlike speed were filled to the same share of their limits, so a slow engine got work while a fast one could run it with shorter gaps; on a slow engine one prefill already exceeds 37 ms. The score is now the predicted gap with the new request, or predicted memory if that is the tighter one.

--- a/modules/azurecross_policy/admission/BackendServerModel.cpp
+++ b/modules/azurecross_policy/admission/BackendServerModel.cpp
@@ -184,6 +184,16 @@
   hasPreemptions_ = true;
 }
 
+double
+BackendServerModel::PredictGapShare() const
+{
+  if (description_.memoryTokens_ == 0) {
+    return static_cast<double>(GetRunning()) / limits_[0];
+  }
+  const double longest = kUrgentGapFraction * ToSeconds(targetGap_);
+  return (PredictGapSeconds() + slope_) / longest;
+}
+
 void
 BackendServerModel::ObserveOthers(const BackendServerLoad& aLoad)
 {
--- a/modules/azurecross_policy/admission/BackendServerModel.h
+++ b/modules/azurecross_policy/admission/BackendServerModel.h
@@ -73,6 +73,10 @@
     return intercept_ + slope_ * GetRunning();
   }
 
+  /** @returns the gap with one more request, relative to the longest mean gap
+   * allowed; for plain services, the share of slots in use. */
+  double PredictGapShare() const;
+
   const BackendServerDescription& GetDescription() const
   {
     return description_;
--- a/modules/azurecross_policy/arbitration/ArbiterDispatch.cpp
+++ b/modules/azurecross_policy/arbitration/ArbiterDispatch.cpp
@@ -298,9 +298,8 @@
     if (!server.IsUsable() || running >= limit) {
       continue;
     }
-    const double slotShare = static_cast<double>(running) / limit;
     const double score =
-      std::max(slotShare, model.ComputeMemoryShare()) +
+      std::max(model.PredictGapShare(), model.ComputeMemoryShare()) +
       static_cast<double>(model.GetPendingPrompt()) / kFullPendingPrompt;
     if ((best && score >= best->score_) ||
         !model.HasMemoryFor(aForecast, aLimitRank) ||
