Eject slow and stalled backend servers

An engine that stalls keeps its slots and gets new requests as long as its learned speed looks good. HealthTracker compares gaps with the engine's own history, ejects at most a third of a group and readmits with one request at first.

--- a/modules/azurecross_policy/arbitration/Arbiter.cpp
+++ b/modules/azurecross_policy/arbitration/Arbiter.cpp
@@ -3,15 +3,6 @@
 #include <algorithm>
 
 namespace azurecross {
-namespace {
-
-/** A progress report that follows sooner says little about the gap. */
-constexpr Duration kShortestGapSample = std::chrono::milliseconds(50);
-/** Charge for each request, so that calls of plain services, which have no
- * tokens, are shared fairly as well. */
-constexpr double kRequestCost = 1.0;
-
-} // namespace
 
 Arbiter::Arbiter(const ArbiterOptions& aOptions)
   : options_(aOptions)
@@ -70,6 +61,11 @@
       lane->servers_.push_back(index);
     }
   }
+  const auto usable =
+    std::count_if(servers_.begin(), servers_.end(), [](const Server& aServer) {
+      return aServer.isListed_ && !aServer.model_.GetDescription().isLeaving_;
+    });
+  health_.Resize(servers_.size(), static_cast<std::size_t>(usable));
   UpdateSlots();
 }
 
@@ -126,152 +122,6 @@
   return forecast;
 }
 
-void
-Arbiter::ReportProgress(GrantId aGrant,
-                        std::uint32_t aTokens,
-                        Time aNow,
-                        ArbiterActions& aActions)
-{
-  const auto position = granted_.find(aGrant);
-  if (position == granted_.end() || aTokens <= position->second.tokens_) {
-    return;
-  }
-  Granted& granted = position->second;
-  BackendServerModel& model = servers_[granted.placement_.server_].model_;
-  const Duration elapsed = aNow - granted.lastProgress_;
-  if (granted.tokens_ == 0) {
-    model.AddPendingPrompt(-std::int64_t{ granted.request_.promptTokens_ });
-    granted.lane_->waits_.ObserveFirstToken(aNow - granted.grantedAt_);
-  } else if (elapsed >= kShortestGapSample) {
-    model.ObserveGap(elapsed / (aTokens - granted.tokens_));
-  }
-  lengths_.ObserveGrowth(granted.lengthClass_, granted.tokens_, aTokens);
-  granted.tokens_ = aTokens;
-  granted.lastProgress_ = aNow;
-  const MemoryForecast forecast =
-    Forecast(granted.request_, granted.lengthClass_, aTokens);
-  model.UpdateForecast(granted.forecast_, forecast);
-  MemoryForecast& laneMemory =
-    granted.lane_->memory_[static_cast<std::size_t>(granted.request_.rank_)];
-  laneMemory.Subtract(granted.forecast_);
-  laneMemory.Add(forecast);
-  granted.forecast_ = forecast;
-  if (aTokens > granted.chargedTokens_) {
-    auto& queue =
-      granted.lane_->queues_[static_cast<std::size_t>(granted.request_.rank_)];
-    queue.Charge(granted.request_.customer_, aTokens - granted.chargedTokens_);
-    granted.chargedTokens_ = aTokens;
-  }
-  Dispatch(*granted.lane_, aNow, aActions);
-}
-
-void
-Arbiter::AddGrant(GrantId aGrant, Granted aGranted, Time aNow)
-{
-  const GrantRequest& request = aGranted.request_;
-  const auto rank = static_cast<std::size_t>(request.rank_);
-  BackendServerModel& model = servers_[aGranted.placement_.server_].model_;
-  model.AddRequest(request.rank_, aGranted.forecast_);
-  if (aGranted.tokens_ == 0) {
-    model.AddPendingPrompt(request.promptTokens_);
-  }
-  if (!request.model_.GetValue().empty()) {
-    aGranted.chargedTokens_ = lengths_.PredictLength(
-      aGranted.lengthClass_, aGranted.tokens_, request.outputLimit_);
-  }
-  aGranted.grantedAt_ = aNow;
-  aGranted.lastProgress_ = aNow;
-  aGranted.lane_->queues_[rank].Charge(request.customer_,
-                                       kRequestCost + aGranted.chargedTokens_ +
-                                         request.promptTokens_ *
-                                           options_.promptWeight_);
-  ++aGranted.lane_->running_[rank];
-  aGranted.lane_->memory_[rank].Add(aGranted.forecast_);
-  grantIds_[request.request_] = aGrant;
-  granted_.emplace(aGrant, std::move(aGranted));
-}
-
-void
-Arbiter::ReleaseGrant(GrantId aGrant, GrantOutcome aOutcome, Time aNow)
-{
-  const auto position = granted_.find(aGrant);
-  Granted& granted = position->second;
-  const GrantRequest& request = granted.request_;
-  const auto rank = static_cast<std::size_t>(request.rank_);
-  BackendServerModel& model = servers_[granted.placement_.server_].model_;
-  model.RemoveRequest(request.rank_, granted.forecast_);
-  if (granted.tokens_ == 0) {
-    model.AddPendingPrompt(-std::int64_t{ request.promptTokens_ });
-  }
-  if (aOutcome == GrantOutcome::Completed && granted.tokens_ > 0) {
-    lengths_.ObserveEnd(granted.lengthClass_, granted.tokens_);
-  }
-  granted.lane_->waits_.ObserveHold(request.rank_, aNow - granted.grantedAt_);
-  granted.lane_->queues_[rank].Charge(request.customer_,
-                                      granted.tokens_ - granted.chargedTokens_);
-  granted.lane_->memory_[rank].Subtract(granted.forecast_);
-  if (--granted.lane_->running_[rank] == 0) {
-    // Removes rounding errors left by the subtractions.
-    granted.lane_->memory_[rank] = {};
-  }
-  grantIds_.erase(request.request_);
-  granted_.erase(position);
-}
-
-void
-Arbiter::Release(GrantId aGrant,
-                 GrantOutcome aOutcome,
-                 Time aNow,
-                 ArbiterActions& aActions)
-{
-  if (granted_.contains(aGrant)) {
-    ReleaseGrant(aGrant, aOutcome, aNow);
-    DispatchAll(aNow, aActions);
-  }
-}
-
-void
-Arbiter::Cancel(const RequestId& aRequest, Time aNow, ArbiterActions& aActions)
-{
-  const auto queued = queuedNumbers_.find(aRequest);
-  if (queued != queuedNumbers_.end()) {
-    RemoveQueued(queued->second);
-    return;
-  }
-  const auto granted = grantIds_.find(aRequest);
-  if (granted != grantIds_.end()) {
-    Release(granted->second, GrantOutcome::Cancelled, aNow, aActions);
-  }
-}
-
-void
-Arbiter::ReleaseEntry(const EntryId& aEntry,
-                      Time aNow,
-                      ArbiterActions& aActions)
-{
-  std::vector<std::uint64_t> numbers;
-  for (const auto& [number, queued] : queued_) {
-    if (queued.request_.entry_ == aEntry) {
-      numbers.push_back(number);
-    }
-  }
-  std::vector<GrantId> grants;
-  for (const auto& [grant, granted] : granted_) {
-    if (granted.request_.entry_ == aEntry) {
-      grants.push_back(grant);
-    }
-  }
-  std::for_each(numbers.begin(), numbers.end(), [this](std::uint64_t aNumber) {
-    RemoveQueued(aNumber);
-  });
-  // Sorted, so that the order of hash tables has no influence on decisions.
-  std::sort(grants.begin(), grants.end());
-  for (GrantId grant : grants) {
-    ReleaseGrant(grant, GrantOutcome::Cancelled, aNow);
-  }
-  DispatchAll(aNow, aActions);
-}
-
 void
 Arbiter::ReportLoad(const BackendServerLoad& aLoad,
                     Time /*aNow*/,
@@ -340,10 +190,32 @@
     lane->urgentSlots_.Observe(lane->running_[urgent], aNow);
     lane->urgentTokens_.Observe(lane->memory_[urgent].ComputePeak(), aNow);
   }
+  UpdateHealth(aNow, aActions);
   RefuseLate(aNow, aActions);
   DispatchAll(aNow, aActions);
 }
 
+void
+Arbiter::UpdateHealth(Time aNow, ArbiterActions& aActions)
+{
+  for (std::uint32_t index = 0; index < servers_.size(); ++index) {
+    health_.SetRunning(
+      index, servers_[index].model_.GetRunning(), servers_[index].decoding_);
+  }
+  std::vector<HealthTracker::Change> changes;
+  health_.Tick(aNow, changes);
+  for (const HealthTracker::Change& change : changes) {
+    Server& server = servers_[change.server_];
+    server.isEjected_ = change.isEjected_;
+    const BackendServerId& id = server.model_.GetDescription().id_;
+    if (change.isEjected_) {
+      aActions.emplace_back(EjectAction{ id });
+    } else {
+      aActions.emplace_back(ReadmitAction{ id });
+    }
+  }
+}
+
 GroupSummary
 Arbiter::Summarize() const
 {
--- a/modules/azurecross_policy/arbitration/Arbiter.h
+++ b/modules/azurecross_policy/arbitration/Arbiter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../admission/LengthPredictor.h"
+#include "../health/HealthTracker.h"
 #include "ArbiterAction.h"
 #include "ArbiterOptions.h"
 #include "ArbiterState.h"
@@ -143,11 +144,13 @@
   std::vector<std::string> ExplainQueued(const Queued& aQueued) const;
   std::vector<std::string> ExplainGranted(const Granted& aGranted) const;
   void ReleaseGrant(GrantId aGrant, GrantOutcome aOutcome, Time aNow);
+  void UpdateHealth(Time aNow, ArbiterActions& aActions);
   void RefuseLate(Time aNow, ArbiterActions& aActions);
 
   ArbiterOptions options_;
   Random random_;
   LengthPredictor lengths_;
+  HealthTracker health_;
   std::uint32_t members_ = 1;
   std::deque<Server> servers_;
   std::unordered_map<BackendServerId, std::uint32_t> serverIndexes_;
--- a/modules/azurecross_policy/arbitration/ArbiterDispatch.cpp
+++ b/modules/azurecross_policy/arbitration/ArbiterDispatch.cpp
@@ -13,6 +13,8 @@
 /** Part of slots and memory that lesser work shares with the recent peak of
  * urgent work; the rest is free for an urgent burst above that peak. */
 constexpr double kSharedPart = 0.9;
+/** Puts a suspect backend server behind all others. */
+constexpr double kSuspectPenalty = 10.0;
 /** A refused caller is told to wait at least this long. */
 constexpr double kShortestRetryAfter = 1.0;
 constexpr double kLongestRetryAfter = 60.0;
@@ -293,14 +295,16 @@
                                   : random_.DrawBelow(aLane.servers_.size())];
     const Server& server = servers_[index];
     const BackendServerModel& model = server.model_;
-    const std::uint32_t limit = model.GetLimit(aLimitRank);
+    const std::uint32_t limit =
+      std::min(model.GetLimit(aLimitRank), health_.GetAllowance(index));
     const std::uint32_t running = model.GetRunning();
     if (!server.IsUsable() || running >= limit) {
       continue;
     }
     const double score =
       std::max(model.PredictGapShare(), model.ComputeMemoryShare()) +
-      static_cast<double>(model.GetPendingPrompt()) / kFullPendingPrompt;
+      static_cast<double>(model.GetPendingPrompt()) / kFullPendingPrompt +
+      (health_.IsSuspect(index) ? kSuspectPenalty : 0.0);
     if ((best && score >= best->score_) ||
         !model.HasMemoryFor(aForecast, aLimitRank) ||
         (!aRequest.excluded_.empty() &&
--- a/modules/azurecross_policy/arbitration/ArbiterState.h
+++ b/modules/azurecross_policy/arbitration/ArbiterState.h
@@ -17,6 +17,8 @@
   /** False once it is no longer in the group's list. */
   bool isListed_ = true;
   bool isEjected_ = false;
+  /** Requests that have had their first token. */
+  std::uint32_t decoding_ = 0;
 
   bool IsUsable() const
   {
--- a/modules/azurecross_policy/azurecross_policy.h
+++ b/modules/azurecross_policy/azurecross_policy.h
@@ -8,4 +8,5 @@
  */
 
 #include "arbitration/Arbiter.h"
+#include "health/RetryBudget.h"
 #include "routing/ZoneRouter.h"
