--- a/modules/azurecross_policy/admission/BackendServerModel.cpp
+++ b/modules/azurecross_policy/admission/BackendServerModel.cpp
@@ -17,6 +17,11 @@
  * for the same reason as above. */
 constexpr double kUrgentDeviations = 2.0;
 constexpr double kLesserDeviations = 3.0;
+/** A horizon counts if the new request is expected to hold at least this part
+ * of its own peak then. Few generations reach the far horizons, and keeping
+ * short requests out because of them would leave memory idle: they are gone
+ * long before. */
+constexpr double kRelevantPart = 0.1;
 /** Forgetting factor per observed gap: about 500 observations count. */
 constexpr double kForget = 0.998;
 /** Weight of the assumed speed before anything is known. */
@@ -78,7 +83,7 @@
 {
   --running_[static_cast<std::size_t>(aRank)];
   memory_.Subtract(aForecast);
-  if (GetRunning() == 0) {
+  if (running_[0] + running_[1] == 0) {
     // Removes rounding errors left by the subtractions.
     memory_ = {};
   }
@@ -179,6 +184,26 @@
   hasPreemptions_ = true;
 }
 
+double
+BackendServerModel::PredictGapShare() const
+{
+  if (description_.memoryTokens_ == 0) {
+    return static_cast<double>(GetRunning()) / limits_[0];
+  }
+  const double longest = kUrgentGapFraction * ToSeconds(targetGap_);
+  return (PredictGapSeconds() + slope_) / longest;
+}
+
+void
+BackendServerModel::ObserveOthers(const BackendServerLoad& aLoad)
+{
+  const std::uint32_t own = running_[0] + running_[1];
+  const std::uint32_t reported = aLoad.running_ + aLoad.waiting_;
+  otherRunning_ = reported > own ? reported - own : 0;
+  otherMemory_ = std::max(0.0, aLoad.usedMemoryTokens_ - memory_.mean_[0]);
+  UpdateMemoryShare();
+}
+
 bool
 BackendServerModel::HasMemoryFor(const MemoryForecast& aForecast,
                                  Rank aRank) const
@@ -189,8 +214,13 @@
   }
   const double deviations =
     aRank == Rank::Urgent ? kUrgentDeviations : kLesserDeviations;
-  const double usable = description_.memoryTokens_ * memoryTrust_ / members_;
+  const double usable =
+    description_.memoryTokens_ * memoryTrust_ / members_ - otherMemory_;
+  const double relevant = kRelevantPart * aForecast.ComputePeak();
   for (std::size_t index = 0; index < MemoryForecast::kHorizonCount; ++index) {
+    if (aForecast.mean_[index] < relevant) {
+      continue;
+    }
     const double mean = memory_.mean_[index] + aForecast.mean_[index];
     const double variance =
       std::max(0.0, memory_.variance_[index] + aForecast.variance_[index]);
@@ -209,8 +239,7 @@
     memoryShare_ = 0.0;
     return;
   }
-  const double peak =
-    *std::max_element(memory_.mean_.begin(), memory_.mean_.end());
+  const double peak = memory_.ComputePeak() + otherMemory_;
   memoryShare_ = peak * members_ / (description_.memoryTokens_ * memoryTrust_);
 }
 
--- a/modules/azurecross_policy/arbitration/Arbiter.h
+++ b/modules/azurecross_policy/arbitration/Arbiter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../admission/LengthPredictor.h"
+#include "../health/HealthTracker.h"
 #include "ArbiterAction.h"
 #include "ArbiterOptions.h"
 #include "ArbiterState.h"
@@ -34,6 +35,11 @@
 {
 public:
   explicit Arbiter(const ArbiterOptions& aOptions = {});
+  Arbiter(const Arbiter&) = delete;
+  Arbiter& operator=(const Arbiter&) = delete;
+  Arbiter(Arbiter&&) = default;
+  Arbiter& operator=(Arbiter&&) = default;
+  ~Arbiter() = default;
 
   /** Replaces the group's list; what was learned about known servers stays.
    * A backend server that is no longer listed gets no new requests. */
@@ -133,16 +139,18 @@
   std::optional<Placement> Place(const Lane& aLane,
                                  const GrantRequest& aRequest,
                                  const MemoryForecast& aForecast,
-                                 Rank aLimitRank) const;
+                                 Rank aLimitRank);
   void AddGrant(GrantId aGrant, Granted aGranted, Time aNow);
   std::vector<std::string> ExplainQueued(const Queued& aQueued) const;
   std::vector<std::string> ExplainGranted(const Granted& aGranted) const;
   void ReleaseGrant(GrantId aGrant, GrantOutcome aOutcome, Time aNow);
+  void UpdateHealth(Time aNow, ArbiterActions& aActions);
   void RefuseLate(Time aNow, ArbiterActions& aActions);
 
   ArbiterOptions options_;
   Random random_;
   LengthPredictor lengths_;
+  HealthTracker health_;
   std::uint32_t members_ = 1;
   std::deque<Server> servers_;
   std::unordered_map<BackendServerId, std::uint32_t> serverIndexes_;
--- a/modules/azurecross_policy/arbitration/ArbiterDispatch.cpp
+++ b/modules/azurecross_policy/arbitration/ArbiterDispatch.cpp
@@ -7,6 +7,14 @@
 
 /** Prompt tokens that wait for prefill and count as much as a full engine. */
 constexpr double kFullPendingPrompt = 8192.0;
+/** A queued request may be expected to wait for this part of its time only,
+ * because predicted waits are off by about a third in a flood. */
+constexpr double kUsableWait = 0.7;
+/** Part of slots and memory that lesser work shares with the recent peak of
+ * urgent work; the rest is free for an urgent burst above that peak. */
+constexpr double kSharedPart = 0.9;
+/** Puts a suspect backend server behind all others. */
+constexpr double kSuspectPenalty = 10.0;
 /** A refused caller is told to wait at least this long. */
 constexpr double kShortestRetryAfter = 1.0;
 constexpr double kLongestRetryAfter = 60.0;
@@ -67,9 +75,12 @@
     Refuse(aRequest, ErrorCode::NoBackendServer, 0.0, aActions);
     return;
   }
+  lane->waits_.ObserveArrival(aRequest.rank_);
   const double wait = ComputeWait(*lane, aRequest);
+  const Duration usable =
+    aRequest.deadline_ - aNow - lane->waits_.GetFirstTokenMargin();
   if (aRequest.deadline_ != Time::max() &&
-      aNow + FromSeconds(wait) > aRequest.deadline_) {
+      wait > std::max(0.0, kUsableWait * ToSeconds(usable))) {
     Refuse(aRequest, ErrorCode::DeadlineUnreachable, wait, aActions);
     return;
   }
@@ -95,7 +106,8 @@
   const auto rank = static_cast<std::size_t>(aRequest.rank_);
   const FairQueue& queue = aLane.queues_[rank];
   const std::size_t items = queue.CountItems();
-  const double rate = aLane.grantRate_[rank];
+  const double rate = aLane.waits_.PredictRate(
+    aRequest.rank_, aLane.running_, aLane.slots_, options_.lesserFloor_);
   if (items == 0 || rate <= 0.0) {
     return 0.0;
   }
@@ -160,7 +172,13 @@
 void
 Arbiter::RefuseLate(Time aNow, ArbiterActions& aActions)
 {
-  while (!deadlines_.empty() && deadlines_.begin()->first <= aNow) {
+  // A request that can't get its first token in time is refused while that
+  // is still a truthful not_run.
+  Duration margin{};
+  for (const auto& [model, lane] : lanes_) {
+    margin = std::max(margin, lane->waits_.GetFirstTokenMargin());
+  }
+  while (!deadlines_.empty() && deadlines_.begin()->first - aNow <= margin) {
     const std::uint64_t number = deadlines_.begin()->second;
     const Queued queued = queued_.at(number);
     const double wait = ComputeWait(*queued.lane_, queued.request_);
@@ -179,9 +197,18 @@
 }
 
 bool
-Arbiter::CanTakeLesser(const Lane& /*aLane*/) const
+Arbiter::CanTakeLesser(const Lane& aLane) const
 {
-  return true;
+  const auto lesser = static_cast<std::size_t>(Rank::Lesser);
+  const double slots =
+    kSharedPart * aLane.slots_ - aLane.urgentSlots_.GetLast();
+  if (aLane.running_[lesser] >= slots) {
+    return false;
+  }
+  const double memory =
+    kSharedPart * aLane.memoryTokens_ - aLane.urgentTokens_.GetLast();
+  return aLane.memoryTokens_ == 0.0 ||
+         aLane.memory_[lesser].ComputePeak() < memory;
 }
 
 void
@@ -257,21 +284,27 @@
 Arbiter::Place(const Lane& aLane,
                const GrantRequest& aRequest,
                const MemoryForecast& aForecast,
-               Rank aLimitRank) const
+               Rank aLimitRank)
 {
   std::optional<Placement> best;
-  for (std::uint32_t index : aLane.servers_) {
+  const std::size_t choices = options_.placementChoices_;
+  const std::size_t count = choices == 0 ? aLane.servers_.size() : choices;
+  for (std::size_t step = 0; step < count; ++step) {
+    const std::uint32_t index =
+      aLane.servers_[choices == 0 ? step
+                                  : random_.DrawBelow(aLane.servers_.size())];
     const Server& server = servers_[index];
     const BackendServerModel& model = server.model_;
-    const std::uint32_t limit = model.GetLimit(aLimitRank);
+    const std::uint32_t limit =
+      std::min(model.GetLimit(aLimitRank), health_.GetAllowance(index));
     const std::uint32_t running = model.GetRunning();
     if (!server.IsUsable() || running >= limit) {
       continue;
     }
-    const double slotShare = static_cast<double>(running) / limit;
     const double score =
-      std::max(slotShare, model.ComputeMemoryShare()) +
-      static_cast<double>(model.GetPendingPrompt()) / kFullPendingPrompt;
+      std::max(model.PredictGapShare(), model.ComputeMemoryShare()) +
+      static_cast<double>(model.GetPendingPrompt()) / kFullPendingPrompt +
+      (health_.IsSuspect(index) ? kSuspectPenalty : 0.0);
     if ((best && score >= best->score_) ||
         !model.HasMemoryFor(aForecast, aLimitRank) ||
         (!aRequest.excluded_.empty() &&
--- a/modules/azurecross_policy/arbitration/ArbiterState.h
+++ b/modules/azurecross_policy/arbitration/ArbiterState.h
@@ -17,6 +17,8 @@
   /** False once it is no longer in the group's list. */
   bool isListed_ = true;
   bool isEjected_ = false;
+  /** Requests that have had their first token. */
+  std::uint32_t decoding_ = 0;
 
   bool IsUsable() const
   {
@@ -54,6 +56,7 @@
   LengthPredictor::ClassIndex lengthClass_ = 0;
   Placement placement_;
   MemoryForecast forecast_;
+  Time grantedAt_;
   Duration waited_{};
   /** Lesser work granted because it had less than its floor. */
   bool isFloor_ = false;
--- a/modules/azurecross_policy/arbitration/Lane.h
+++ b/modules/azurecross_policy/arbitration/Lane.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "../admission/DecayingPeak.h"
+#include "../admission/MemoryForecast.h"
+#include "../admission/WaitEstimator.h"
 #include "../fairness/FairQueue.h"
 
 #include <array>
@@ -19,9 +22,16 @@
   std::array<std::uint32_t, kRankCount> running_{};
   /** Slots that the limits for urgent work allow at present. */
   std::uint32_t slots_ = 0;
-  /** Grants since the last tick, and the smoothed rate per second. */
-  std::array<std::uint32_t, kRankCount> grants_{};
-  std::array<double, kRankCount> grantRate_{};
+  /** Memory of the backend servers, and its predicted use by rank. */
+  double memoryTokens_ = 0.0;
+  std::array<MemoryForecast, kRankCount> memory_;
+  WaitEstimator waits_;
+  /** What urgent work used at most in the recent past; lesser work leaves it
+   * free, because a long lesser generation can't be taken back. */
+  DecayingPeak urgentSlots_{ kUrgentMemory };
+  DecayingPeak urgentTokens_{ kUrgentMemory };
+
+  static constexpr Duration kUrgentMemory = std::chrono::minutes(2);
 };
 
 } // namespace azurecross
