--- a/modules/azurecross_cluster/azurecross_cluster.h
+++ b/modules/azurecross_cluster/azurecross_cluster.h
@@ -18,6 +18,10 @@
 #include "membership/Membership.h"
 #include "membership/UpdateQueue.h"
 
+#include "gossip/Gossip.h"
+#include "gossip/RecordStore.h"
+#include "gossip/SummaryBoard.h"
 #include "selection/HomeSelector.h"
 #include "transport/LinkFilter.h"
 #include "transport/PeerTransport.h"
+#include "view/ClusterView.h"
--- a/modules/azurecross_cluster/membership/Membership.cpp
+++ b/modules/azurecross_cluster/membership/Membership.cpp
@@ -56,7 +56,7 @@
   return eligible;
 }
 
-std::vector<Member>
+const std::vector<Member>&
 Membership::ListPeers() const
 {
   if (!peers_) {
--- a/modules/azurecross_cluster/membership/Membership.h
+++ b/modules/azurecross_cluster/membership/Membership.h
@@ -97,7 +97,7 @@
   std::vector<Member> ListEligible() const;
 
   /** @returns the members of the own zone that take messages, without self. */
-  std::vector<Member> ListPeers() const;
+  const std::vector<Member>& ListPeers() const;
 
   /** @returns the selector over the eligible members of a zone. */
   const HomeSelector& GetSelector(const AvailabilityZone& aZone) const;
@@ -114,6 +114,9 @@
   /** @returns the highest table revision that a peer has announced. */
   std::uint64_t GetHighestRevision() const { return highestRevision_; }
 
+  /** @returns the peer that announced it last, to ask for the tables. */
+  const EntryId& GetRevisionHolder() const { return revisionHolder_; }
+
 private:
   enum class Urgency
   {
@@ -173,6 +176,7 @@
   std::vector<ListedEntry> listed_;
   std::uint64_t revision_ = 0;
   std::uint64_t highestRevision_ = 0;
+  EntryId revisionHolder_;
   EntryId pageCursor_;
   Time lastTick_;
   Time nextProbe_;
--- a/modules/azurecross_cluster/membership/MembershipMessages.cpp
+++ b/modules/azurecross_cluster/membership/MembershipMessages.cpp
@@ -26,7 +26,10 @@
   if (sender.entry_ == settings_.self_ || sender.entry_.GetValue().empty()) {
     return;
   }
-  highestRevision_ = std::max(highestRevision_, heartbeat.table_revision());
+  if (heartbeat.table_revision() >= highestRevision_) {
+    highestRevision_ = heartbeat.table_revision();
+    revisionHolder_ = sender.entry_;
+  }
   const bool isNew = table_.Find(sender.entry_) == nullptr;
   MergeUpdate(sender, aNow, aActions);
   for (const wire::MemberRecord& update : heartbeat.updates()) {
