Keep records of dead origins out and forward notices in rounds

Records of a dead origin came back from peers that had not seen the death yet, because dropping them reset the version of the stream. The version now stays, a dead origin's records are refused, and a member that was declared dead in error publishes its records again. A delta counts the encoding overhead of each record, so it stays within its bound.

--- a/modules/azurecross_cluster/gossip/Gossip.cpp
+++ b/modules/azurecross_cluster/gossip/Gossip.cpp
@@ -15,11 +15,13 @@
                Incarnation aStart,
                AvailabilityZone aZone,
                Time aNow,
-               std::uint64_t aSeed)
+               std::uint64_t aSeed,
+               DeathCheck aIsDead)
   : self_(std::move(aSelf))
   , start_(aStart)
   , zone_(std::move(aZone))
   , random_(aSeed)
+  , isDead_(std::move(aIsDead))
   // Spreads the exchanges of entries that start together.
   , nextExchange_(aNow + random_.Jitter(kExchangeInterval, 1.0))
   , nextZoneExchange_(aNow + random_.Jitter(kZoneInterval, 1.0))
@@ -51,6 +53,22 @@
                 Duration aLifetime,
                 Time aNow,
                 ClusterActions& aActions)
+{
+  aValue.set_lifetime_ms(static_cast<std::uint32_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aLifetime).count()));
+  const wire::StreamDelta delta =
+    PublishRecord(aKey, std::move(aValue), aScope, aNow);
+  if (delta.records(0).has_leaving()) {
+    notices_.push_back({ delta, kForwardRounds, aNow });
+    ForwardNotices(aNow, aActions);
+  }
+}
+
+wire::StreamDelta
+Gossip::PublishRecord(const std::string& aKey,
+                      wire::GossipRecord aValue,
+                      GossipScope aScope,
+                      Time aNow)
 {
   const RecordStore::StreamId id{ self_, zone_, start_, aScope };
   const std::uint64_t version =
@@ -65,12 +83,20 @@
   aValue.set_key(aKey);
   aValue.set_version(version);
   aValue.set_age_ms(0);
-  aValue.set_lifetime_ms(static_cast<std::uint32_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(aLifetime).count()));
   *delta.add_records() = std::move(aValue);
   store_.Merge(delta, aNow);
-  if (delta.records(0).has_leaving()) {
-    Forward(delta, aNow, aActions);
+  return delta;
+}
+
+void
+Gossip::PublishAgain(Time aNow)
+{
+  for (const GossipScope scope : { GossipScope::Zone, GossipScope::AllZones }) {
+    const RecordStore::StreamId id{ self_, zone_, start_, scope };
+    for (wire::GossipRecord& record : store_.TakeRecords(id, aNow)) {
+      const std::string key = record.key();
+      PublishRecord(key, std::move(record), scope, aNow);
+    }
   }
 }
 
@@ -170,6 +196,7 @@
     nextExpiry_ = aNow + kExpiryInterval;
     store_.DropExpired(aNow);
   }
+  ForwardNotices(aNow, aActions);
   if (aNow >= nextExchange_) {
     nextExchange_ = aNow + random_.Jitter(kExchangeInterval, 0.2);
     if (!zonePeers_.empty()) {
--- a/modules/azurecross_cluster/gossip/Gossip.h
+++ b/modules/azurecross_cluster/gossip/Gossip.h
@@ -25,9 +25,9 @@
  *
  * Each second an entry compares versions with one random peer of its zone, and
  * a delegate also with one delegate of another zone; both then send what the
- * other lacks. A leaving notice is also forwarded at once by each entry that
- * learns it. Each record has a lifetime, and its origin publishes it again
- * before that ends.
+ * other lacks. A leaving notice is also forwarded by each entry that learns it,
+ * at once and `kForwardRounds - 1` times after that. Each record has a
+ * lifetime, and its origin publishes it again before that ends.
  *
  * A record reaches the entries of its scope only. The messages to other zones
  * carry no record that came from there.
@@ -39,10 +39,13 @@
   static constexpr Duration kZoneInterval = std::chrono::seconds(2);
   static constexpr Duration kExpiryInterval = std::chrono::seconds(1);
   /**
-   * Entries that a leaving notice is forwarded to. Forwarding alone reaches
-   * 1 - e^-3.6 = 97% of a zone at 10% loss; the exchanges reach the rest.
+   * Entries that leaving notices are forwarded to in each round. With one round
+   * an entry is missed with probability e^-3.6 = 3% at 10% loss and waits for
+   * an exchange, which took up to 3 s; with three rounds it is e^-10.8.
    */
   static constexpr std::size_t kForwardFanout = 4;
+  static constexpr int kForwardRounds = 3;
+  static constexpr Duration kForwardInterval = std::chrono::milliseconds(300);
   /** Forwarded messages in a second; the exchanges carry what is above. */
   static constexpr double kForwardsPerSecond = 100.0;
   /** A digest of this many streams takes 2 KB. */
@@ -51,12 +54,16 @@
   /** Deltas sent for one digest. */
   static constexpr std::size_t kDeltasPerDigest = 4;
 
+  /** Says whether an origin is dead, so that its records are refused. */
+  using DeathCheck = std::function<bool(const EntryId&)>;
+
   /** Takes the incarnation at the start of this process, not a later one. */
   Gossip(EntryId aSelf,
          Incarnation aStart,
          AvailabilityZone aZone,
          Time aNow,
-         std::uint64_t aSeed);
+         std::uint64_t aSeed,
+         DeathCheck aIsDead = {});
 
   /**
    * Sets the members to exchange with: those of the own zone without this
@@ -68,6 +75,12 @@
   /** Drops the records of a dead entry. */
   void DropOrigin(const EntryId& aOrigin);
 
+  /**
+   * Publishes the records of this entry again, after its peers have declared
+   * it dead and dropped them.
+   */
+  void PublishAgain(Time aNow);
+
   /** Publishes or replaces the record with this key of this entry. */
   void Publish(const std::string& aKey,
                wire::GossipRecord aValue,
@@ -134,12 +147,24 @@
                       const Member& aSender,
                       ClusterActions& aActions);
   void SendDigest(const Member& aReceiver, ClusterActions& aActions);
-  void Forward(const wire::StreamDelta& aDelta,
-               Time aNow,
-               ClusterActions& aActions);
+  wire::StreamDelta PublishRecord(const std::string& aKey,
+                                  wire::GossipRecord aValue,
+                                  GossipScope aScope,
+                                  Time aNow);
+  void MergeStream(const wire::StreamDelta& aDelta, Time aNow);
+  /** Sends the notices whose round is due to a few peers. */
+  void ForwardNotices(Time aNow, ClusterActions& aActions);
   template<typename Message>
   void FillMaxima(Message& aMessage) const;
 
+  /** A leaving notice that is being forwarded. */
+  struct Notice
+  {
+    wire::StreamDelta delta_;
+    int rounds_ = kForwardRounds;
+    Time due_;
+  };
+
   const EntryId self_;
   const Incarnation start_;
   const AvailabilityZone zone_;
@@ -147,6 +172,8 @@
   RecordStore store_;
   /** The last version of this entry's stream for each scope. */
   std::array<std::uint64_t, 2> lastVersions_{};
+  const DeathCheck isDead_;
+  std::vector<Notice> notices_;
   std::vector<Member> zonePeers_;
   std::vector<Member> otherDelegates_;
   std::uint64_t revision_ = 0;
--- a/modules/azurecross_cluster/gossip/GossipMessages.cpp
+++ b/modules/azurecross_cluster/gossip/GossipMessages.cpp
@@ -177,29 +177,64 @@
     if (isOwn || stream.origin().empty() || isOutOfScope) {
       continue;
     }
-    for (wire::GossipRecord& record : store_.Merge(stream, aNow)) {
-      if (!record.has_leaving()) {
-        continue;
-      }
-      wire::StreamDelta forwarded;
-      forwarded.set_origin(stream.origin());
-      forwarded.set_zone(stream.zone());
-      forwarded.set_start(stream.start());
-      forwarded.set_all_zones(stream.all_zones());
-      // Only an entry that has all before this record becomes complete.
-      forwarded.set_complete_from(record.version() - 1);
-      forwarded.set_complete_to(record.version());
-      *forwarded.add_records() = std::move(record);
-      Forward(forwarded, aNow, aActions);
+    MergeStream(stream, aNow);
+  }
+  ForwardNotices(aNow, aActions);
+}
+
+void
+Gossip::MergeStream(const wire::StreamDelta& aDelta, Time aNow)
+{
+  // Peers that have not seen a death yet still send the origin's records. Its
+  // leaving notices stay true.
+  const bool isDead = isDead_ && isDead_(EntryId(aDelta.origin()));
+  wire::StreamDelta delta = aDelta;
+  if (isDead) {
+    auto* records = delta.mutable_records();
+    records->erase(std::remove_if(records->begin(),
+                                  records->end(),
+                                  [](const auto& aRecord) {
+                                    return !aRecord.has_leaving();
+                                  }),
+                   records->end());
+  }
+  for (wire::GossipRecord& record : store_.Merge(delta, aNow)) {
+    if (!record.has_leaving()) {
+      continue;
     }
+    wire::StreamDelta forwarded;
+    forwarded.set_origin(delta.origin());
+    forwarded.set_zone(delta.zone());
+    forwarded.set_start(delta.start());
+    forwarded.set_all_zones(delta.all_zones());
+    // Only an entry that has all before this record becomes complete.
+    forwarded.set_complete_from(record.version() - 1);
+    forwarded.set_complete_to(record.version());
+    *forwarded.add_records() = std::move(record);
+    notices_.push_back({ std::move(forwarded), kForwardRounds, aNow });
   }
 }
 
 void
-Gossip::Forward(const wire::StreamDelta& aDelta,
-                Time aNow,
-                ClusterActions& aActions)
+Gossip::ForwardNotices(Time aNow, ClusterActions& aActions)
 {
+  wire::PeerMessage message;
+  std::size_t bytes = 0;
+  for (Notice& notice : notices_) {
+    if (aNow < notice.due_ || bytes >= kDeltaBytes / 2) {
+      continue;
+    }
+    *message.mutable_gossip_delta()->add_streams() = notice.delta_;
+    bytes += notice.delta_.ByteSizeLong();
+    --notice.rounds_;
+    notice.due_ = aNow + kForwardInterval;
+  }
+  if (bytes == 0) {
+    return;
+  }
+  std::erase_if(notices_,
+                [](const Notice& aNotice) { return aNotice.rounds_ == 0; });
+  FillMaxima(*message.mutable_gossip_delta());
   forwardAllowance_ = std::min(
     kForwardsPerSecond,
     forwardAllowance_ + kForwardsPerSecond * ToSeconds(aNow - allowanceSince_));
@@ -210,11 +245,8 @@
     }
     forwardAllowance_ -= 1.0;
     const Member& peer = zonePeers_[random_.DrawBelow(zonePeers_.size())];
-    wire::PeerMessage message;
-    *message.mutable_gossip_delta()->add_streams() = aDelta;
-    FillMaxima(*message.mutable_gossip_delta());
     aActions.messages_.push_back(
-      { peer.entry_, peer.address_, std::move(message), false });
+      { peer.entry_, peer.address_, message, false });
   }
 }
 
--- a/modules/azurecross_cluster/gossip/RecordStore.cpp
+++ b/modules/azurecross_cluster/gossip/RecordStore.cpp
@@ -1,11 +1,15 @@
 #include "RecordStore.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace azurecross {
 
 namespace {
 
+/** Tag, length and the age, which a stored record does not have. */
+constexpr std::size_t kRecordOverhead = 10;
+
 Duration
 ReadAge(const RecordStore::Stored& aStored, Time aNow)
 {
@@ -102,7 +106,8 @@
   std::uint64_t completeTo = aAfter;
   for (const auto& [version, stored] : ordered) {
     const std::size_t size = stored->record_.ByteSizeLong();
-    if (bytes + size > aMostBytes && aDelta.records_size() > 0) {
+    if (bytes + size + kRecordOverhead > aMostBytes &&
+        aDelta.records_size() > 0) {
       aDelta.set_complete_to(completeTo);
       return bytes;
     }
@@ -111,7 +116,7 @@
     record.set_age_ms(static_cast<std::uint32_t>(
       std::chrono::ceil<std::chrono::milliseconds>(ReadAge(*stored, aNow))
         .count()));
-    bytes += size;
+    bytes += size + kRecordOverhead;
     completeTo = version;
   }
   aDelta.set_complete_to(aStream.completeTo_);
@@ -145,11 +150,30 @@
     std::erase_if(stream.records_, [](const auto& aItem) {
       return !aItem.second.record_.has_leaving();
     });
-    // A member that was declared dead in error sends its records again.
-    stream.completeTo_ = 0;
   }
 }
 
+std::vector<wire::GossipRecord>
+RecordStore::TakeRecords(const StreamId& aId, Time aNow)
+{
+  std::vector<wire::GossipRecord> taken;
+  const auto found = streams_.find(aId.Hash());
+  if (found == streams_.end()) {
+    return taken;
+  }
+  for (auto& [key, stored] : std::exchange(found->second.records_, {})) {
+    if (IsExpired(stored, aNow)) {
+      continue;
+    }
+    const auto left = std::chrono::milliseconds(stored.record_.lifetime_ms()) -
+                      ReadAge(stored, aNow);
+    stored.record_.set_lifetime_ms(static_cast<std::uint32_t>(
+      std::chrono::ceil<std::chrono::milliseconds>(left).count()));
+    taken.push_back(std::move(stored.record_));
+  }
+  return taken;
+}
+
 std::size_t
 RecordStore::CountRecords() const
 {
--- a/modules/azurecross_cluster/gossip/RecordStore.h
+++ b/modules/azurecross_cluster/gossip/RecordStore.h
@@ -94,6 +94,12 @@
    */
   void DropOrigin(const EntryId& aOrigin);
 
+  /**
+   * Removes the records of a stream. @returns them with the lifetime that is
+   * left, to be published again.
+   */
+  std::vector<wire::GossipRecord> TakeRecords(const StreamId& aId, Time aNow);
+
   std::size_t CountRecords() const;
 
 private:
--- a/modules/azurecross_cluster/view/ClusterView.cpp
+++ b/modules/azurecross_cluster/view/ClusterView.cpp
@@ -14,7 +14,11 @@
             settings_.zone_,
             aNow,
             // Any other seed; the two must not draw the same numbers.
-            ~aSeed)
+            ~aSeed,
+            [this](const EntryId& aOrigin) {
+              const Member* member = membership_.Find(aOrigin);
+              return member != nullptr && !member->IsReachable();
+            })
   , summaries_(gossip_, settings_.zone_)
 {
 }
@@ -27,7 +31,7 @@
   if (aMessage.has_heartbeat()) {
     const std::size_t first = aActions.changes_.size();
     membership_.HandleMessage(aMessage, aNow, aActions);
-    ApplyChanges(aActions, first);
+    ApplyChanges(aActions, first, aNow);
     return true;
   }
   if (aMessage.has_gossip_digest() || aMessage.has_gossip_delta()) {
@@ -42,7 +46,7 @@
 {
   const std::size_t first = aActions.changes_.size();
   membership_.Tick(aNow, aActions);
-  ApplyChanges(aActions, first);
+  ApplyChanges(aActions, first, aNow);
   if (IsFirstDelegate()) {
     summaries_.PublishZone(aNow, aActions);
   }
@@ -54,7 +58,7 @@
 {
   const std::size_t first = aActions.changes_.size();
   membership_.AnnounceLeaving(aNow, aActions);
-  ApplyChanges(aActions, first);
+  ApplyChanges(aActions, first, aNow);
 }
 
 void
@@ -77,13 +81,18 @@
 }
 
 void
-ClusterView::ApplyChanges(const ClusterActions& aActions, std::size_t aFirst)
+ClusterView::ApplyChanges(const ClusterActions& aActions,
+                          std::size_t aFirst,
+                          Time aNow)
 {
   if (aActions.changes_.size() == aFirst) {
     return;
   }
   for (std::size_t index = aFirst; index < aActions.changes_.size(); ++index) {
     const Member& member = aActions.changes_[index];
+    if (member.entry_ == settings_.self_) {
+      gossip_.PublishAgain(aNow);
+    }
     if (member.state_ == MemberState::Dead) {
       gossip_.DropOrigin(member.entry_);
     }
--- a/modules/azurecross_cluster/view/ClusterView.h
+++ b/modules/azurecross_cluster/view/ClusterView.h
@@ -57,7 +57,9 @@
   const SummaryBoard& GetSummaries() const { return summaries_; }
 
 private:
-  void ApplyChanges(const ClusterActions& aActions, std::size_t aFirst);
+  void ApplyChanges(const ClusterActions& aActions,
+                    std::size_t aFirst,
+                    Time aNow);
   bool IsFirstDelegate() const;
 
   const MembershipSettings settings_;
--- a/tests/cluster_tests/EnvelopeTests.cpp
+++ b/tests/cluster_tests/EnvelopeTests.cpp
@@ -81,6 +81,7 @@
   const std::string bytes = EncodePeerMessage(message);
   Random random(11);
   ClusterActions actions;
+  int decodable = 0;
   for (int round = 0; round < 20000; ++round) {
     std::string damaged = bytes.substr(0, 1 + random.DrawBelow(bytes.size()));
     for (std::uint64_t flips = random.DrawBelow(4); flips > 0; --flips) {
@@ -97,10 +98,13 @@
                           1);
     const auto decoded = DecodePeerMessage(damaged);
     if (decoded) {
+      ++decodable;
       membership.HandleMessage(*decoded, Time{}, actions);
     }
     actions.Clear();
   }
+  // Otherwise the loop tests the decoder only.
+  BOOST_TEST(decodable > 100);
 }
 
 // Guards against a message of an earlier process or a duplicate being
--- a/tests/cluster_tests/MembershipTests.cpp
+++ b/tests/cluster_tests/MembershipTests.cpp
@@ -147,13 +147,18 @@
     network.duplication_ = 0.1;
     network.Run(120s);
     std::size_t deaths = 0;
+    std::size_t suspicions = 0;
     for (auto& [id, node] : network.GetNodes()) {
       for (const Member& change : node.changes_) {
         deaths += change.state_ == MemberState::Dead ? 1 : 0;
+        suspicions += change.state_ == MemberState::Suspect ? 1 : 0;
       }
     }
-    BOOST_TEST_MESSAGE("loss " << loss << ": " << deaths
-                               << " deaths seen in error in 120 s");
+    BOOST_TEST_MESSAGE("loss " << loss << ": " << deaths << " deaths and "
+                               << suspicions
+                               << " suspicions seen in error in 120 s");
+    // Otherwise the loss was too small to test refutation.
+    BOOST_TEST(suspicions > 0U);
     if (loss < 0.2) {
       BOOST_TEST(deaths == 0U);
     }
@@ -243,11 +248,12 @@
 // answers, whatever its size.
 BOOST_AUTO_TEST_CASE(LoadDoesNotGrowWithTheZone)
 {
-  std::map<int, double> rates;
+  std::map<int, std::pair<double, double>> rates;
   for (const int members : { 6, 47, 94 }) {
     VirtualNetwork network(11);
     network.AddZone("helwan", members);
-    network.Run(20s);
+    // The news of the start ride on heartbeats for about 20 s.
+    network.Run(60s);
     for (auto& [id, node] : network.GetNodes()) {
       node.sentMessages_ = 0;
       node.sentBytes_ = 0;
@@ -263,9 +269,10 @@
     BOOST_TEST_MESSAGE(members << " members: at most " << messages
                                << " messages/s and " << bytes
                                << " bytes/s sent by one");
-    rates[members] = messages;
+    rates[members] = { messages, bytes };
   }
-  BOOST_TEST(rates[94] < 1.5 * rates[6]);
+  BOOST_TEST(rates[94].first < 1.2 * rates[6].first);
+  BOOST_TEST(rates[94].second < 1.2 * rates[47].second);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
