--- a/modules/azurecross_cluster/membership/Membership.cpp
+++ b/modules/azurecross_cluster/membership/Membership.cpp
@@ -10,6 +10,7 @@
   : settings_(std::move(aSettings))
   , random_(aSeed)
   , prober_(random_.DrawBits())
+  , start_(aNow)
   , lastTick_(aNow)
   // Spreads the timers of entries that start together.
   , nextProbe_(aNow + random_.Jitter(ProbeTimes::kPeriod, 1.0))
@@ -114,7 +115,9 @@
     return;
   }
   peers_.reset();
-  updates_.Add(aMember);
+  if (aUrgency != Urgency::Silent) {
+    updates_.Add(aMember);
+  }
   aActions.changes_.push_back(aMember);
   if (aMember.state_ == MemberState::Dead) {
     aActions.unusedPeers_.push_back(aMember.entry_);
--- a/modules/azurecross_cluster/membership/Membership.h
+++ b/modules/azurecross_cluster/membership/Membership.h
@@ -59,6 +59,11 @@
   static constexpr Duration kDelegateInterval = std::chrono::seconds(1);
   /** Dead members are probed this long, so that a healed zone merges. */
   static constexpr Duration kForgetAfter = std::chrono::minutes(30);
+  /**
+   * A newcomer does not repeat the records of the pages it gets, since its
+   * peers know them: at 800 members that would fill its heartbeats for minutes.
+   */
+  static constexpr Duration kNewcomerTime = std::chrono::minutes(1);
   /** A page of records stays under about 1 KB. */
   static constexpr std::size_t kPageRecords = 16;
   /** Members that get an urgent change at once. */
@@ -120,11 +125,16 @@
 private:
   enum class Urgency
   {
+    /** The record does not ride on heartbeats. */
+    Silent,
     Normal,
     Urgent,
   };
 
-  void MergeUpdate(const Member& aMember, Time aNow, ClusterActions& aActions);
+  void MergeUpdate(const Member& aMember,
+                   Urgency aLeast,
+                   Time aNow,
+                   ClusterActions& aActions);
   void ApplyChange(const Member& aMember,
                    Time aNow,
                    Urgency aUrgency,
@@ -178,6 +188,7 @@
   std::uint64_t highestRevision_ = 0;
   EntryId revisionHolder_;
   EntryId pageCursor_;
+  const Time start_;
   Time lastTick_;
   Time nextProbe_;
   Time nextContact_;
--- a/modules/azurecross_cluster/membership/MembershipMessages.cpp
+++ b/modules/azurecross_cluster/membership/MembershipMessages.cpp
@@ -31,9 +31,13 @@
     revisionHolder_ = sender.entry_;
   }
   const bool isNew = table_.Find(sender.entry_) == nullptr;
-  MergeUpdate(sender, aNow, aActions);
+  MergeUpdate(sender, Urgency::Normal, aNow, aActions);
+  const bool isPage = heartbeat.kind() == wire::Heartbeat::SYNC ||
+                      heartbeat.kind() == wire::Heartbeat::SYNC_REPLY;
+  const Urgency least =
+    isPage && aNow - start_ < kNewcomerTime ? Urgency::Silent : Urgency::Normal;
   for (const wire::MemberRecord& update : heartbeat.updates()) {
-    MergeUpdate(FromWire(update), aNow, aActions);
+    MergeUpdate(FromWire(update), least, aNow, aActions);
   }
   if (isNew && sender.zone_ == settings_.zone_) {
     WelcomeMember(sender, aActions);
@@ -43,6 +47,7 @@
 
 void
 Membership::MergeUpdate(const Member& aMember,
+                        Urgency aLeast,
                         Time aNow,
                         ClusterActions& aActions)
 {
@@ -66,8 +71,7 @@
   // A plain arrival can wait for the next heartbeats.
   const bool isUrgent =
     isOwnZone && (aMember.state_ != MemberState::Live || !wasLive);
-  ApplyChange(
-    aMember, aNow, isUrgent ? Urgency::Urgent : Urgency::Normal, aActions);
+  ApplyChange(aMember, aNow, isUrgent ? Urgency::Urgent : aLeast, aActions);
 }
 
 void
--- a/tests/cluster_tests/ZonesTests.cpp
+++ b/tests/cluster_tests/ZonesTests.cpp
@@ -84,6 +84,25 @@
   }
 }
 
+// Guards against a newcomer whose heartbeats are full of records that all its
+// peers know.
+BOOST_AUTO_TEST_CASE(NewcomerDoesNotRepeatWhatPeersKnow)
+{
+  VirtualNetwork network(26);
+  AddZones(network, 20);
+  network.Run(120s);
+  BOOST_REQUIRE(AllSeeAll(network));
+  const EntryId newcomer = network.Add("helwan");
+  network.Run(20s);
+  const EntryId neighbour = network.GetNodes().begin()->first;
+  const auto countBytes = [&](const EntryId& aEntry) {
+    const std::uint64_t before = network.Get(aEntry).sentBytes_;
+    network.Run(10s);
+    return network.Get(aEntry).sentBytes_ - before;
+  };
+  BOOST_TEST(countBytes(newcomer) < 1.3 * countBytes(neighbour));
+}
+
 // Guards against news that stop crossing zones when both delegates die.
 BOOST_AUTO_TEST_CASE(DelegatesFail)
 {
