--- a/modules/azurecross_cluster/membership/Membership.h
+++ b/modules/azurecross_cluster/membership/Membership.h
@@ -59,6 +59,11 @@
   static constexpr Duration kDelegateInterval = std::chrono::seconds(1);
   /** Dead members are probed this long, so that a healed zone merges. */
   static constexpr Duration kForgetAfter = std::chrono::minutes(30);
+  /**
+   * A newcomer does not repeat the records of the pages it gets, since its
+   * peers know them: at 800 members that would fill its heartbeats for minutes.
+   */
+  static constexpr Duration kNewcomerTime = std::chrono::minutes(1);
   /** A page of records stays under about 1 KB. */
   static constexpr std::size_t kPageRecords = 16;
   /** Members that get an urgent change at once. */
@@ -97,7 +102,7 @@
   std::vector<Member> ListEligible() const;
 
   /** @returns the members of the own zone that take messages, without self. */
-  std::vector<Member> ListPeers() const;
+  const std::vector<Member>& ListPeers() const;
 
   /** @returns the selector over the eligible members of a zone. */
   const HomeSelector& GetSelector(const AvailabilityZone& aZone) const;
@@ -114,14 +119,22 @@
   /** @returns the highest table revision that a peer has announced. */
   std::uint64_t GetHighestRevision() const { return highestRevision_; }
 
+  /** @returns the peer that announced it last, to ask for the tables. */
+  const EntryId& GetRevisionHolder() const { return revisionHolder_; }
+
 private:
   enum class Urgency
   {
+    /** The record does not ride on heartbeats. */
+    Silent,
     Normal,
     Urgent,
   };
 
-  void MergeUpdate(const Member& aMember, Time aNow, ClusterActions& aActions);
+  void MergeUpdate(const Member& aMember,
+                   Urgency aLeast,
+                   Time aNow,
+                   ClusterActions& aActions);
   void ApplyChange(const Member& aMember,
                    Time aNow,
                    Urgency aUrgency,
@@ -173,7 +186,9 @@
   std::vector<ListedEntry> listed_;
   std::uint64_t revision_ = 0;
   std::uint64_t highestRevision_ = 0;
+  EntryId revisionHolder_;
   EntryId pageCursor_;
+  const Time start_;
   Time lastTick_;
   Time nextProbe_;
   Time nextContact_;
