Add the gateway's path from callers to backend servers

Callers need streams and service calls relayed, with every grant released once and with verdicts that say whether a request may have run.

The relay parses events where they lie in the read buffer and sends id line, event and chunk framing in one gather write. Time limits are stores checked by a 100 ms tick, because a timer per token would cost a system call.

CPU cost is not measured yet.

--- a/modules/azurecross_gateway/azurecross_gateway.h
+++ b/modules/azurecross_gateway/azurecross_gateway.h
@@ -10,3 +10,5 @@
 #include "controller/Operation.h"
 #include "controller/RequestController.h"
 #include "controller/RouteMatch.h"
+
+#include "server/EntryServer.h"
--- /dev/null
+++ b/modules/azurecross_gateway/backend/BackendConnection.cpp
@@ -0,0 +1,268 @@
+#include "BackendConnection.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+
+namespace azurecross {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+/** Holds dozens of tokens; 2,000 streams take 16 MB. */
+constexpr std::size_t kReadBytes = 8192;
+/** The head of an answer may take at most this much. */
+constexpr std::uint32_t kHeadLimitBytes = 32 * 1024;
+
+bool
+IsInterim(unsigned aStatus)
+{
+  return aStatus >= 100 && aStatus < 200 && aStatus != 101;
+}
+
+} // namespace
+
+BackendConnection::BackendConnection(const WorkerExecutor& aExecutor,
+                                     DeadlineList& aDeadlines)
+  : socket_(aExecutor)
+  , deadline_([this] {
+    timedOut_ = true;
+    Close();
+  })
+{
+  aDeadlines.Add(deadline_);
+}
+
+asio::awaitable<std::optional<Error>>
+BackendConnection::Connect(SocketAddress aAddress, Time aDeadline)
+{
+  address_ = std::move(aAddress);
+  boost::system::error_code code;
+  const auto host = asio::ip::make_address(address_.host_, code);
+  if (code) {
+    co_return MakeError("cannot read the address of", code);
+  }
+  const asio::ip::tcp::endpoint endpoint(host, address_.port_);
+  deadline_.Set(aDeadline);
+  co_await socket_.async_connect(
+    endpoint, asio::redirect_error(asio::use_awaitable, code));
+  deadline_.Clear();
+  if (code || cancelled_) {
+    co_return MakeError("cannot connect to", code);
+  }
+  socket_.set_option(asio::ip::tcp::no_delay(true), code);
+  socket_.non_blocking(true, code);
+  Reset();
+  co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<Error>>
+BackendConnection::Send(std::string_view aHead,
+                        std::string_view aBody,
+                        Time aDeadline)
+{
+  const std::array<asio::const_buffer, 2> buffers = {
+    asio::buffer(aHead.data(), aHead.size()),
+    asio::buffer(aBody.data(), aBody.size())
+  };
+  boost::system::error_code code;
+  deadline_.Set(aDeadline);
+  // Set before the write: a failed write does not say what has left.
+  mayHaveSent_ = true;
+  co_await asio::async_write(
+    socket_, buffers, asio::redirect_error(asio::use_awaitable, code));
+  deadline_.Clear();
+  if (code || cancelled_) {
+    co_return MakeError("cannot send to", code);
+  }
+  co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<Error>>
+BackendConnection::ReadHead(bool aIsHeadRequest, Time aDeadline)
+{
+  parser_->skip(aIsHeadRequest);
+  deadline_.Set(aDeadline);
+  for (;;) {
+    boost::system::error_code code;
+    const std::size_t length = co_await socket_.async_read_some(
+      PrepareRead(), asio::redirect_error(asio::use_awaitable, code));
+    if (code || cancelled_) {
+      co_return MakeError("no answer from", code);
+    }
+    end_ += length;
+    if (auto error = ParseBuffer()) {
+      co_return error;
+    }
+    while (parser_->is_header_done() && IsInterim(GetHead().result_int())) {
+      ResetParser();
+      parser_->skip(aIsHeadRequest);
+      if (auto error = ParseBuffer()) {
+        co_return error;
+      }
+    }
+    if (parser_->is_header_done()) {
+      break;
+    }
+  }
+  deadline_.Clear();
+  co_return std::nullopt;
+}
+
+asio::awaitable<AsyncResult<std::string>>
+BackendConnection::ReadBody(std::size_t aLimitBytes, Duration aSilence)
+{
+  std::string body;
+  for (;;) {
+    for (const std::string_view piece : GetPieces()) {
+      if (body.size() + piece.size() > aLimitBytes) {
+        co_return Error{ ErrorCode::BackendServerFailed,
+                         Verdict::Ran,
+                         "the answer of " + address_.Format() +
+                           " is larger than the limit",
+                         {} };
+      }
+      body += piece;
+    }
+    if (IsDone()) {
+      deadline_.Clear();
+      co_return body;
+    }
+    boost::system::error_code code;
+    deadline_.Set(ReadMonotonicTime() + aSilence);
+    const std::size_t length = co_await socket_.async_read_some(
+      PrepareRead(), asio::redirect_error(asio::use_awaitable, code));
+    if (auto error = TakeRead(code, length)) {
+      co_return *error;
+    }
+  }
+}
+
+asio::mutable_buffer
+BackendConnection::PrepareRead()
+{
+  parser_->get().body().clear();
+  if (begin_ == end_) {
+    begin_ = 0;
+    end_ = 0;
+  } else if (begin_ > 0) {
+    std::memmove(buffer_.data(), buffer_.data() + begin_, end_ - begin_);
+    end_ -= begin_;
+    begin_ = 0;
+  }
+  if (end_ == buffer_.size()) {
+    // Only a head can be longer than the buffer; the parser bounds it.
+    buffer_.resize(buffer_.size() * 2);
+  }
+  return asio::buffer(buffer_.data() + end_, buffer_.size() - end_);
+}
+
+std::optional<Error>
+BackendConnection::TakeRead(const boost::system::error_code& aCode,
+                            std::size_t aLength)
+{
+  if (cancelled_ || timedOut_ || (aCode && aCode != asio::error::eof)) {
+    return MakeError("the answer breaks off from", aCode);
+  }
+  if (aCode == asio::error::eof) {
+    boost::system::error_code code;
+    parser_->put_eof(code);
+    if (code) {
+      return MakeError("the answer breaks off from", aCode);
+    }
+    return std::nullopt;
+  }
+  end_ += aLength;
+  return ParseBuffer();
+}
+
+std::optional<Error>
+BackendConnection::ParseBuffer()
+{
+  while (begin_ < end_ && !parser_->is_done()) {
+    boost::system::error_code code;
+    const std::size_t used =
+      parser_->put(asio::buffer(buffer_.data() + begin_, end_ - begin_), code);
+    begin_ += used;
+    if (code == http::error::need_more) {
+      return std::nullopt;
+    }
+    if (code) {
+      return MakeError("malformed answer from", code);
+    }
+  }
+  return std::nullopt;
+}
+
+bool
+BackendConnection::IsReusable() const
+{
+  return socket_.is_open() && !cancelled_ && !timedOut_ && parser_ &&
+         parser_->is_done() && parser_->keep_alive() && begin_ == end_;
+}
+
+void
+BackendConnection::Reset()
+{
+  ResetParser();
+  buffer_.resize(std::max(buffer_.size(), kReadBytes));
+  begin_ = 0;
+  end_ = 0;
+  mayHaveSent_ = false;
+}
+
+void
+BackendConnection::ResetParser()
+{
+  parser_.emplace();
+  parser_->header_limit(kHeadLimitBytes);
+  parser_->body_limit(boost::none);
+  parser_->eager(true);
+}
+
+void
+BackendConnection::Cancel()
+{
+  cancelled_ = true;
+  Close();
+}
+
+void
+BackendConnection::Close()
+{
+  deadline_.Clear();
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+}
+
+Error
+BackendConnection::MakeError(std::string_view aStep,
+                             const boost::system::error_code& aCode) const
+{
+  ErrorCode reason = ErrorCode::BackendServerFailed;
+  std::string detail = aCode.message();
+  if (cancelled_) {
+    reason = ErrorCode::Cancelled;
+    detail = "cancelled";
+  } else if (timedOut_) {
+    reason = ErrorCode::DeadlineExceeded;
+    detail = "timed out";
+  } else if (mayHaveSent_ && parser_->is_header_done()) {
+    reason = ErrorCode::AnswerTruncated;
+  }
+  const Verdict verdict = mayHaveSent_ ? Verdict::MayHaveRun : Verdict::NotRun;
+  return Error{ reason,
+                verdict,
+                std::string(aStep) + " " + address_.Format() + ": " + detail,
+                {} };
+}
+
+} // namespace azurecross
--- /dev/null
+++ b/modules/azurecross_gateway/backend/BackendConnection.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "../relay/BodyViews.h"
+#include "../relay/WorkerSocket.h"
+#include "../server/DeadlineList.h"
+
+#include <azurecross_core/azurecross_core.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace azurecross {
+
+/**
+ * One connection to a backend server: one request at a time, and its answer
+ * read without copies. Knows whether a byte of the request may have left, so
+ * its failures carry the right verdict.
+ */
+class BackendConnection
+{
+public:
+  using Parser = boost::beast::http::response_parser<BodyViews>;
+  using Head = boost::beast::http::response_header<>;
+
+  BackendConnection(const WorkerExecutor& aExecutor, DeadlineList& aDeadlines);
+
+  BackendConnection(const BackendConnection&) = delete;
+  BackendConnection& operator=(const BackendConnection&) = delete;
+
+  /** Connects; @returns the failure, if any. */
+  boost::asio::awaitable<std::optional<Error>> Connect(SocketAddress aAddress,
+                                                       Time aDeadline);
+
+  /** Sends a request; the texts must live until it is done. */
+  boost::asio::awaitable<std::optional<Error>> Send(std::string_view aHead,
+                                                    std::string_view aBody,
+                                                    Time aDeadline);
+
+  /** Reads the head of the answer. */
+  boost::asio::awaitable<std::optional<Error>> ReadHead(bool aIsHeadRequest,
+                                                        Time aDeadline);
+
+  /** Reads the rest of the answer; @returns the body. */
+  boost::asio::awaitable<AsyncResult<std::string>> ReadBody(
+    std::size_t aLimitBytes,
+    Duration aSilence);
+
+  const Head& GetHead() const { return parser_->get().base(); }
+
+  /** @returns the body pieces of the last read; `PrepareRead` ends them. */
+  const BodyPieces& GetPieces() const { return parser_->get().body(); }
+
+  /** @returns whether the whole answer has been read. */
+  bool IsDone() const { return parser_->is_done(); }
+
+  /** @returns whether another request may follow on this connection. */
+  bool IsReusable() const;
+
+  /** @returns whether a byte of the current request may have left. */
+  bool MayHaveSent() const { return mayHaveSent_; }
+
+  const SocketAddress& GetAddress() const { return address_; }
+
+  /** The steps of one read, for the relay: prepare, receive, take. */
+  boost::asio::mutable_buffer PrepareRead();
+  /** @returns the failure; none at an orderly end that ends the body. */
+  std::optional<Error> TakeRead(const boost::system::error_code& aCode,
+                                std::size_t aLength);
+  WorkerSocket& GetSocket() { return socket_; }
+  Deadline& GetDeadline() { return deadline_; }
+
+  /** Forgets the last answer, before the connection is used again. */
+  void Reset();
+
+  /** Ends all that goes on; the waiting step fails with `Cancelled`. */
+  void Cancel();
+  void Close();
+
+private:
+  std::optional<Error> ParseBuffer();
+  Error MakeError(std::string_view aStep,
+                  const boost::system::error_code& aCode) const;
+  void ResetParser();
+
+  WorkerSocket socket_;
+  Deadline deadline_;
+  SocketAddress address_;
+  std::optional<Parser> parser_;
+  std::vector<char> buffer_;
+  std::size_t begin_ = 0;
+  std::size_t end_ = 0;
+  bool mayHaveSent_ = false;
+  bool timedOut_ = false;
+  bool cancelled_ = false;
+};
+
+} // namespace azurecross
--- /dev/null
+++ b/modules/azurecross_gateway/backend/EngineAdapter.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "BackendAdapter.h"
+
+namespace azurecross {
+
+/** Puts generations to model engines. @see BackendAdapter */
+struct EngineAdapter
+{
+  /** Rewrites the body with the priority of the route's rank. */
+  static OutgoingRequest BuildRequest(const RequestContext& aContext,
+                                      const SocketAddress& aAddress);
+
+  /** Asks for the events of a generation after the caller's last one. */
+  static OutgoingRequest BuildResume(const RequestContext& aContext,
+                                     const SocketAddress& aAddress);
+
+  /** The request id must come back. */
+  static std::optional<Error> CheckHead(const RequestContext& aContext,
+                                        const BackendConnection::Head& aHead);
+
+  /** @returns whether the answer is an event stream. */
+  static bool IsEventStream(const BackendConnection::Head& aHead);
+};
+
+static_assert(BackendAdapter<EngineAdapter>);
+
+} // namespace azurecross
--- /dev/null
+++ b/modules/azurecross_gateway/relay/CallerChannel.cpp
@@ -0,0 +1,249 @@
+#include "CallerChannel.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <array>
+
+namespace azurecross {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t kWatchReadBytes = 4096;
+/** How long a caller may take to read the last answer and close. */
+constexpr Duration kLingerTime = std::chrono::seconds(1);
+
+} // namespace
+
+CallerChannel::CallerChannel(WorkerSocket aSocket,
+                             DeadlineList& aDeadlines,
+                             const GatewayLimits& aLimits)
+  : socket_(std::move(aSocket))
+  , deadline_([this] {
+    timedOut_ = true;
+    boost::system::error_code ignored;
+    socket_.cancel(ignored);
+  })
+  , limits_(aLimits)
+  , buffer_(aLimits.headerLimitBytes_ + aLimits.readAheadBytes_)
+{
+  boost::system::error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
+  aDeadlines.Add(deadline_);
+}
+
+asio::awaitable<bool>
+CallerChannel::WaitForRequest()
+{
+  if (buffer_.size() > 0) {
+    co_return true;
+  }
+  boost::system::error_code code;
+  isIdle_ = true;
+  deadline_.Set(ReadMonotonicTime() + limits_.idleTimeout_);
+  co_await socket_.async_wait(asio::socket_base::wait_read,
+                              asio::redirect_error(asio::use_awaitable, code));
+  deadline_.Clear();
+  isIdle_ = false;
+  co_return !code && socket_.is_open();
+}
+
+asio::awaitable<CallerChannel::ReadOutcome>
+CallerChannel::ReadRequest(RequestParser& aParser)
+{
+  timedOut_ = false;
+  if (hasLeft_ || !co_await WaitForRequest()) {
+    co_return ReadOutcome();
+  }
+  aParser.header_limit(limits_.headerLimitBytes_);
+  aParser.body_limit(limits_.bodyLimitBytes_);
+  boost::system::error_code code;
+  deadline_.Set(ReadMonotonicTime() + limits_.headerTimeout_);
+  co_await http::async_read_header(
+    socket_, buffer_, aParser, asio::redirect_error(asio::use_awaitable, code));
+  if (!code && !aParser.is_done()) {
+    deadline_.Set(ReadMonotonicTime() + limits_.bodyTimeout_);
+    if (!co_await Continue(aParser)) {
+      co_return ReadOutcome();
+    }
+    co_await http::async_read(socket_,
+                              buffer_,
+                              aParser,
+                              asio::redirect_error(asio::use_awaitable, code));
+  }
+  deadline_.Clear();
+  if (code || timedOut_) {
+    co_return Refuse(code);
+  }
+  ReadOutcome done;
+  done.end_ = ReadEnd::Done;
+  co_return done;
+}
+
+asio::awaitable<bool>
+CallerChannel::Continue(RequestParser& aParser)
+{
+  if (!boost::beast::iequals(aParser.get()[http::field::expect],
+                             "100-continue")) {
+    co_return true;
+  }
+  std::array<asio::const_buffer, 1> buffers = { asio::buffer(
+    "HTTP/1.1 100 Continue\r\n\r\n", 25) };
+  co_return co_await Write(buffers);
+}
+
+CallerChannel::ReadOutcome
+CallerChannel::Refuse(const boost::system::error_code& aCode)
+{
+  ReadOutcome outcome;
+  outcome.end_ = ReadEnd::Refused;
+  outcome.error_.verdict_ = Verdict::NotRun;
+  outcome.error_.code_ = ErrorCode::InvalidRequest;
+  outcome.error_.message_ = "malformed HTTP request: " + aCode.message();
+  if (timedOut_) {
+    outcome.error_.code_ = ErrorCode::RequestTimeout;
+    outcome.error_.message_ = "the request did not arrive in time";
+  } else if (aCode == http::error::header_limit ||
+             aCode == http::error::buffer_overflow) {
+    outcome.error_.code_ = ErrorCode::HeaderTooLarge;
+    outcome.error_.message_ = "the header is larger than the limit";
+  } else if (aCode == http::error::body_limit) {
+    outcome.error_.code_ = ErrorCode::BodyTooLarge;
+    outcome.error_.message_ = "the body is larger than the limit";
+  } else if (aCode.category() !=
+             http::make_error_code(http::error::bad_method).category()) {
+    outcome.end_ = ReadEnd::Closed;
+  } else if (aCode == http::error::end_of_stream ||
+             aCode == http::error::partial_message) {
+    outcome.end_ = ReadEnd::Closed;
+  }
+  return outcome;
+}
+
+bool
+CallerChannel::TryWrite(std::span<asio::const_buffer>& aBuffers)
+{
+  boost::system::error_code code;
+  std::size_t sent = socket_.write_some(aBuffers, code);
+  if (code && code != asio::error::would_block) {
+    hasLeft_ = true;
+    return false;
+  }
+  while (!aBuffers.empty() && sent >= aBuffers.front().size()) {
+    sent -= aBuffers.front().size();
+    aBuffers = aBuffers.subspan(1);
+  }
+  if (!aBuffers.empty()) {
+    aBuffers.front() += sent;
+  }
+  return aBuffers.empty();
+}
+
+asio::awaitable<bool>
+CallerChannel::Write(std::span<asio::const_buffer> aBuffers)
+{
+  if (hasLeft_) {
+    co_return false;
+  }
+  if (TryWrite(aBuffers)) {
+    co_return true;
+  }
+  if (hasLeft_) {
+    co_return false;
+  }
+  boost::system::error_code code;
+  const Time previous = deadline_.Get();
+  deadline_.Set(ReadMonotonicTime() + limits_.writeTimeout_);
+  co_await asio::async_write(
+    socket_, aBuffers, asio::redirect_error(asio::use_awaitable, code));
+  deadline_.Set(previous);
+  if (code) {
+    hasLeft_ = true;
+  }
+  co_return !code;
+}
+
+void
+CallerChannel::StartWatch(std::function<void()> aOnLeft)
+{
+  onLeft_ = std::move(aOnLeft);
+  isWatched_ = true;
+  WatchOnce();
+}
+
+void
+CallerChannel::WatchOnce()
+{
+  if (!isWatched_ || isReading_ || buffer_.size() >= limits_.readAheadBytes_) {
+    return;
+  }
+  isReading_ = true;
+  socket_.async_read_some(
+    buffer_.prepare(kWatchReadBytes),
+    [self = shared_from_this()](const boost::system::error_code& aCode,
+                                std::size_t aLength) {
+      self->isReading_ = false;
+      if (!aCode) {
+        self->buffer_.commit(aLength);
+        self->WatchOnce();
+      } else if (self->isWatched_) {
+        self->Leave();
+      }
+    });
+}
+
+void
+CallerChannel::Leave()
+{
+  hasLeft_ = true;
+  if (onLeft_) {
+    onLeft_();
+  }
+}
+
+asio::awaitable<void>
+CallerChannel::StopWatch()
+{
+  isWatched_ = false;
+  onLeft_ = nullptr;
+  if (isReading_) {
+    boost::system::error_code ignored;
+    socket_.cancel(ignored);
+  }
+  while (isReading_) {
+    co_await asio::post(asio::use_awaitable);
+  }
+}
+
+asio::awaitable<void>
+CallerChannel::CloseOrderly()
+{
+  // Closing with unread bytes resets the connection, which can discard the
+  // last answer before the caller has read it.
+  boost::system::error_code code;
+  socket_.shutdown(asio::socket_base::shutdown_send, code);
+  deadline_.Set(ReadMonotonicTime() + kLingerTime);
+  std::array<char, kWatchReadBytes> discarded{};
+  while (!code && !hasLeft_) {
+    co_await socket_.async_read_some(
+      asio::buffer(discarded), asio::redirect_error(asio::use_awaitable, code));
+  }
+  Close();
+}
+
+void
+CallerChannel::Close()
+{
+  deadline_.Clear();
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+}
+
+} // namespace azurecross
--- /dev/null
+++ b/modules/azurecross_gateway/relay/CallerChannel.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "../server/DeadlineList.h"
+#include "../server/GatewayLimits.h"
+#include "WorkerSocket.h"
+
+#include <azurecross_core/azurecross_core.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+
+namespace azurecross {
+
+/**
+ * The bytes to and from one caller, with the time limits of its connection.
+ * Buffers are bounded: a caller that does not read gets no further writes and
+ * is dropped after the write timeout.
+ */
+class CallerChannel : public std::enable_shared_from_this<CallerChannel>
+{
+public:
+  using RequestParser =
+    boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  /** How reading a request ended. */
+  enum class ReadEnd
+  {
+    Done,
+    /** The caller closed the connection, or was idle too long. */
+    Closed,
+    /** The request is refused; the error says why. */
+    Refused,
+  };
+
+  struct ReadOutcome
+  {
+    ReadEnd end_ = ReadEnd::Closed;
+    Error error_;
+  };
+
+  CallerChannel(WorkerSocket aSocket,
+                DeadlineList& aDeadlines,
+                const GatewayLimits& aLimits);
+
+  /** Reads the next request, header and body. */
+  boost::asio::awaitable<ReadOutcome> ReadRequest(RequestParser& aParser);
+
+  /**
+   * Sends all buffers, at once as far as the socket takes them.
+   * @returns false when the caller is gone or too slow.
+   */
+  boost::asio::awaitable<bool> Write(
+    std::span<boost::asio::const_buffer> aBuffers);
+
+  /**
+   * Sends what the socket takes without waiting, and takes that off the
+   * buffers. @returns whether all was sent; false also after a failure.
+   */
+  bool TryWrite(std::span<boost::asio::const_buffer>& aBuffers);
+
+  /**
+   * Watches for the caller leaving while its request runs; what it sends
+   * meanwhile is kept, up to a limit, as its next requests.
+   */
+  void StartWatch(std::function<void()> aOnLeft);
+  /** Ends the watch, so that the next request can be read. */
+  boost::asio::awaitable<void> StopWatch();
+
+  /** @returns whether the caller is gone. */
+  bool HasLeft() const { return hasLeft_; }
+  bool IsIdle() const { return isIdle_; }
+
+  /** Ends the connection in order, so that the last answer arrives. */
+  boost::asio::awaitable<void> CloseOrderly();
+  /** Ends the connection at once. */
+  void Close();
+
+private:
+  boost::asio::awaitable<bool> WaitForRequest();
+  boost::asio::awaitable<bool> Continue(RequestParser& aParser);
+  ReadOutcome Refuse(const boost::system::error_code& aCode);
+  void WatchOnce();
+  void Leave();
+
+  WorkerSocket socket_;
+  Deadline deadline_;
+  const GatewayLimits& limits_;
+  boost::beast::flat_buffer buffer_;
+  std::function<void()> onLeft_;
+  bool isIdle_ = false;
+  bool isReading_ = false;
+  bool isWatched_ = false;
+  bool timedOut_ = false;
+  bool hasLeft_ = false;
+};
+
+} // namespace azurecross
