--- a/modules/azurecross_gateway/azurecross_gateway.h
+++ b/modules/azurecross_gateway/azurecross_gateway.h
@@ -12,3 +12,4 @@
 #include "controller/RouteMatch.h"
 
 #include "server/EntryServer.h"
+#include "server/OperationsServer.h"
