Relay tokens in callbacks instead of a coroutine

The relay now reads with a plain callback that keeps the socket's own executor and writes at once; a coroutine waits only for the end of the stream. A caller that does not take the bytes is waited for in CallerChannel::WriteRest.

--- a/modules/azurecross_gateway/relay/CallerChannel.cpp
+++ b/modules/azurecross_gateway/relay/CallerChannel.cpp
@@ -170,6 +170,26 @@
   co_return !code;
 }
 
+void
+CallerChannel::WriteRest(std::span<asio::const_buffer> aBuffers,
+                         std::function<void(bool)> aDone)
+{
+  if (hasLeft_) {
+    asio::post(socket_.get_executor(),
+               [done = std::move(aDone)] { done(false); });
+    return;
+  }
+  deadline_.Set(ReadMonotonicTime() + limits_.writeTimeout_);
+  asio::async_write(socket_,
+                    aBuffers,
+                    [this, done = std::move(aDone)](
+                      const boost::system::error_code& aCode, std::size_t) {
+                      deadline_.Clear();
+                      hasLeft_ = hasLeft_ || aCode;
+                      done(!aCode);
+                    });
+}
+
 void
 CallerChannel::StartWatch(std::function<void()> aOnLeft)
 {
--- a/modules/azurecross_gateway/relay/CallerChannel.h
+++ b/modules/azurecross_gateway/relay/CallerChannel.h
@@ -65,6 +65,13 @@
    */
   bool TryWrite(std::span<boost::asio::const_buffer>& aBuffers);
 
+  /**
+   * Sends what `TryWrite` left, as the caller reads it. The function is told
+   * whether all was sent, and is not called from within this one.
+   */
+  void WriteRest(std::span<boost::asio::const_buffer> aBuffers,
+                 std::function<void(bool aIsSent)> aDone);
+
   /**
    * Watches for the caller leaving while its request runs; what it sends
    * meanwhile is kept, up to a limit, as its next requests.
--- a/modules/azurecross_gateway/relay/EventFramer.h
+++ b/modules/azurecross_gateway/relay/EventFramer.h
@@ -42,7 +42,7 @@
   /** Adds the end of the body. */
   void AddEnd();
 
-  bool IsEmpty() const { return count_ == 0; }
+  bool IsEmpty() const { return count_ == 0 && !hasEnd_; }
   /** @returns whether the next event may not fit; write first. */
   bool IsFull() const { return count_ + kBuffersPerEvent > kBufferLimit; }
 
--- a/modules/azurecross_gateway/relay/StreamRelay.cpp
+++ b/modules/azurecross_gateway/relay/StreamRelay.cpp
@@ -13,73 +13,127 @@
   : parts_(std::move(aParts))
   , parser_(parts_.limits_.eventLimitBytes_)
   , framer_(parts_.isChunked_)
+  , ended_(parts_.backend_.GetSocket().get_executor())
 {
 }
 
 asio::awaitable<RelayOutcome>
 StreamRelay::Run()
 {
-  BackendConnection& backend = parts_.backend_;
-  boost::system::error_code code;
-  auto token = asio::redirect_error(asio::use_awaitable, code);
-  backend.GetDeadline().Set(parts_.firstEventDeadline_);
+  ended_.expires_at(std::chrono::steady_clock::time_point::max());
+  parts_.backend_.GetDeadline().Set(parts_.firstEventDeadline_);
   now_ = ReadMonotonicTime();
-  co_await TakePieces();
-  while (state_ == State::Open) {
-    if (backend.IsDone()) {
-      Fail(ErrorCode::AnswerTruncated,
-           "the stream ended before its last event");
-      break;
-    }
-    const std::size_t length = co_await backend.GetSocket().async_read_some(
-      backend.PrepareRead(), token);
-    auto error = backend.TakeRead(code, length);
-    now_ = ReadMonotonicTime();
-    co_await TakePieces();
-    if (error && state_ == State::Open) {
-      Fail(std::move(*error));
-    }
-    if (hasBegun_) {
-      backend.GetDeadline().Set(now_ + parts_.limits_.silenceTimeout_);
-    }
-  }
-  backend.GetDeadline().Clear();
-  if (hasBegun_ && state_ == State::Failed && !parts_.caller_.HasLeft()) {
-    framer_.AddText(FormatErrorEvent(*error_));
-  }
-  if (hasBegun_) {
-    framer_.AddEnd();
-    co_await Flush();
+  Advance();
+  boost::system::error_code ignored;
+  while (!hasEnded_) {
+    co_await ended_.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
   }
+  parts_.backend_.GetDeadline().Clear();
   RelayOutcome outcome;
   outcome.error_ = std::move(error_);
   outcome.hasDelivered_ = hasBegun_;
   co_return outcome;
 }
 
-asio::awaitable<void>
-StreamRelay::TakePieces()
+void
+StreamRelay::Read()
 {
-  for (const std::string_view piece : parts_.backend_.GetPieces()) {
-    parser_.Give(piece);
-    while (state_ == State::Open) {
-      const auto event = parser_.Next();
-      if (!event) {
-        break;
-      }
+  BackendConnection& backend = parts_.backend_;
+  backend.GetSocket().async_read_some(
+    backend.PrepareRead(),
+    [this](const boost::system::error_code& aCode, std::size_t aLength) {
+      TakeRead(aCode, aLength);
+    });
+}
+
+void
+StreamRelay::TakeRead(const boost::system::error_code& aCode,
+                      std::size_t aLength)
+{
+  readError_ = parts_.backend_.TakeRead(aCode, aLength);
+  now_ = ReadMonotonicTime();
+  if (hasBegun_) {
+    parts_.backend_.GetDeadline().Set(now_ + parts_.limits_.silenceTimeout_);
+  }
+  nextPiece_ = 0;
+  Advance();
+}
+
+void
+StreamRelay::Advance()
+{
+  if (!TakeEvents()) {
+    return;
+  }
+  if (state_ == State::Open && readError_) {
+    Fail(std::move(*readError_));
+  } else if (state_ == State::Open && parts_.backend_.IsDone()) {
+    Fail(ErrorCode::AnswerTruncated, "the stream ended before its last event");
+  }
+  if (state_ != State::Open) {
+    return Finish();
+  }
+  if (framer_.IsEmpty() || Flush()) {
+    Read();
+  }
+}
+
+bool
+StreamRelay::TakeEvents()
+{
+  const BodyPieces& pieces = parts_.backend_.GetPieces();
+  while (state_ == State::Open) {
+    if (const auto event = parser_.Next()) {
       TakeEvent(*event);
-      if (framer_.IsFull()) {
-        co_await Flush();
+      if (framer_.IsFull() && !Flush()) {
+        return false;
       }
-    }
-    if (parser_.HasFailed() && state_ == State::Open) {
+    } else if (parser_.HasFailed()) {
       Fail(ErrorCode::BackendServerFailed, "an event is larger than the limit");
+    } else if (nextPiece_ < pieces.size()) {
+      parser_.Give(pieces[nextPiece_++]);
+    } else {
+      break;
+    }
+  }
+  return true;
+}
+
+void
+StreamRelay::Finish()
+{
+  if (!isFinishing_ && hasBegun_ && !parts_.caller_.HasLeft()) {
+    isFinishing_ = true;
+    if (state_ == State::Failed) {
+      framer_.AddText(FormatErrorEvent(*error_));
+    }
+    framer_.AddEnd();
+    if (!Flush()) {
+      return;
     }
   }
-  // The end of the body goes out together with the last event.
-  if (state_ == State::Open && !framer_.IsEmpty()) {
-    co_await Flush();
+  hasEnded_ = true;
+  ended_.cancel();
+}
+
+/** @returns false if `Advance` will be called when the bytes are written. */
+bool
+StreamRelay::Flush()
+{
+  auto buffers = framer_.Finish();
+  if (parts_.caller_.TryWrite(buffers)) {
+    framer_.Clear();
+    return true;
   }
+  parts_.caller_.WriteRest(buffers, [this](bool aIsSent) {
+    framer_.Clear();
+    if (!aIsSent && state_ != State::Failed) {
+      Fail(ErrorCode::Cancelled, "the caller left or stopped reading");
+    }
+    Advance();
+  });
+  return false;
 }
 
 void
@@ -125,22 +179,6 @@
   framer_.AddHead(std::move(parts_.head_));
 }
 
-asio::awaitable<void>
-StreamRelay::Flush()
-{
-  auto buffers = framer_.Finish();
-  if (!parts_.caller_.TryWrite(buffers)) {
-    const bool isSent = co_await parts_.caller_.Write(buffers);
-    if (!isSent && state_ != State::Failed) {
-      Error error;
-      error.code_ = ErrorCode::Cancelled;
-      error.message_ = "the caller left or stopped reading";
-      Fail(std::move(error));
-    }
-  }
-  framer_.Clear();
-}
-
 void
 StreamRelay::Fail(ErrorCode aCode, std::string aMessage)
 {
--- a/modules/azurecross_gateway/relay/StreamRelay.h
+++ b/modules/azurecross_gateway/relay/StreamRelay.h
@@ -8,6 +8,7 @@
 #include "StreamProgress.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/basic_waitable_timer.hpp>
 
 #include <optional>
 #include <string>
@@ -30,6 +31,9 @@
  * the last ones have been taken by the caller's socket, so a slow caller slows
  * its own stream and memory stays bounded. A failure after the first event is
  * told to the caller as the last event of the stream.
+ *
+ * The steps between two events are plain callbacks: resuming a coroutine for
+ * each token goes through a type-erased executor and allocates.
  */
 class StreamRelay
 {
@@ -62,19 +66,33 @@
     Failed,
   };
 
-  boost::asio::awaitable<void> TakePieces();
-  boost::asio::awaitable<void> Flush();
+  void Read();
+  void TakeRead(const boost::system::error_code& aCode, std::size_t aLength);
+  void Advance();
+  bool TakeEvents();
   void TakeEvent(const StreamEvent& aEvent);
   void BeginAnswer();
+  bool Flush();
+  void Finish();
   void Fail(ErrorCode aCode, std::string aMessage);
   void Fail(Error aError);
 
   Parts parts_;
   EventParser parser_;
   EventFramer framer_;
+  /** Cancelled when the stream has ended, which resumes `Run`. */
+  boost::asio::basic_waitable_timer<
+    std::chrono::steady_clock,
+    boost::asio::wait_traits<std::chrono::steady_clock>,
+    WorkerExecutor>
+    ended_;
   State state_ = State::Open;
+  std::optional<Error> readError_;
   std::optional<Error> error_;
+  std::size_t nextPiece_ = 0;
   bool hasBegun_ = false;
+  bool isFinishing_ = false;
+  bool hasEnded_ = false;
   Time now_;
 };
 
