--- a/modules/azurecross_gateway/azurecross_gateway.h
+++ b/modules/azurecross_gateway/azurecross_gateway.h
@@ -10,3 +10,6 @@
 #include "controller/Operation.h"
 #include "controller/RequestController.h"
 #include "controller/RouteMatch.h"
+
+#include "server/EntryServer.h"
+#include "server/OperationsServer.h"
