--- a/modules/azurecross_core/azurecross_core.h
+++ b/modules/azurecross_core/azurecross_core.h
@@ -15,6 +15,8 @@
 #include "types/Verdict.h"
 // Errors carry a verdict.
 #include "types/Error.h"
+// Captures errors for coroutines and threads.
+#include "types/CaptureResult.h"
 
 #include "concurrency/RcuCell.h"
 #include "concurrency/ScopeGuard.h"
