Pace lesser work under the minute already paid for

Lesser work filled all capacity whenever it could, and every such minute is billed all month. Pacer limits running lesser requests so that the rest of the minute and a whole minute like it stay under the busiest one so far; its floor is exempt.

--- a/modules/azurecross_policy/admission/BackendServerModel.cpp
+++ b/modules/azurecross_policy/admission/BackendServerModel.cpp
@@ -22,6 +22,8 @@
  * short requests out because of them would leave memory idle: they are gone
  * long before. */
 constexpr double kRelevantPart = 0.1;
+/** Part of memory that admission fills on average. */
+constexpr double kUsableMemory = 0.8;
 /** Forgetting factor per observed gap: about 500 observations count. */
 constexpr double kForget = 0.998;
 /** Weight of the assumed speed before anything is known. */
@@ -194,6 +196,19 @@
   return (PredictGapSeconds() + slope_) / longest;
 }
 
+double
+BackendServerModel::ComputeTokenRate(double aMeanMemory) const
+{
+  if (description_.memoryTokens_ == 0) {
+    return 0.0;
+  }
+  const double fitting = kUsableMemory * description_.memoryTokens_ *
+                         memoryTrust_ / std::max(aMeanMemory, 1.0);
+  const double batch =
+    std::min(fitting, static_cast<double>(GetLimit(Rank::Urgent)));
+  return batch / (intercept_ + slope_ * batch);
+}
+
 void
 BackendServerModel::ObserveOthers(const BackendServerLoad& aLoad)
 {
--- a/modules/azurecross_policy/admission/BackendServerModel.h
+++ b/modules/azurecross_policy/admission/BackendServerModel.h
@@ -77,6 +77,10 @@
    * allowed; for plain services, the share of slots in use. */
   double PredictGapShare() const;
 
+  /** @returns output tokens per second at the limits, for requests that hold
+   * this much memory on average; 0 for plain services. */
+  double ComputeTokenRate(double aMeanMemory) const;
+
   const BackendServerDescription& GetDescription() const
   {
     return description_;
--- a/modules/azurecross_policy/arbitration/Arbiter.cpp
+++ b/modules/azurecross_policy/arbitration/Arbiter.cpp
@@ -190,11 +190,44 @@
     lane->urgentSlots_.Observe(lane->running_[urgent], aNow);
     lane->urgentTokens_.Observe(lane->memory_[urgent].ComputePeak(), aNow);
   }
+  UpdatePacing(aNow);
   UpdateHealth(aNow, aActions);
   RefuseLate(aNow, aActions);
   DispatchAll(aNow, aActions);
 }
 
+std::uint32_t
+Arbiter::CountLesserRunning() const
+{
+  std::uint32_t running = 0;
+  for (const auto& [model, lane] : lanes_) {
+    running += lane->running_[static_cast<std::size_t>(Rank::Lesser)];
+  }
+  return running;
+}
+
+void
+Arbiter::UpdatePacing(Time aNow)
+{
+  const std::uint32_t running = CountLesserRunning();
+  pacer_.Tick(running, aNow);
+  if (!options_.isPaced_) {
+    return;
+  }
+  double memory = 0.0;
+  for (const auto& [model, lane] : lanes_) {
+    memory += lane->memory_[static_cast<std::size_t>(Rank::Lesser)].mean_[0];
+  }
+  const double meanMemory = memory / std::max(running, 1U);
+  double rate = 0.0;
+  for (const Server& server : servers_) {
+    rate += server.IsUsable() ? server.model_.ComputeTokenRate(meanMemory) : 0;
+  }
+  const double floorRate = options_.lesserFloor_ * rate;
+  pacedSlots_ = pacer_.ComputeLesserSlots(floorRate, aNow);
+  floorSlots_ = pacer_.ComputeFloorSlots(floorRate);
+}
+
 void
 Arbiter::UpdateHealth(Time aNow, ArbiterActions& aActions)
 {
@@ -241,12 +274,13 @@
 double
 Arbiter::ExportPeak() const
 {
-  return 0.0;
+  return pacer_.GetPeak();
 }
 
 void
-Arbiter::LoadPeak(double /*aTokensPerMinute*/)
+Arbiter::LoadPeak(double aTokensPerMinute)
 {
+  pacer_.LoadPeak(aTokensPerMinute);
 }
 
 } // namespace azurecross
--- a/modules/azurecross_policy/arbitration/Arbiter.h
+++ b/modules/azurecross_policy/arbitration/Arbiter.h
@@ -2,6 +2,7 @@
 
 #include "../admission/LengthPredictor.h"
 #include "../health/HealthTracker.h"
+#include "../pacing/Pacer.h"
 #include "ArbiterAction.h"
 #include "ArbiterOptions.h"
 #include "ArbiterState.h"
@@ -10,6 +11,7 @@
 #include "Lane.h"
 
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -144,6 +146,8 @@
   std::vector<std::string> ExplainQueued(const Queued& aQueued) const;
   std::vector<std::string> ExplainGranted(const Granted& aGranted) const;
   void ReleaseGrant(GrantId aGrant, GrantOutcome aOutcome, Time aNow);
+  void UpdatePacing(Time aNow);
+  std::uint32_t CountLesserRunning() const;
   void UpdateHealth(Time aNow, ArbiterActions& aActions);
   void RefuseLate(Time aNow, ArbiterActions& aActions);
 
@@ -151,6 +155,11 @@
   Random random_;
   LengthPredictor lengths_;
   HealthTracker health_;
+  Pacer pacer_;
+  /** Lesser requests that may run at once, and those that its floor takes;
+   * unlimited while there is no pacing. */
+  double pacedSlots_ = std::numeric_limits<double>::max();
+  double floorSlots_ = std::numeric_limits<double>::max();
   std::uint32_t members_ = 1;
   std::deque<Server> servers_;
   std::unordered_map<BackendServerId, std::uint32_t> serverIndexes_;
--- a/modules/azurecross_policy/arbitration/ArbiterDispatch.cpp
+++ b/modules/azurecross_policy/arbitration/ArbiterDispatch.cpp
@@ -190,7 +190,8 @@
 bool
 Arbiter::IsLesserOwed(const Lane& aLane) const
 {
-  const double floor = options_.lesserFloor_ * aLane.slots_;
+  const double floor =
+    std::min(options_.lesserFloor_ * aLane.slots_, floorSlots_);
   return aLane.queues_[static_cast<std::size_t>(Rank::Lesser)].CountItems() >
            0 &&
          aLane.running_[static_cast<std::size_t>(Rank::Lesser)] < floor;
@@ -202,7 +203,7 @@
   const auto lesser = static_cast<std::size_t>(Rank::Lesser);
   const double slots =
     kSharedPart * aLane.slots_ - aLane.urgentSlots_.GetLast();
-  if (aLane.running_[lesser] >= slots) {
+  if (aLane.running_[lesser] >= slots || CountLesserRunning() >= pacedSlots_) {
     return false;
   }
   const double memory =
--- a/modules/azurecross_policy/arbitration/ArbiterGrants.cpp
+++ b/modules/azurecross_policy/arbitration/ArbiterGrants.cpp
@@ -37,6 +37,7 @@
     health_.ObserveGap(index, gap, model.GetRunning(), aNow);
   }
   health_.ObserveProgress(index, aNow);
+  pacer_.Record(granted.request_.rank_, aTokens - granted.tokens_);
   lengths_.ObserveGrowth(granted.lengthClass_, granted.tokens_, aTokens);
   granted.tokens_ = aTokens;
   granted.lastProgress_ = aNow;
@@ -76,6 +77,10 @@
     aGranted.chargedTokens_ = lengths_.PredictLength(
       aGranted.lengthClass_, aGranted.tokens_, request.outputLimit_);
   }
+  if (aGranted.tokens_ == 0) {
+    pacer_.Record(request.rank_,
+                  request.promptTokens_ * options_.promptWeight_);
+  }
   aGranted.grantedAt_ = aNow;
   aGranted.lastProgress_ = aNow;
   aGranted.lane_->queues_[rank].Charge(request.customer_,
