Prefer engines that hold a prompt's prefix

Species verdicts share reference keys of 1,024 tokens, and engines cache few of them, so spreading requests computes the same prefill on every engine. PrefixIndex learns from late cache events with gaps and from grants; a held prefix counts in placement as the prefill that it saves, which bounds how much busier the preferred engine may be.

--- a/bench/policy/Decision.h
+++ b/bench/policy/Decision.h
@@ -37,6 +37,19 @@
   return std::stoul(aText);
 }
 
+constexpr std::uint32_t kBlockTokens = 16;
+
+/** Appends the chained hashes of a shared prefix's blocks. */
+inline void
+AppendPrefixHashes(std::uint64_t aPrefix,
+                   std::uint32_t aTokens,
+                   std::vector<std::uint64_t>& aHashes)
+{
+  for (std::uint32_t block = 0; block < aTokens / kBlockTokens; ++block) {
+    aHashes.push_back((aPrefix << 32) + block);
+  }
+}
+
 /** The policies that a scenario can run. */
 enum class PolicyKind
 {
--- a/bench/policy/Simulation.cpp
+++ b/bench/policy/Simulation.cpp
@@ -138,7 +138,14 @@
   request.model_ = ModelName("m");
   request.promptTokens_ = arrival.prompt_;
   if (arrival.prefix_ != 0) {
-    request.prefixHashes_ = { arrival.prefix_ };
+    AppendPrefixHashes(
+      arrival.prefix_, arrival.prefixTokens_, request.prefixHashes_);
+    // The rest of the prompt is the request's own.
+    const std::uint64_t own = (aRequest + 1) << 20;
+    const std::uint32_t rest = arrival.prompt_ - arrival.prefixTokens_;
+    for (std::uint32_t block = 0; block < rest / kBlockTokens; ++block) {
+      request.prefixHashes_.push_back(~(own + block));
+    }
   }
   request.deadline_ = arrival.time_ + arrival.deadline_;
   request.excluded_ = streams_[aRequest].excluded_;
@@ -350,8 +357,16 @@
     report.load_.preemptions_ = engine.CountPreemptions();
     report.load_.measured_ = now_;
     report.cache_.id_ = report.load_.id_;
-    state.engine_.TakeCacheChanges(report.cache_.stored_,
-                                   report.cache_.removed_);
+    std::vector<std::uint64_t> stored;
+    std::vector<std::uint64_t> removed;
+    state.engine_.TakeCacheChanges(stored, removed);
+    const std::uint32_t tokens = scenario_.workload_.urgent_.prefixTokens_;
+    for (std::uint64_t prefix : stored) {
+      AppendPrefixHashes(prefix, tokens, report.cache_.stored_);
+    }
+    for (std::uint64_t prefix : removed) {
+      AppendPrefixHashes(prefix, tokens, report.cache_.removed_);
+    }
     report.cache_.sequence_ = ++state.cacheSequence_;
     report.isCacheLost_ = random_.DrawUnit() < kLostCacheEvents;
     loads_.push_back(std::move(report));
--- a/modules/azurecross_policy/arbitration/Arbiter.cpp
+++ b/modules/azurecross_policy/arbitration/Arbiter.cpp
@@ -138,8 +138,16 @@
 }
 
 void
-Arbiter::ReportCacheEvent(const CacheEvent& /*aEvent*/, Time /*aNow*/)
+Arbiter::ReportCacheEvent(const CacheEvent& aEvent, Time aNow)
 {
+  const auto position = serverIndexes_.find(aEvent.id_);
+  if (position != serverIndexes_.end()) {
+    prefixes_.TakeEvent(position->second,
+                        aEvent.sequence_,
+                        aEvent.stored_,
+                        aEvent.removed_,
+                        aNow);
+  }
 }
 
 void
@@ -240,6 +248,10 @@
   for (const HealthTracker::Change& change : changes) {
     Server& server = servers_[change.server_];
     server.isEjected_ = change.isEjected_;
+    if (change.isEjected_) {
+      // It may come back as a new process with an empty cache.
+      prefixes_.RemoveServer(change.server_, aNow);
+    }
     const BackendServerId& id = server.model_.GetDescription().id_;
     if (change.isEjected_) {
       aActions.emplace_back(EjectAction{ id });
--- a/modules/azurecross_policy/arbitration/Arbiter.h
+++ b/modules/azurecross_policy/arbitration/Arbiter.h
@@ -3,6 +3,7 @@
 #include "../admission/LengthPredictor.h"
 #include "../health/HealthTracker.h"
 #include "../pacing/Pacer.h"
+#include "../placement/PrefixIndex.h"
 #include "ArbiterAction.h"
 #include "ArbiterOptions.h"
 #include "ArbiterState.h"
@@ -142,6 +143,7 @@
                                  const GrantRequest& aRequest,
                                  const MemoryForecast& aForecast,
                                  Rank aLimitRank);
+  std::uint32_t FindMatch(std::uint32_t aServer) const;
   void AddGrant(GrantId aGrant, Granted aGranted, Time aNow);
   std::vector<std::string> ExplainQueued(const Queued& aQueued) const;
   std::vector<std::string> ExplainGranted(const Granted& aGranted) const;
@@ -154,6 +156,10 @@
   ArbiterOptions options_;
   Random random_;
   LengthPredictor lengths_;
+  PrefixIndex prefixes_;
+  /** Backend servers that hold the present request's prefix; kept between
+   * calls to save an allocation for each decision. */
+  std::vector<PrefixIndex::Match> matches_;
   HealthTracker health_;
   Pacer pacer_;
   /** Lesser requests that may run at once, and those that its floor takes;
--- a/modules/azurecross_policy/arbitration/ArbiterDispatch.cpp
+++ b/modules/azurecross_policy/arbitration/ArbiterDispatch.cpp
@@ -257,6 +257,8 @@
   const Queued& queued = queued_.at(aNumber);
   const GrantRequest& request = queued.request_;
   const MemoryForecast forecast = Forecast(request, queued.lengthClass_, 0);
+  matches_.clear();
+  prefixes_.FindLongest(request.prefixHashes_, aNow, matches_);
   const auto placement = Place(*queued.lane_, request, forecast, aLimitRank);
   if (!placement) {
     return false;
@@ -277,10 +279,22 @@
                  servers_[placement->server_].model_.GetDescription().id_ });
   granted.lane_->queues_[static_cast<std::size_t>(request.rank_)].PopNext();
   RemoveQueued(aNumber);
+  prefixes_.AddPrompt(placement->server_, granted.request_.prefixHashes_, aNow);
   AddGrant(grant, std::move(granted), aNow);
   return true;
 }
 
+std::uint32_t
+Arbiter::FindMatch(std::uint32_t aServer) const
+{
+  for (const PrefixIndex::Match& match : matches_) {
+    if (match.server_ == aServer) {
+      return match.blocks_;
+    }
+  }
+  return 0;
+}
+
 std::optional<Placement>
 Arbiter::Place(const Lane& aLane,
                const GrantRequest& aRequest,
@@ -288,6 +302,12 @@
                Rank aLimitRank)
 {
   std::optional<Placement> best;
+  const double savedPerBlock =
+    aRequest.prefixHashes_.empty()
+      ? 0.0
+      : aRequest.promptTokens_ /
+          static_cast<double>(aRequest.prefixHashes_.size()) /
+          kFullPendingPrompt;
   const std::size_t choices = options_.placementChoices_;
   const std::size_t count = choices == 0 ? aLane.servers_.size() : choices;
   for (std::size_t step = 0; step < count; ++step) {
@@ -302,9 +322,13 @@
     if (!server.IsUsable() || running >= limit) {
       continue;
     }
+    // A held prefix counts as the prefill that it saves, so a backend server
+    // that is busier than that saving is not preferred.
+    const std::uint32_t blocks = matches_.empty() ? 0 : FindMatch(index);
     const double score =
       std::max(model.PredictGapShare(), model.ComputeMemoryShare()) +
-      static_cast<double>(model.GetPendingPrompt()) / kFullPendingPrompt +
+      static_cast<double>(model.GetPendingPrompt()) / kFullPendingPrompt -
+      savedPerBlock * blocks +
       (health_.IsSuspect(index) ? kSuspectPenalty : 0.0);
     if ((best && score >= best->score_) ||
         !model.HasMemoryFor(aForecast, aLimitRank) ||
@@ -312,8 +336,8 @@
          IsExcluded(aRequest, model.GetDescription().id_))) {
       continue;
     }
-    best =
-      Placement{ index, score, running, limit, model.ComputeMemoryShare(), 0 };
+    best = Placement{ index, score, running, limit, model.ComputeMemoryShare(),
+                      blocks };
   }
   return best;
 }
