--- a/modules/azurecross_policy/arbitration/Arbiter.h
+++ b/modules/azurecross_policy/arbitration/Arbiter.h
@@ -2,6 +2,8 @@
 
 #include "../admission/LengthPredictor.h"
 #include "../health/HealthTracker.h"
+#include "../pacing/Pacer.h"
+#include "../placement/PrefixIndex.h"
 #include "ArbiterAction.h"
 #include "ArbiterOptions.h"
 #include "ArbiterState.h"
@@ -10,6 +12,7 @@
 #include "Lane.h"
 
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -140,17 +143,29 @@
                                  const GrantRequest& aRequest,
                                  const MemoryForecast& aForecast,
                                  Rank aLimitRank);
+  std::uint32_t FindMatch(std::uint32_t aServer) const;
   void AddGrant(GrantId aGrant, Granted aGranted, Time aNow);
   std::vector<std::string> ExplainQueued(const Queued& aQueued) const;
   std::vector<std::string> ExplainGranted(const Granted& aGranted) const;
   void ReleaseGrant(GrantId aGrant, GrantOutcome aOutcome, Time aNow);
+  void UpdatePacing(Time aNow);
+  std::uint32_t CountLesserRunning() const;
   void UpdateHealth(Time aNow, ArbiterActions& aActions);
   void RefuseLate(Time aNow, ArbiterActions& aActions);
 
   ArbiterOptions options_;
   Random random_;
   LengthPredictor lengths_;
+  PrefixIndex prefixes_;
+  /** Backend servers that hold the present request's prefix; kept between
+   * calls to save an allocation for each decision. */
+  std::vector<PrefixIndex::Match> matches_;
   HealthTracker health_;
+  Pacer pacer_;
+  /** Lesser requests that may run at once, and those that its floor takes;
+   * unlimited while there is no pacing. */
+  double pacedSlots_ = std::numeric_limits<double>::max();
+  double floorSlots_ = std::numeric_limits<double>::max();
   std::uint32_t members_ = 1;
   std::deque<Server> servers_;
   std::unordered_map<BackendServerId, std::uint32_t> serverIndexes_;
