--- a/bench/control/MeasuredEntry.h
+++ b/bench/control/MeasuredEntry.h
@@ -42,6 +42,7 @@
   void AskForGrants(Time aNow);
   void ReportProgress(Time aNow);
   void Submit();
+  void CountKind(const wire::PeerMessage& aMessage);
   void SendToPeer(wire::PeerMessage aMessage);
   Reading TakeReading() const;
 
@@ -51,6 +52,7 @@
   std::unique_ptr<PeerTransport> transport_;
   std::unique_ptr<ClusterView> view_;
   ClusterActions actions_;
+  std::array<std::uint64_t, kMessageKinds> bytesByKind_{};
   Random random_{ 17 };
   std::uint64_t asked_ = 0;
   std::uint64_t granted_ = 0;
--- a/bench/control/Scenario.h
+++ b/bench/control/Scenario.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -20,6 +21,8 @@
   double grantsAsked_ = 0.0;
   /** Grants in a second that the entry gives as home entry. */
   double grantsServed_ = 0.0;
+  /** Counts bytes by kind of message, which costs processor time itself. */
+  bool countsKinds_ = false;
   std::chrono::milliseconds warmUp_{};
   std::chrono::milliseconds duration_{};
 };
@@ -43,12 +46,18 @@
 /** Interval of `GrantProgress`. */
 inline constexpr std::chrono::milliseconds kProgressInterval{ 250 };
 
+/** Replicas that one entry observes in the largest zone, 590 / 48. */
+inline constexpr int kObservedShare = 12;
+
 inline int
 CountGroups(const Scenario& aScenario)
 {
   return (aScenario.replicas_ + kGroupReplicas - 1) / kGroupReplicas;
 }
 
+/** One more than the highest field number of a `PeerMessage` body. */
+inline constexpr std::size_t kMessageKinds = 32;
+
 /** What one run used. */
 struct Measurement
 {
@@ -60,6 +69,8 @@
   std::uint64_t members_ = 0;
   std::uint64_t dropped_ = 0;
   std::uint64_t grants_ = 0;
+  /** Sent and received, by the field number of the body. */
+  std::array<double, kMessageKinds> bytesByKind_{};
 };
 
 } // namespace azurecross
--- a/modules/azurecross_cluster/gossip/SummaryBoard.cpp
+++ b/modules/azurecross_cluster/gossip/SummaryBoard.cpp
@@ -64,9 +64,6 @@
 void
 SummaryBoard::PublishZone(Time aNow, ClusterActions& aActions)
 {
-  if (aNow < nextZone_) {
-    return;
-  }
   nextZone_ = aNow + kZoneInterval;
   std::map<std::string, PoolSum> pools;
   for (const SummaryItem& item : ListGroups(aNow)) {
--- a/modules/azurecross_cluster/gossip/SummaryBoard.h
+++ b/modules/azurecross_cluster/gossip/SummaryBoard.h
@@ -36,7 +36,10 @@
                     Time aNow,
                     ClusterActions& aActions);
 
-  /** Publishes the sums when they are due; called on the first delegate. */
+  /** @returns whether `PublishZone` is due. */
+  bool IsZoneDue(Time aNow) const { return aNow >= nextZone_; }
+
+  /** Publishes the sums; called on the first delegate when they are due. */
   void PublishZone(Time aNow, ClusterActions& aActions);
 
   /** @returns the summaries of the groups in the own zone. */
--- a/modules/azurecross_cluster/membership/Membership.cpp
+++ b/modules/azurecross_cluster/membership/Membership.cpp
@@ -119,6 +119,10 @@
     updates_.Add(aMember);
   }
   aActions.changes_.push_back(aMember);
+  if (aMember.state_ == MemberState::Suspect &&
+      aMember.zone_ == settings_.zone_) {
+    suspects_.insert(aMember.entry_);
+  }
   if (aMember.state_ == MemberState::Dead) {
     aActions.unusedPeers_.push_back(aMember.entry_);
   }
--- a/modules/azurecross_cluster/membership/Membership.h
+++ b/modules/azurecross_cluster/membership/Membership.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace azurecross {
@@ -183,6 +184,8 @@
   Prober prober_;
   MemberTable table_;
   UpdateQueue updates_;
+  /** Members of the own zone whose suspicion runs. */
+  std::set<EntryId> suspects_;
   std::vector<ListedEntry> listed_;
   std::uint64_t revision_ = 0;
   std::uint64_t highestRevision_ = 0;
--- a/modules/azurecross_cluster/membership/MembershipTimers.cpp
+++ b/modules/azurecross_cluster/membership/MembershipTimers.cpp
@@ -43,9 +43,10 @@
   // Answers that arrived during the pause are still unread, so nobody is
   // blamed for them; the peers may have declared this entry dead meanwhile.
   prober_.Reset();
-  for (auto& [id, entry] : table_.GetEntries()) {
-    if (entry.suspectedSince_) {
-      entry.suspectedSince_ = aNow;
+  for (const EntryId& id : suspects_) {
+    MemberTable::Entry* entry = table_.Find(id);
+    if (entry != nullptr && entry->suspectedSince_) {
+      entry->suspectedSince_ = aNow;
     }
   }
   Refute(GetIncarnation(), aNow, aActions);
@@ -120,6 +121,7 @@
   if (entry->member_.state_ == MemberState::Leaving) {
     // A suspicion would rank below the leaving state; only the timer starts.
     entry->suspectedSince_ = aNow;
+    suspects_.insert(aEntry);
     return;
   }
   Member suspect = entry->member_;
@@ -131,13 +133,19 @@
 Membership::ExpireSuspicions(Time aNow, ClusterActions& aActions)
 {
   std::vector<Member> expired;
-  for (const auto& [id, entry] : table_.GetEntries()) {
-    if (entry.suspectedSince_ && entry.member_.zone_ == settings_.zone_ &&
-        entry.member_.IsReachable() &&
-        aNow - *entry.suspectedSince_ >= kSuspicionTimeout) {
-      expired.push_back(entry.member_);
+  std::erase_if(suspects_, [&](const EntryId& aEntry) {
+    const MemberTable::Entry* entry = table_.Find(aEntry);
+    if (entry == nullptr || !entry->suspectedSince_) {
+      return true; // refuted
     }
-  }
+    if (aNow - *entry->suspectedSince_ < kSuspicionTimeout) {
+      return false;
+    }
+    if (entry->member_.IsReachable()) {
+      expired.push_back(entry->member_);
+    }
+    return true;
+  });
   for (Member& member : expired) {
     member.state_ = MemberState::Dead;
     ApplyChange(member, aNow, Urgency::Urgent, aActions);
--- a/modules/azurecross_cluster/view/ClusterView.cpp
+++ b/modules/azurecross_cluster/view/ClusterView.cpp
@@ -47,7 +47,7 @@
   const std::size_t first = aActions.changes_.size();
   membership_.Tick(aNow, aActions);
   ApplyChanges(aActions, first, aNow);
-  if (IsFirstDelegate()) {
+  if (summaries_.IsZoneDue(aNow) && IsFirstDelegate()) {
     summaries_.PublishZone(aNow, aActions);
   }
   gossip_.Tick(aNow, aActions);
