Bound the id lines of one write by the events it can have

The buffer for id lines was sized for three buffers an event, but an event whose id line comes first, or that has none, takes two. A read with more than 21 such events wrote past the end of the buffer. Found by reading the code, not by a test.

The buffer is now sized for two buffers an event, and the chunk header lies in front of the first id line, which takes one buffer off each write. The new test sends 500 small events in one chunk.

--- a/modules/azurecross_gateway/relay/EventFramer.cpp
+++ b/modules/azurecross_gateway/relay/EventFramer.cpp
@@ -30,8 +30,8 @@
   origin_ = "id: " + aBackendServer.GetValue() + ".";
   origin_ += aGeneration;
   origin_ += '.';
-  idLines_.resize((origin_.size() + kOffsetBytes) *
-                  (kBufferLimit / kBuffersPerEvent + 1));
+  idLines_.resize(kChunkHeaderBytes + (origin_.size() + kOffsetBytes) *
+                                        (kBufferLimit / kLeastBuffersPerEvent));
 }
 
 void
@@ -43,16 +43,26 @@
 void
 EventFramer::AddEvent(const StreamEvent& aEvent, std::uint64_t aOffset)
 {
-  char* line = idLines_.data() + idBytes_;
+  // The first id line of a chunk follows its header, in the same buffer.
+  const bool isFirst = isChunked_ && !hasBody_;
+  char* const begin = idLines_.data() + idBytes_;
+  char* line = begin + (isFirst ? kChunkHeaderBytes : 0);
   std::memcpy(line, origin_.data(), origin_.size());
   char* end = std::to_chars(line + origin_.size(),
                             line + origin_.size() + kOffsetBytes - 1,
                             aOffset)
                 .ptr;
   *end++ = '\n';
-  const auto length = static_cast<std::size_t>(end - line);
+  const auto length = static_cast<std::size_t>(end - begin);
   idBytes_ += length;
-  AddBody({ line, length });
+  if (isFirst) {
+    hasBody_ = true;
+    chunkHeader_ = begin;
+    chunkBytes_ += static_cast<std::size_t>(end - line);
+    Add({ begin, length });
+  } else {
+    AddBody({ line, length });
+  }
   if (aEvent.isAssembled_) {
     std::string copy(aEvent.block_);
     if (!aEvent.idLine_.empty()) {
@@ -94,7 +104,7 @@
 EventFramer::Finish()
 {
   if (isChunked_ && hasBody_) {
-    char* digits = chunkHeader_.data();
+    char* digits = chunkHeader_;
     std::size_t rest = chunkBytes_;
     for (std::size_t at = kChunkHeaderBytes - 2; at-- > 0;) {
       digits[at] = "0123456789abcdef"[rest & 0xF];
@@ -102,7 +112,6 @@
     }
     digits[kChunkHeaderBytes - 2] = '\r';
     digits[kChunkHeaderBytes - 1] = '\n';
-    buffers_[chunkAt_] = asio::buffer(digits, kChunkHeaderBytes);
     Add(kLineEnd);
   }
   if (isChunked_ && hasEnd_) {
@@ -136,10 +145,10 @@
   }
   if (!hasBody_) {
     hasBody_ = true;
-    chunkAt_ = count_;
     if (isChunked_) {
       // `Finish` fills in the chunk's header.
-      ++count_;
+      chunkHeader_ = ownHeader_.data();
+      Add({ chunkHeader_, kChunkHeaderBytes });
     }
   }
   chunkBytes_ += aText.size();
--- a/modules/azurecross_gateway/relay/EventFramer.h
+++ b/modules/azurecross_gateway/relay/EventFramer.h
@@ -53,6 +53,8 @@
 private:
   /** Id line, and the event before and after its own id line. */
   static constexpr std::size_t kBuffersPerEvent = 3;
+  /** Id line and event; bounds how many id lines one write can have. */
+  static constexpr std::size_t kLeastBuffersPerEvent = 2;
   /** Asio passes at most 64 buffers to one system call. */
   static constexpr std::size_t kBufferLimit = 60;
 
@@ -62,12 +64,13 @@
 
   std::array<boost::asio::const_buffer, kBufferLimit + 4> buffers_;
   std::size_t count_ = 0;
-  std::size_t chunkAt_ = 0;
   std::size_t chunkBytes_ = 0;
   bool isChunked_;
   bool hasBody_ = false;
   bool hasEnd_ = false;
-  std::array<char, 16> chunkHeader_{};
+  /** Where the header of the current chunk is filled in. */
+  char* chunkHeader_ = nullptr;
+  std::array<char, 16> ownHeader_{};
   std::string origin_;
   std::vector<char> idLines_;
   std::size_t idBytes_ = 0;
--- a/tests/gateway_tests/StreamTests.cpp
+++ b/tests/gateway_tests/StreamTests.cpp
@@ -179,6 +179,31 @@
                              ": ping\n\ndata: [DONE]\n\n");
 }
 
+// Guards against id lines that overflow their buffer, or a write with too
+// many buffers, when many events arrive in one read.
+BOOST_FIXTURE_TEST_CASE(BurstOfSmallEventsIsWhole, GatewayFixture)
+{
+  constexpr int kEvents = 500;
+  FakeBackendServer engine(MakeStreamScript([](FakeConnection& aConnection) {
+    std::string burst;
+    for (int event = 0; event < kEvents; ++event) {
+      burst += "data: {\"id\":\"g1\"}\n";
+      // An id line in the middle makes an event of three buffers.
+      burst += event % 5 == 0 ? "id: " + std::to_string(event) + "\n\n" : "\n";
+    }
+    aConnection.SendChunk(burst);
+    aConnection.FinishStream();
+  }));
+  controller_.AddBackendServer("a", engine.GetAddress());
+  const CallerAnswer answer = Call(MakeStreamRequest());
+  std::string expected;
+  for (int event = 0; event < kEvents; ++event) {
+    expected +=
+      "id: a.g1." + std::to_string(event) + "\ndata: {\"id\":\"g1\"}\n\n";
+  }
+  BOOST_TEST(answer.body_ == expected + "data: [DONE]\n\n");
+}
+
 // Guards against a resumed stream that repeats, loses or mixes tokens.
 BOOST_FIXTURE_TEST_CASE(StreamIsResumedByLastEventId, GatewayFixture)
 {
