--- a/apps/azurecross/RowEdit.cpp
+++ b/apps/azurecross/RowEdit.cpp
@@ -42,7 +42,9 @@
     const std::string name = field.substr(0, equals);
     const std::string text = field.substr(equals + 1);
     if (text.empty()) {
-      object.erase(name);
+      if (const auto found = object.find(name); found != object.end()) {
+        object.stable_erase(found);
+      }
       continue;
     }
     json::error_code code;
--- a/apps/platform_standin/PlatformStandin.cpp
+++ b/apps/platform_standin/PlatformStandin.cpp
@@ -40,13 +40,6 @@
                           : MakeJsonResponse(200, *text);
 }
 
-bool
-IsWrite(std::string_view aPath)
-{
-  return aPath == "/v3/kv/txn" || aPath == "/v3/lease/grant" ||
-         aPath == "/v3/lease/revoke";
-}
-
 asio::awaitable<void>
 Wait(asio::steady_timer& aTimer)
 {
@@ -131,16 +124,33 @@
     co_await HandleWatch(aExchange);
     co_return;
   }
+  const std::int64_t before = store_.GetRevision();
   HttpResponse response = RunStoreCall(aExchange.GetRequest(), aPath);
-  WakeWatches();
-  if (IsWrite(aPath) && faults_.loseAnswers_ > 0) {
-    --faults_.loseAnswers_;
+  const bool hasWritten =
+    store_.GetRevision() != before ||
+    (aPath == "/v3/lease/grant" && response.status_ == 200);
+  if (hasWritten) {
+    WakeWatches();
+  }
+  if (hasWritten && faults_.loseAnswers_ > 0) {
+    LoseAnswer();
     aExchange.Abort();
     co_return;
   }
   co_await aExchange.Respond(std::move(response));
 }
 
+void
+PlatformStandin::LoseAnswer()
+{
+  --faults_.loseAnswers_;
+  if (faults_.loseAnswers_ == 0 && faults_.goesDownAfterLoss_) {
+    faults_.isStoreDown_ = true;
+    ++period_;
+    WakeWatches();
+  }
+}
+
 HttpResponse
 PlatformStandin::RunStoreCall(const HttpRequest& aRequest,
                               std::string_view aPath)
--- a/apps/platform_standin/PlatformStandin.h
+++ b/apps/platform_standin/PlatformStandin.h
@@ -43,6 +43,7 @@
   HttpResponse HandleTest(const HttpRequest& aRequest);
   HttpResponse RunStoreCall(const HttpRequest& aRequest,
                             std::string_view aPath);
+  void LoseAnswer();
   Call Delay();
   Call ExpireLeases();
   void CountCall(std::string_view aPath);
--- a/apps/platform_standin/StandinFaults.cpp
+++ b/apps/platform_standin/StandinFaults.cpp
@@ -29,6 +29,7 @@
     reader.ReadInteger("slow_ms", 0, 0, kMostDelayMilliseconds));
   faults.loseAnswers_ =
     reader.ReadInteger("lose_answers", 0, 0, kMostLostAnswers);
+  faults.goesDownAfterLoss_ = reader.ReadFlag("down_after_loss", false);
   reader.Finish();
   if (!problems.empty()) {
     return MakeFailure(MakeTablesError(problems));
@@ -44,6 +45,7 @@
   object["vms_down"] = aFaults.isVmListDown_;
   object["slow_ms"] = aFaults.delay_.count();
   object["lose_answers"] = aFaults.loseAnswers_;
+  object["down_after_loss"] = aFaults.goesDownAfterLoss_;
   return json::serialize(object);
 }
 
--- a/apps/platform_standin/StandinFaults.h
+++ b/apps/platform_standin/StandinFaults.h
@@ -18,8 +18,11 @@
   bool isVmListDown_ = false;
   /** Added before each answer and each watch message. */
   std::chrono::milliseconds delay_{ 0 };
-  /** So many next writes take effect, but their answers are dropped. */
+  /** So many next writes take effect, but their answers are dropped. Calls
+   * that write nothing don't count. */
   std::int64_t loseAnswers_ = 0;
+  /** The store goes down with the last lost answer. */
+  bool goesDownAfterLoss_ = false;
 };
 
 /** Reads the faults; those that are left out are switched off. */
--- a/modules/azurecross_tables/rows/Vm.cpp
+++ b/modules/azurecross_tables/rows/Vm.cpp
@@ -57,6 +57,10 @@
   FieldReader reader(object, "VM list", problems);
   VmList list;
   list.version_ = reader.ReadInteger("version", 0, 0, INT64_MAX);
+  if (!object.contains("vms")) {
+    // An answer that is no list must not look like a list without VMs.
+    reader.AddProblem("vms", "is required");
+  }
   for (const json::object* entry : reader.ReadObjects("vms")) {
     list.vms_.push_back(DecodeVm(*entry, problems));
   }
--- a/modules/azurecross_tables/state/TableUpdate.cpp
+++ b/modules/azurecross_tables/state/TableUpdate.cpp
@@ -142,6 +142,9 @@
   } else {
     FieldReader reader(object, "table update", problems);
     std::vector<TableDelta> deltas;
+    if (!object.contains("deltas")) {
+      reader.AddProblem("deltas", "is required");
+    }
     for (const json::object* delta : reader.ReadObjects("deltas")) {
       deltas.push_back(DecodeDelta(*delta, problems));
     }
