--- a/modules/azurecross_tables/tables/RouteIndex.cpp
+++ b/modules/azurecross_tables/tables/RouteIndex.cpp
@@ -83,6 +83,7 @@
   static const std::vector<std::string_view> kAny{ std::string_view() };
   const RankedRoute& ranked = ranked_[aPosition];
   const std::uint64_t prefixHash = HashBytes(ranked.prefix_);
+  prefixes_.insert(prefixHash);
   for (const auto customer :
        ranked.customers_.empty() ? kAny : ranked.customers_) {
     for (const auto model : ranked.models_.empty() ? kAny : ranked.models_) {
@@ -116,6 +117,9 @@
                          Position& aBest) const
 {
   const std::uint64_t hash = HashBytes(aPrefix);
+  if (!prefixes_.contains(hash)) {
+    return;
+  }
   SearchBucket(HashKey(hash, {}, {}), aPrefix, aQuery, aBest);
   if (!aQuery.customer_.empty()) {
     SearchBucket(HashKey(hash, aQuery.customer_, {}), aPrefix, aQuery, aBest);
--- a/modules/azurecross_tables/tables/RouteIndex.h
+++ b/modules/azurecross_tables/tables/RouteIndex.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace azurecross {
@@ -69,6 +70,8 @@
   std::vector<RankedRoute> ranked_;
   /** Positions in `ranked_`, in rising order. */
   std::unordered_map<std::uint64_t, std::vector<Position>> buckets_;
+  /** Hashes of the prefixes in use; most of a path's prefixes are not. */
+  std::unordered_set<std::uint64_t> prefixes_;
   /** The longest prefix in use bounds the work for a long path. */
   std::size_t longestPrefix_ = 0;
 };
--- a/modules/azurecross_tables/tables/TableRows.cpp
+++ b/modules/azurecross_tables/tables/TableRows.cpp
@@ -77,7 +77,9 @@
   }
   for (const auto& [name, row] : aTo) {
     const auto found = aFrom.find(name);
-    if (found == aFrom.end() || found->second->text_ != row->text_) {
+    // Copies of the rows share those that are equal.
+    if (found == aFrom.end() ||
+        (found->second != row && found->second->text_ != row->text_)) {
       aChanges.push_back({ aTable, name, row->text_ });
     }
   }
