--- a/cmake/AzurecrossTargets.cmake
+++ b/cmake/AzurecrossTargets.cmake
@@ -42,6 +42,29 @@
   set_property(GLOBAL APPEND PROPERTY AZURECROSS_MODULES ${target})
 endfunction()
 
+# azurecross_precompile_asio(<target>): precompiles the Asio and Beast headers,
+# which take most of the compile time of files that use them.
+function(azurecross_precompile_asio aTarget)
+  target_precompile_headers(
+    ${aTarget}
+    PRIVATE
+    <boost/asio/awaitable.hpp>
+    <boost/asio/co_spawn.hpp>
+    <boost/asio/detached.hpp>
+    <boost/asio/io_context.hpp>
+    <boost/asio/ip/tcp.hpp>
+    <boost/asio/redirect_error.hpp>
+    <boost/asio/steady_timer.hpp>
+    <boost/asio/use_awaitable.hpp>
+    <boost/beast/core.hpp>
+    <boost/beast/http.hpp>
+    <boost/leaf.hpp>
+    <map>
+    <memory>
+    <string>
+    <vector>)
+endfunction()
+
 # azurecross_add_program(<name> [INSTALL] SOURCES ... LINK ...)
 function(azurecross_add_program aName)
   cmake_parse_arguments(ARG "INSTALL" "" "SOURCES;LINK" ${ARGN})
--- a/modules/azurecross_tables/tables/RouteIndex.cpp
+++ b/modules/azurecross_tables/tables/RouteIndex.cpp
@@ -93,7 +93,7 @@
 }
 
 const Route*
-RouteIndex::Find(const RouteQuery& aQuery) const
+RouteIndex::Find(const RouteKey& aQuery) const
 {
   const std::string_view path = aQuery.path_.substr(0, aQuery.path_.find('?'));
   if (path.empty() || path.front() != '/') {
@@ -113,7 +113,7 @@
 
 void
 RouteIndex::SearchPrefix(std::string_view aPrefix,
-                         const RouteQuery& aQuery,
+                         const RouteKey& aQuery,
                          Position& aBest) const
 {
   const std::uint64_t hash = HashBytes(aPrefix);
@@ -137,7 +137,7 @@
 void
 RouteIndex::SearchBucket(std::uint64_t aHash,
                          std::string_view aPrefix,
-                         const RouteQuery& aQuery,
+                         const RouteKey& aQuery,
                          Position& aBest) const
 {
   const auto found = buckets_.find(aHash);
@@ -158,7 +158,7 @@
 bool
 RouteIndex::Matches(const RankedRoute& aRanked,
                     std::string_view aPrefix,
-                    const RouteQuery& aQuery) const
+                    const RouteKey& aQuery) const
 {
   const std::vector<std::string>& methods = aRanked.route_->methods_;
   return aRanked.prefix_ == aPrefix &&
--- a/modules/azurecross_tables/tables/RouteIndex.h
+++ b/modules/azurecross_tables/tables/RouteIndex.h
@@ -12,7 +12,7 @@
 namespace azurecross {
 
 /** What of a request decides about its route. */
-struct RouteQuery
+struct RouteKey
 {
   std::string_view method_;
   /** The path; a query after `?` is ignored. */
@@ -39,7 +39,7 @@
   explicit RouteIndex(std::vector<std::shared_ptr<const Route>> aRoutes);
 
   /** @returns the route of a request, or null. */
-  const Route* Find(const RouteQuery& aQuery) const;
+  const Route* Find(const RouteKey& aQuery) const;
 
 private:
   using Position = std::uint32_t;
@@ -56,15 +56,15 @@
 
   void File(Position aPosition);
   void SearchPrefix(std::string_view aPrefix,
-                    const RouteQuery& aQuery,
+                    const RouteKey& aQuery,
                     Position& aBest) const;
   void SearchBucket(std::uint64_t aHash,
                     std::string_view aPrefix,
-                    const RouteQuery& aQuery,
+                    const RouteKey& aQuery,
                     Position& aBest) const;
   bool Matches(const RankedRoute& aRanked,
                std::string_view aPrefix,
-               const RouteQuery& aQuery) const;
+               const RouteKey& aQuery) const;
 
   std::vector<std::shared_ptr<const Route>> routes_;
   std::vector<RankedRoute> ranked_;
