--- /dev/null
+++ b/modules/azurecross_control/groups/GroupDirectory.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <azurecross_cluster/azurecross_cluster.h>
+#include <azurecross_core/azurecross_core.h>
+#include <azurecross_policy/azurecross_policy.h>
+#include <azurecross_tables/azurecross_tables.h>
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace azurecross {
+
+/** One version of the arbitration groups and their backend servers. */
+struct GroupMap
+{
+  struct Group
+  {
+    PoolKind kind_ = PoolKind::Engine;
+    std::vector<BackendServerDescription> servers_;
+  };
+
+  std::map<GroupId, Group> groups_;
+  /** Shards of a pool in a zone; each pool and zone with servers is listed. */
+  std::map<std::pair<PoolName, AvailabilityZone>, std::uint32_t> shards_;
+  std::unordered_map<BackendServerId, BackendServer> servers_;
+};
+
+/**
+ * Divides the backend servers of all pools into arbitration groups, from the
+ * active tables, the platform's VM list and leaving notices.
+ *
+ * A server is filed in a shard by the hash of its id, so that a replaced server
+ * does not move others; the number of shards follows the size of the pool.
+ */
+class GroupDirectory
+{
+public:
+  /** Aim for the size of a group; one group scans its servers per grant. */
+  static constexpr std::size_t kGroupSize = 64;
+
+  void SetTables(Tables::Version aTables);
+  void SetVmList(VmList aVms);
+  /**
+   * Notes that a backend server is leaving by its own word or a peer's, before
+   * the VM list says so.
+   * @returns whether that is news.
+   */
+  bool AddLeaving(const BackendServerId& aServer);
+  /** Forgets a notice, after the server has been replaced or stays. */
+  bool RemoveLeaving(const BackendServerId& aServer);
+
+  /** @returns the groups that follow from the current inputs. */
+  std::shared_ptr<const GroupMap> Build() const;
+
+private:
+  void AddPool(const Pool& aPool, GroupMap& aMap) const;
+
+  Tables::Version tables_;
+  VmList vms_;
+  std::set<BackendServerId> leaving_;
+};
+
+} // namespace azurecross
