Calibrate waits for each rank on its own

A flood of lesser work taught long waits, and urgent work was then refused at the start of its own flood. Each rank now has its own correction.

--- a/modules/azurecross_policy/admission/WaitEstimator.cpp
+++ b/modules/azurecross_policy/admission/WaitEstimator.cpp
@@ -33,15 +33,19 @@
 }
 
 void
-WaitEstimator::ObserveWait(double aPredictedSeconds, double aSeconds)
+WaitEstimator::ObserveWait(Rank aRank,
+                           double aPredictedSeconds,
+                           double aSeconds)
 {
   if (aPredictedSeconds < kShortestWait) {
     return;
   }
-  const double observed = correction_ * aSeconds / aPredictedSeconds;
-  correction_ += kCorrectionWeight * (observed - correction_);
-  correction_ =
-    std::clamp(correction_, kSmallestCorrection, kLargestCorrection);
+  // Each rank has its own: a flood of lesser work says nothing about how long
+  // urgent work waits.
+  double& correction = corrections_[GetIndex(aRank)];
+  const double observed = correction * aSeconds / aPredictedSeconds;
+  correction += kCorrectionWeight * (observed - correction);
+  correction = std::clamp(correction, kSmallestCorrection, kLargestCorrection);
 }
 
 void
--- a/modules/azurecross_policy/admission/WaitEstimator.h
+++ b/modules/azurecross_policy/admission/WaitEstimator.h
@@ -21,9 +21,12 @@
   void ObserveFirstToken(Duration aAfterGrant);
 
   /** Compares a predicted wait with how long the request really waited. */
-  void ObserveWait(double aPredictedSeconds, double aSeconds);
+  void ObserveWait(Rank aRank, double aPredictedSeconds, double aSeconds);
   /** @returns the factor by which predicted waits have been too short. */
-  double GetCorrection() const { return correction_; }
+  double GetCorrection(Rank aRank) const
+  {
+    return corrections_[GetIndex(aRank)];
+  }
 
   /** Smooths the arrival rates; call regularly. */
   void Tick(Duration aElapsed);
@@ -50,7 +53,7 @@
   std::array<double, kRankCount> arrivalRate_{};
   std::array<double, kRankCount> holdSeconds_{};
   std::array<std::uint32_t, kRankCount> holds_{};
-  double correction_ = 1.0;
+  std::array<double, kRankCount> corrections_{ 1.0, 1.0 };
   double firstTokenSeconds_ = 0.0;
   double firstTokenDeviation_ = 0.0;
   bool hasFirstToken_ = false;
--- a/modules/azurecross_policy/arbitration/ArbiterDispatch.cpp
+++ b/modules/azurecross_policy/arbitration/ArbiterDispatch.cpp
@@ -119,7 +119,8 @@
   const std::size_t own = queue.CountItemsOf(aRequest.customer_);
   const std::size_t customers = queue.CountBacklogged() + (own == 0 ? 1 : 0);
   const std::size_t ahead = std::min(items, (own + 1) * customers);
-  return aLane.waits_.GetCorrection() * static_cast<double>(ahead) / rate;
+  return aLane.waits_.GetCorrection(aRequest.rank_) *
+         static_cast<double>(ahead) / rate;
 }
 
 bool
@@ -184,7 +185,8 @@
   while (!deadlines_.empty() && deadlines_.begin()->first - aNow <= margin) {
     const std::uint64_t number = deadlines_.begin()->second;
     const Queued queued = queued_.at(number);
-    queued.lane_->waits_.ObserveWait(queued.predictedWait_,
+    queued.lane_->waits_.ObserveWait(queued.request_.rank_,
+                                     queued.predictedWait_,
                                      ToSeconds(aNow - queued.queuedAt_));
     const double wait = ComputeWait(*queued.lane_, queued.request_);
     RemoveQueued(number);
@@ -302,8 +304,8 @@
   granted.placement_ = *placement;
   granted.forecast_ = forecast;
   granted.waited_ = aNow - queued.queuedAt_;
-  queued.lane_->waits_.ObserveWait(queued.predictedWait_,
-                                   ToSeconds(granted.waited_));
+  queued.lane_->waits_.ObserveWait(
+    queued.request_.rank_, queued.predictedWait_, ToSeconds(granted.waited_));
   granted.isFloor_ = request.rank_ != aLimitRank;
   const GrantId grant(nextGrant_++);
   aActions.emplace_back(
