--- a/bench/control/ControlBench.cpp
+++ b/bench/control/ControlBench.cpp
@@ -22,17 +22,14 @@
 constexpr double kTableChanges = 0.44;
 constexpr double kGrants = 90.0;
 
-/** The scenarios in the order of `ListScenarios`. */
-enum Position : std::size_t
-{
-  kBase,
-  kFewPeers,
-  kFewReplicas,
-  kManyChanges,
-  kAsking,
-  kServing,
-  kKinds,
-};
+// Positions of the scenarios in `ListScenarios`.
+constexpr std::size_t kBase = 0;
+constexpr std::size_t kFewPeers = 1;
+constexpr std::size_t kFewReplicas = 2;
+constexpr std::size_t kManyChanges = 3;
+constexpr std::size_t kAsking = 4;
+constexpr std::size_t kServing = 5;
+constexpr std::size_t kKinds = 6;
 
 std::vector<Scenario>
 ListScenarios(std::chrono::milliseconds aWarmUp,
--- a/modules/azurecross_cluster/gossip/Gossip.h
+++ b/modules/azurecross_cluster/gossip/Gossip.h
@@ -50,7 +50,7 @@
   static constexpr double kForwardsPerSecond = 100.0;
   /** A digest of this many streams takes 2 KB. */
   static constexpr std::size_t kDigestStreams = 128;
-  static constexpr std::size_t kDeltaBytes = 8 * 1024;
+  static constexpr std::size_t kDeltaBytes = 8UL * 1024;
   /** Deltas sent for one digest. */
   static constexpr std::size_t kDeltasPerDigest = 4;
 
--- a/tests/cluster_tests/MembershipTests.cpp
+++ b/tests/cluster_tests/MembershipTests.cpp
@@ -262,8 +262,9 @@
     double messages = 0;
     double bytes = 0;
     for (auto& [id, node] : network.GetNodes()) {
-      messages = std::max(messages, node.sentMessages_ / 10.0);
-      bytes = std::max(bytes, node.sentBytes_ / 10.0);
+      messages =
+        std::max(messages, static_cast<double>(node.sentMessages_) / 10.0);
+      bytes = std::max(bytes, static_cast<double>(node.sentBytes_) / 10.0);
       BOOST_TEST(node.largestMessage_ < 4096U);
     }
     BOOST_TEST_MESSAGE(members << " members: at most " << messages
--- a/tests/cluster_tests/VirtualNetwork.h
+++ b/tests/cluster_tests/VirtualNetwork.h
@@ -44,7 +44,7 @@
   /** Adds a member of a zone; the first members of all zones are seeds. */
   EntryId Add(const std::string& aZone, double aSize = 1.0)
   {
-    const EntryId id("entry-" + aZone + "-" + std::to_string(nodes_.size()));
+    EntryId id("entry-" + aZone + "-" + std::to_string(nodes_.size()));
     MembershipSettings settings;
     settings.self_ = id;
     settings.incarnation_ = Incarnation(1000 + nodes_.size());
--- a/tests/cluster_tests/ZonesTests.cpp
+++ b/tests/cluster_tests/ZonesTests.cpp
@@ -221,6 +221,58 @@
   BOOST_TEST_MESSAGE("known everywhere after " << ToSeconds(*taken) << " s");
 }
 
+// Measures the load by role at 800 daemons for docs/CAPACITY.md, and guards
+// against a plain entry whose load depends on the number of zones. Takes about
+// a minute, so it runs only when it is named.
+BOOST_AUTO_TEST_CASE(FleetLoad, *boost::unit_test::disabled())
+{
+  constexpr int kFleetZones = 17;
+  constexpr double kSeconds = 20.0;
+  VirtualNetwork network(27);
+  for (int zone = 0; zone < kFleetZones; ++zone) {
+    network.AddZone("zone-" + std::to_string(zone), 47);
+  }
+  const auto runPublishing = [&](double aSeconds) {
+    for (int second = 0; second < aSeconds; ++second) {
+      for (int zone = 0; zone < kFleetZones; ++zone) {
+        PublishGroup(network,
+                     std::next(network.GetNodes().begin(), zone * 47)->first,
+                     500);
+      }
+      network.Run(1s);
+    }
+  };
+  runPublishing(90);
+  for (auto& [id, node] : network.GetNodes()) {
+    node.sentMessages_ = 0;
+    node.sentBytes_ = 0;
+  }
+  runPublishing(kSeconds);
+  double plain = 0;
+  double plainMessages = 0;
+  double delegate = 0;
+  double delegateMessages = 0;
+  std::size_t known = 0;
+  for (auto& [id, node] : network.GetNodes()) {
+    const double bytes = static_cast<double>(node.sentBytes_) / kSeconds;
+    const double messages = static_cast<double>(node.sentMessages_) / kSeconds;
+    const bool isDelegate = node.view_->GetMembership().IsDelegate();
+    double& most = isDelegate ? delegate : plain;
+    most = std::max(most, bytes);
+    double& mostMessages = isDelegate ? delegateMessages : plainMessages;
+    mostMessages = std::max(mostMessages, messages);
+    known += node.view_->GetMembership().ListZones().size() == kFleetZones;
+  }
+  BOOST_TEST_MESSAGE(
+    known << " of " << network.GetNodes().size()
+          << " know all zones; most sent by a plain entry " << plain
+          << " bytes/s, " << plainMessages << " messages/s; by a delegate "
+          << delegate << " bytes/s, " << delegateMessages << " messages/s");
+  // Half of the budget of 25 KB/s, since as much is received.
+  BOOST_TEST(plain < 12'500);
+  BOOST_TEST(delegate < 12'500);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace azurecross
