--- a/tests/cluster_tests/MembershipTests.cpp
+++ b/tests/cluster_tests/MembershipTests.cpp
@@ -223,6 +223,24 @@
   }
 }
 
+// Guards against an entry that stays unknown because its clock was set back
+// between two starts.
+BOOST_AUTO_TEST_CASE(RestartWithAnEarlierClockIsAccepted)
+{
+  VirtualNetwork network(12);
+  network.AddZone("helwan", 5);
+  const EntryId restarted = network.Add("helwan");
+  network.Run(5s);
+  MembershipSettings settings = network.Get(restarted).settings_;
+  settings.incarnation_ = Incarnation(1);
+  network.Start(settings);
+  network.Run(10s);
+  BOOST_TEST(network.ZonesAreComplete());
+  BOOST_TEST(network.AllSee(restarted, MemberState::Live));
+  BOOST_TEST(
+    (network.GetMembership(restarted).GetIncarnation() > Incarnation(1)));
+}
+
 // Guards against views that differ for good: one member cannot reach another,
 // while all others reach both.
 BOOST_AUTO_TEST_CASE(OneBrokenLinkDoesNotKillMembers)
