Touch fewer cache lines per token in the relay

The profile's user code is spread over first touches of each stream's objects, which are cold when 2,000 streams take turns.

The machine was at load 35 on 10 cores and such runs differ by more than the change, so no gain is shown. All 49 cases pass in the release build.

--- a/modules/azurecross_gateway/filters/IdentifyFilter.cpp
+++ b/modules/azurecross_gateway/filters/IdentifyFilter.cpp
@@ -81,11 +81,12 @@
 IdentifyFilter::DrawRequestId() const
 {
   constexpr int kBase = 16;
-  std::array<char, 2 * 16> digits{};
+  constexpr std::size_t kDigitsPerWord = 16;
+  std::array<char, 2 * kDigitsPerWord> digits{};
   digits.fill('0');
-  std::to_chars(digits.data(), digits.data() + 16, random_.DrawBits(), kBase);
-  std::to_chars(
-    digits.data() + 16, digits.data() + 32, random_.DrawBits(), kBase);
+  char* const middle = digits.data() + kDigitsPerWord;
+  std::to_chars(digits.data(), middle, random_.DrawBits(), kBase);
+  std::to_chars(middle, middle + kDigitsPerWord, random_.DrawBits(), kBase);
   return RequestId(std::string(digits.data(), digits.size()));
 }
 
--- a/modules/azurecross_gateway/relay/CallerChannel.cpp
+++ b/modules/azurecross_gateway/relay/CallerChannel.cpp
@@ -19,6 +19,17 @@
 /** How long a caller may take to read the last answer and close. */
 constexpr Duration kLingerTime = std::chrono::seconds(1);
 
+/** @returns whether a read failed because the caller closed or vanished. */
+bool
+IsGone(const boost::system::error_code& aCode)
+{
+  // Beast reports what is wrong with a request in a category of its own.
+  const bool isParseError =
+    aCode.category() == make_error_code(http::error::bad_method).category();
+  return !isParseError || aCode == http::error::end_of_stream ||
+         aCode == http::error::partial_message;
+}
+
 } // namespace
 
 CallerChannel::CallerChannel(WorkerSocket aSocket,
@@ -117,11 +128,7 @@
   } else if (aCode == http::error::body_limit) {
     outcome.error_.code_ = ErrorCode::BodyTooLarge;
     outcome.error_.message_ = "the body is larger than the limit";
-  } else if (aCode.category() !=
-             http::make_error_code(http::error::bad_method).category()) {
-    outcome.end_ = ReadEnd::Closed;
-  } else if (aCode == http::error::end_of_stream ||
-             aCode == http::error::partial_message) {
+  } else if (IsGone(aCode)) {
     outcome.end_ = ReadEnd::Closed;
   }
   return outcome;
--- a/modules/azurecross_gateway/relay/EventFramer.cpp
+++ b/modules/azurecross_gateway/relay/EventFramer.cpp
@@ -30,8 +30,12 @@
   origin_ = "id: " + aBackendServer.GetValue() + ".";
   origin_ += aGeneration;
   origin_ += '.';
-  idLines_.resize(kChunkHeaderBytes + (origin_.size() + kOffsetBytes) *
-                                        (kBufferLimit / kLeastBuffersPerEvent));
+  slotBytes_ = kChunkHeaderBytes + origin_.size() + kOffsetBytes;
+  slots_.resize(slotBytes_ * (kBufferLimit / kLeastBuffersPerEvent));
+  for (std::size_t at = 0; at < slots_.size(); at += slotBytes_) {
+    std::memcpy(
+      slots_.data() + at + kChunkHeaderBytes, origin_.data(), origin_.size());
+  }
 }
 
 void
@@ -43,23 +47,18 @@
 void
 EventFramer::AddEvent(const StreamEvent& aEvent, std::uint64_t aOffset)
 {
-  // The first id line of a chunk follows its header, in the same buffer.
-  const bool isFirst = isChunked_ && !hasBody_;
-  char* const begin = idLines_.data() + idBytes_;
-  char* line = begin + (isFirst ? kChunkHeaderBytes : 0);
-  std::memcpy(line, origin_.data(), origin_.size());
-  char* end = std::to_chars(line + origin_.size(),
-                            line + origin_.size() + kOffsetBytes - 1,
-                            aOffset)
-                .ptr;
+  char* const slot = slots_.data() + slotBytes_ * usedSlots_++;
+  char* const line = slot + kChunkHeaderBytes;
+  char* const digits = line + origin_.size();
+  char* end = std::to_chars(digits, digits + kOffsetBytes - 1, aOffset).ptr;
   *end++ = '\n';
-  const auto length = static_cast<std::size_t>(end - begin);
-  idBytes_ += length;
-  if (isFirst) {
+  const auto length = static_cast<std::size_t>(end - line);
+  if (isChunked_ && !hasBody_) {
+    // The first id line of a chunk goes out with the chunk's header.
     hasBody_ = true;
-    chunkHeader_ = begin;
-    chunkBytes_ += static_cast<std::size_t>(end - line);
-    Add({ begin, length });
+    chunkHeader_ = slot;
+    chunkBytes_ += length;
+    Add({ slot, kChunkHeaderBytes + length });
   } else {
     AddBody({ line, length });
   }
@@ -125,7 +124,7 @@
 {
   count_ = 0;
   chunkBytes_ = 0;
-  idBytes_ = 0;
+  usedSlots_ = 0;
   hasBody_ = false;
   hasEnd_ = false;
   kept_.clear();
--- a/modules/azurecross_gateway/relay/EventFramer.h
+++ b/modules/azurecross_gateway/relay/EventFramer.h
@@ -72,8 +72,13 @@
   char* chunkHeader_ = nullptr;
   std::array<char, 16> ownHeader_{};
   std::string origin_;
-  std::vector<char> idLines_;
-  std::size_t idBytes_ = 0;
+  /**
+   * One slot for each event of a write: room for a chunk header, the origin,
+   * which stays, and the digits of the offset.
+   */
+  std::vector<char> slots_;
+  std::size_t slotBytes_ = 0;
+  std::size_t usedSlots_ = 0;
   std::list<std::string> kept_;
 };
 
--- a/modules/azurecross_gateway/relay/StreamProgress.h
+++ b/modules/azurecross_gateway/relay/StreamProgress.h
@@ -43,7 +43,6 @@
   void CountToken(Time aNow)
   {
     ++tokens_;
-    shown_.store(tokens_, std::memory_order_relaxed);
     if (tokens_ == 1) {
       metrics_.CountFirstToken(rank_, aNow - arrival_);
       if (slot_ != nullptr) {
@@ -53,13 +52,21 @@
       metrics_.CountToken(rank_, aNow - lastToken_);
     }
     lastToken_ = aNow;
-    if (slot_ != nullptr && aNow - lastReport_ >= kReportInterval) {
+    if (aNow - lastReport_ >= kReportInterval) {
       lastReport_ = aNow;
-      slot_->ReportProgress(tokens_);
+      Report();
     }
   }
 
 private:
+  void Report()
+  {
+    shown_.store(tokens_, std::memory_order_relaxed);
+    if (slot_ != nullptr) {
+      slot_->ReportProgress(tokens_);
+    }
+  }
+
   /** The interval at which entries batch their progress messages. */
   static constexpr Duration kReportInterval = std::chrono::milliseconds(250);
 
