--- a/modules/azurecross_tables/revisions/TableRevision.cpp
+++ b/modules/azurecross_tables/revisions/TableRevision.cpp
@@ -68,7 +68,7 @@
 {
   BOOST_LEAF_AUTO(object, ParseJsonObject(aText, "head"));
   TableProblems problems;
-  const TableRevision revision = DecodeRevision(object, "head", problems);
+  TableRevision revision = DecodeRevision(object, "head", problems);
   if (!problems.empty()) {
     return MakeFailure(MakeTablesError(problems));
   }
