Refuse a recovery without a known revision and a head without an edit id

Change: both are refused, with tests. Conclusion: a recovery is written only if the entries will accept it.

--- a/modules/azurecross_tables/edits/EditPlan.cpp
+++ b/modules/azurecross_tables/edits/EditPlan.cpp
@@ -90,6 +90,11 @@
     return MakeFailure(MakeEditError(ErrorCode::InvalidRequest,
                                      "an edit needs an author and an edit id"));
   }
+  if (aRequest.recoversStore_ && !aRequest.knownRevision_) {
+    return MakeFailure(
+      MakeEditError(ErrorCode::InvalidRequest,
+                    "a recovery needs an entry that states its revision"));
+  }
   if (auto fault = FindStoreFault(aBase, aRequest)) {
     return MakeFailure(std::move(*fault));
   }
--- a/modules/azurecross_tables/revisions/TableRevision.cpp
+++ b/modules/azurecross_tables/revisions/TableRevision.cpp
@@ -59,6 +59,10 @@
   revision.editId_ = reader.ReadRequiredText("edit_id");
   revision.parentEditId_ = reader.ReadRequiredText("parent_edit_id");
   revision.rowsDigest_ = ReadDigest(reader);
+  // Two revisions without an edit id would look like the same edit.
+  if (revision.number_ > 0 && revision.editId_.empty()) {
+    reader.AddProblem("edit_id", "must not be empty");
+  }
   reader.Finish();
   return revision;
 }
--- a/tests/tables_tests/CodecTests.cpp
+++ b/tests/tables_tests/CodecTests.cpp
@@ -207,6 +207,20 @@
               }).empty());
 }
 
+// Guards against two revisions without an edit id that pass for the same edit.
+BOOST_AUTO_TEST_CASE(RevisionNeedsAnEditId)
+{
+  TableRevision revision{ 3, "e3", "e2", 0xfedcba9876543210U };
+  const auto read = CaptureResult(
+    [&] { return ParseTableRevision(SerializeTableRevision(revision)); });
+  BOOST_REQUIRE(read.has_value());
+  BOOST_CHECK(*read == revision);
+  revision.editId_.clear();
+  BOOST_TEST(!FindRefusal([&] {
+                return ParseTableRevision(SerializeTableRevision(revision));
+              }).empty());
+}
+
 // Guards against one of two rows with the same name being dropped silently.
 BOOST_AUTO_TEST_CASE(DuplicateNamesAreRefused)
 {
--- a/tests/tables_tests/EditPlanTests.cpp
+++ b/tests/tables_tests/EditPlanTests.cpp
@@ -121,6 +121,8 @@
   request.recoversStore_ = true;
   const auto plan = Plan(MakeStore(), request);
   BOOST_REQUIRE(plan.has_value());
+  request.knownRevision_.reset();
+  BOOST_TEST(Plan(MakeStore(), request).has_error());
   BOOST_TEST(plan->GetAudit().revision_.number_ == 9);
   BOOST_TEST(plan->GetAudit().revision_.parentEditId_ == "e8");
 }
