--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -1,6 +1,10 @@
 #!/usr/bin/env bash
 # Runs clang-tidy on the sources. Needs a configured build/release for
 # compile_commands.json. Arguments: files to check (default: all).
+#
+# The path-sensitive analyzer (clang-analyzer-*) runs on the modules without
+# coroutines: version 14 does not model coroutine frames and reports errors
+# inside Asio's awaitable.hpp.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -9,6 +13,20 @@
 else
   mapfile -t files < <(git ls-files '*.cpp' | grep -v '\.pb\.')
 fi
-printf '%s\n' "${files[@]}" |
-  xargs -P "$(nproc)" -n 1 clang-tidy -p build/release --quiet \
-    --extra-arg=-Wno-unknown-warning-option 2> >(grep -v 'warnings generated' >&2 || true)
+
+lint_one() {
+  local checks=()
+  case $1 in
+    modules/azurecross_core/* | modules/azurecross_policy/* | \
+      modules/azurecross_tables/* | modules/azurecross_cluster/* | \
+      modules/azurecross_operations/* | modules/azurecross_orders/*) ;;
+    *) checks=(--checks=-clang-analyzer-*) ;;
+  esac
+  clang-tidy -p build/release --quiet "${checks[@]}" \
+    --extra-arg=-Wno-unknown-warning-option \
+    --extra-arg=-Wno-ignored-optimization-argument "$1" 2> /dev/null
+}
+export -f lint_one
+
+# The largest files first, so that none of them is left running alone.
+ls -S "${files[@]}" | xargs -P "$(nproc)" -I{} bash -c 'lint_one "$1"' _ {}
