--- a/bench/policy/Figures.cpp
+++ b/bench/policy/Figures.cpp
@@ -149,6 +149,7 @@
     }
   }
   std::vector<std::pair<double, double>> byDemand;
+  byDemand.reserve(customers.size());
   for (const auto& [customer, use] : customers) {
     byDemand.push_back(use);
   }
--- a/bench/policy/Simulation.h
+++ b/bench/policy/Simulation.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "Decision.h"
 #include "Figures.h"
-#include "PolicyRun.h"
 
 #include <cstdint>
 #include <deque>
--- a/modules/azurecross_policy/admission/WaitEstimator.cpp
+++ b/modules/azurecross_policy/admission/WaitEstimator.cpp
@@ -43,7 +43,7 @@
   // Each rank has its own: a flood of lesser work says nothing about how long
   // urgent work waits.
   double& correction = corrections_[GetIndex(aRank)];
-  const double observed = correction * aSeconds / aPredictedSeconds;
+  const double observed = aSeconds / aPredictedSeconds;
   correction += kCorrectionWeight * (observed - correction);
   correction = std::clamp(correction, kSmallestCorrection, kLargestCorrection);
 }
--- a/modules/azurecross_policy/admission/WaitEstimator.h
+++ b/modules/azurecross_policy/admission/WaitEstimator.h
@@ -20,7 +20,9 @@
   void ObserveHold(Rank aRank, Duration aHeld);
   void ObserveFirstToken(Duration aAfterGrant);
 
-  /** Compares a predicted wait with how long the request really waited. */
+  /** Compares a wait as predicted without the correction with how long the
+   * request really waited. A corrected prediction would feed the correction
+   * back into itself, and overshoot. */
   void ObserveWait(Rank aRank, double aPredictedSeconds, double aSeconds);
   /** @returns the factor by which predicted waits have been too short. */
   double GetCorrection(Rank aRank) const
--- a/modules/azurecross_policy/arbitration/ArbiterDispatch.cpp
+++ b/modules/azurecross_policy/arbitration/ArbiterDispatch.cpp
@@ -92,7 +92,8 @@
     return;
   }
   const std::uint64_t number = nextNumber_++;
-  Queued queued{ aRequest, lane, 0, aNow, wait };
+  const double uncorrected = wait / lane->waits_.GetCorrection(aRequest.rank_);
+  Queued queued{ aRequest, lane, 0, aNow, uncorrected };
   queued.lengthClass_ =
     lengths_.FindClass(aRequest.route_, aRequest.model_, aRequest.customer_);
   queued_.emplace(number, std::move(queued));
