--- a/tests/policy_tests/AdmissionTests.cpp
+++ b/tests/policy_tests/AdmissionTests.cpp
@@ -82,6 +82,36 @@
   BOOST_TEST(admitted == 4);
 }
 
+// Guards against memory that stays idle because a few long generations make
+// the far future uncertain.
+BOOST_AUTO_TEST_CASE(FarHorizonsDoNotKeepShortRequestsOut)
+{
+  BackendServerModel model(std::chrono::milliseconds(37));
+  model.Describe(ArbiterFixture::MakeEngine("s"));
+  MemoryForecast longOne;
+  longOne.mean_.fill(10'000.0);
+  longOne.mean_.back() = 60'000.0;
+  longOne.variance_.back() = 1e9;
+  model.AddRequest(Rank::Lesser, longOne);
+  MemoryForecast shortOne;
+  shortOne.mean_[0] = 500.0;
+  shortOne.mean_[1] = 300.0;
+  BOOST_TEST(model.HasMemoryFor(shortOne, Rank::Urgent));
+  BOOST_TEST(!model.HasMemoryFor(longOne, Rank::Urgent));
+}
+
+// Guards against a correction that feeds back into itself, and against one
+// rank's waits that refuse the other rank's requests.
+BOOST_AUTO_TEST_CASE(WaitCorrectionSettlesForEachRank)
+{
+  WaitEstimator waits;
+  for (int count = 0; count < 2000; ++count) {
+    waits.ObserveWait(Rank::Lesser, 10.0, 15.0);
+  }
+  BOOST_TEST(std::abs(waits.GetCorrection(Rank::Lesser) - 1.5) < 0.01);
+  BOOST_TEST(waits.GetCorrection(Rank::Urgent) == 1.0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace azurecross
