Record that the fleet load is not measured yet

Zones/FleetLoad ended at its 220 s limit without a result, under a load average above 30, so docs/CAPACITY.md keeps the delegate's figures as computed.

--- a/tests/cluster_tests/ZonesTests.cpp
+++ b/tests/cluster_tests/ZonesTests.cpp
@@ -222,8 +222,8 @@
 }
 
 // Measures the load by role at 800 daemons for docs/CAPACITY.md, and guards
-// against a plain entry whose load depends on the number of zones. Takes about
-// a minute, so it runs only when it is named.
+// against a plain entry whose load depends on the number of zones. It did not
+// finish in 220 s on a busy machine, so it runs only when it is named.
 BOOST_AUTO_TEST_CASE(FleetLoad, *boost::unit_test::disabled())
 {
   constexpr int kFleetZones = 17;
