Keep request counters by rank and status, then by route

The counters are now kept in a map by rank and status with a map by route inside, which allocates nothing for a known route either.

--- a/modules/azurecross_gateway/server/WorkerMetrics.cpp
+++ b/modules/azurecross_gateway/server/WorkerMetrics.cpp
@@ -81,8 +81,9 @@
                             Rank aRank,
                             unsigned aStatus)
 {
-  const auto found = requests_.find(RequestKeyView(aRoute, aRank, aStatus));
-  if (found != requests_.end()) {
+  CounterByRoute& byRoute = requests_[{ aRank, aStatus }];
+  const auto found = byRoute.find(aRoute);
+  if (found != byRoute.end()) {
     found->second->Increment();
     return;
   }
@@ -91,7 +92,7 @@
   labels["status"] = std::to_string(aStatus);
   prometheus::Counter& counter = metrics_.GetCounter(
     "azurecross_gateway_requests_total", "Requests that have ended", labels);
-  requests_.emplace(RequestKey(std::string(aRoute), aRank, aStatus), &counter);
+  byRoute.emplace(std::string(aRoute), &counter);
   counter.Increment();
 }
 
--- a/modules/azurecross_gateway/server/WorkerMetrics.h
+++ b/modules/azurecross_gateway/server/WorkerMetrics.h
@@ -8,7 +8,7 @@
 #include <map>
 #include <string>
 #include <string_view>
-#include <tuple>
+#include <utility>
 #include <vector>
 
 namespace azurecross {
@@ -61,8 +61,8 @@
     prometheus::Gauge* streams_ = nullptr;
   };
 
-  using RequestKey = std::tuple<std::string, Rank, unsigned>;
-  using RequestKeyView = std::tuple<std::string_view, Rank, unsigned>;
+  using CounterByRoute =
+    std::map<std::string, prometheus::Counter*, std::less<>>;
 
   Metrics& metrics_;
   std::array<ByRank, kRankCount> byRank_;
@@ -70,7 +70,7 @@
   prometheus::Counter& cancelled_;
   prometheus::Counter& mismatched_;
   prometheus::Gauge& connections_;
-  std::map<RequestKey, prometheus::Counter*, std::less<>> requests_;
+  std::map<std::pair<Rank, unsigned>, CounterByRoute> requests_;
   std::map<std::pair<ErrorCode, Verdict>, prometheus::Counter*> failures_;
 };
 
