--- a/tests/http_tests/HttpTests.cpp
+++ b/tests/http_tests/HttpTests.cpp
@@ -5,8 +5,11 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
 
+#include <atomic>
 #include <thread>
 
 namespace azurecross {
@@ -15,6 +18,8 @@
 
 namespace asio = boost::asio;
 
+std::atomic<int> gNoticedPeers = 0;
+
 asio::awaitable<void>
 AnswerForTest(HttpExchange& aExchange)
 {
@@ -33,6 +38,14 @@
     co_await aExchange.StartStream(header);
     co_await aExchange.WritePart("one ");
     aExchange.Abort();
+  } else if (request.GetPath() == "/wait") {
+    // Answers nothing until the peer has gone.
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (!aExchange.IsPeerGone()) {
+      timer.expires_after(std::chrono::milliseconds(5));
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+    gNoticedPeers.fetch_add(1);
   } else {
     co_await aExchange.Respond(
       MakeJsonResponse(201, request.FindQueryValue("q") + request.body_));
@@ -137,6 +150,26 @@
   BOOST_CHECK(response.error().verdict_ == Verdict::NotRun);
 }
 
+// Guards against work that goes on for a caller that has left.
+BOOST_FIXTURE_TEST_CASE(GonePeerIsNoticed, Fixture)
+{
+  HttpClientLimits limits;
+  limits.answerTimeout_ = std::chrono::milliseconds(50);
+  HttpClient impatient(context_.get_executor(), limits);
+  HttpRequest request;
+  request.target_ = "/wait";
+  const auto response =
+    asio::co_spawn(context_,
+                   impatient.Send(server_.GetAddress(), std::move(request)),
+                   asio::use_future)
+      .get();
+  BOOST_TEST(response.has_error());
+  for (int wait = 0; wait < 400 && gNoticedPeers.load() == 0; ++wait) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  BOOST_TEST(gNoticedPeers.load() == 1);
+}
+
 // Guards against unbounded memory for a large body.
 BOOST_FIXTURE_TEST_CASE(LargeBodyIsRefused, Fixture)
 {
