--- a/bench/control/GeneratedMessages.cpp
+++ b/bench/control/GeneratedMessages.cpp
@@ -131,14 +131,8 @@
 {
   wire::PeerMessage message;
   wire::TableDelta& delta = *message.mutable_table_delta();
-  delta.set_from_revision(aRevision - 1);
   delta.set_to_revision(aRevision);
-  delta.set_edit_id("0123456789abcdef0123456789abcdef");
-  wire::TableRow& row = *delta.add_rows();
-  row.set_table("routes");
-  row.set_name("paint-assistant");
-  row.set_value(std::string(kRowBytes, 'x'));
-  row.set_revision(aRevision);
+  delta.set_update(std::string(kRowBytes, 'x'));
   return message;
 }
 
--- a/modules/azurecross_control/plane/TableSync.cpp
+++ b/modules/azurecross_control/plane/TableSync.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/** Part of the table requests that go to a random member. */
+constexpr double kRandomPeerShare = 0.25;
+
 EtcdClientSettings
 MakeStoreSettings(const ControlSettings& aSettings)
 {
@@ -199,13 +202,11 @@
   if (members.empty()) {
     return;
   }
-  // A watcher of the zone is the likeliest to have the newest revision; a
-  // random member helps when both watchers are cut off from the store.
-  EntryId target = members[random_.DrawBelow(members.size())].entry_;
-  const auto watchers = membership.GetSelector(settings_.availabilityZone_)
-                          .ChooseWatchers(settings_.availabilityZone_);
-  if (!watchers.empty() && random_.DrawUnit() < 0.5) {
-    target = watchers[random_.DrawBelow(watchers.size())];
+  // The peer that announced the revision has it. A random member is asked now
+  // and then, in case that one has gone.
+  EntryId target = membership.GetRevisionHolder();
+  if (target.GetValue().empty() || random_.DrawUnit() < kRandomPeerShare) {
+    target = members[random_.DrawBelow(members.size())].entry_;
   }
   if (target == settings_.entryId_) {
     return;
@@ -243,7 +244,10 @@
     return;
   }
   wire::PeerMessage message;
-  message.mutable_table_delta()->set_update(SerializeTableUpdate(*update));
+  auto* delta = message.mutable_table_delta();
+  delta->set_to_revision(
+    static_cast<std::uint64_t>(state_.GetRevision().number_));
+  delta->set_update(SerializeTableUpdate(*update));
   peers_.Send(aSender, std::move(message));
 }
 
