Answer during a drain, and never claim not_run for an unchecked key

Tests: the drain test's idle connection now has served a request, and a fresh one must get its 503; a new test covers the verdict with a key.

--- a/apps/entry/EntryDaemon.cpp
+++ b/apps/entry/EntryDaemon.cpp
@@ -53,6 +53,7 @@
   : settings_(aSettings)
   , control_(MakeControlSettings(aSettings), metrics_)
   , signals_(context_, SIGTERM, SIGINT, SIGQUIT)
+  , graceTimer_(context_)
   , drainTimer_(context_)
 {
 }
@@ -166,8 +167,19 @@
            "planned stop; draining",
            { { "requests", server_->CountRunning() } });
   control_.BeginDrain();
-  server_->BeginDrain(
-    [this] { boost::asio::post(context_, [this] { Finish(); }); });
+  server_->BeginDrain([this] {
+    boost::asio::post(context_, [this] {
+      isDrained_ = true;
+      FinishIfDrained();
+    });
+  });
+  graceTimer_.expires_after(settings_.drainGrace_);
+  graceTimer_.async_wait([this](const boost::system::error_code& aCode) {
+    if (!aCode) {
+      isGraceOver_ = true;
+      FinishIfDrained();
+    }
+  });
   if (settings_.drainTimeout_ > Duration::zero()) {
     drainTimer_.expires_after(settings_.drainTimeout_);
     drainTimer_.async_wait([this](const boost::system::error_code& aCode) {
@@ -182,8 +194,11 @@
 }
 
 void
-EntryDaemon::Finish()
+EntryDaemon::FinishIfDrained()
 {
+  if (!isDrained_ || !isGraceOver_) {
+    return;
+  }
   control_.HandOver(kHandoverTimeout);
   context_.stop();
 }
--- a/apps/entry/EntryDaemon.h
+++ b/apps/entry/EntryDaemon.h
@@ -33,7 +33,8 @@
   void WaitForSignal();
   void TakeSignal(int aSignal);
   void BeginDrain();
-  void Finish();
+  /** Ends the daemon once it is drained and the grace time is over. */
+  void FinishIfDrained();
 
   const EntrySettings& settings_;
   Metrics metrics_;
@@ -42,8 +43,11 @@
   std::unique_ptr<EntryServer<ControlPlane>> server_;
   std::unique_ptr<OperationsServer> operations_;
   boost::asio::signal_set signals_;
+  boost::asio::steady_timer graceTimer_;
   boost::asio::steady_timer drainTimer_;
   bool isDraining_ = false;
+  bool isDrained_ = false;
+  bool isGraceOver_ = false;
 };
 
 } // namespace azurecross
--- a/apps/entry/EntrySettings.cpp
+++ b/apps/entry/EntrySettings.cpp
@@ -9,6 +9,7 @@
 
 using std::chrono::hours;
 using std::chrono::milliseconds;
+using std::chrono::minutes;
 using std::chrono::seconds;
 
 constexpr std::int64_t kMaxWorkers = 256;
@@ -75,6 +76,13 @@
                           milliseconds(100),
                           hours(1),
                           "How long a write may wait for a caller");
+  aParser.AddMilliseconds(
+    "drain-grace-ms",
+    seconds(2),
+    milliseconds(0),
+    minutes(10),
+    "How long a stopping entry at least goes on answering new requests with "
+    "503, until the balancer has noticed");
   aParser.AddMilliseconds(
     "drain-timeout-ms",
     milliseconds(0),
@@ -165,6 +173,7 @@
     static_cast<std::size_t>(aValues.GetInteger("body-limit-bytes"));
   aSettings.requestTimeout_ = aValues.GetMilliseconds("request-timeout-ms");
   aSettings.writeTimeout_ = aValues.GetMilliseconds("write-timeout-ms");
+  aSettings.drainGrace_ = aValues.GetMilliseconds("drain-grace-ms");
   aSettings.drainTimeout_ = aValues.GetMilliseconds("drain-timeout-ms");
   aSettings.lesserFloor_ = aValues.GetNumber("lesser-floor");
   aSettings.queueLimit_ =
--- a/apps/entry/EntrySettings.h
+++ b/apps/entry/EntrySettings.h
@@ -33,6 +33,7 @@
   std::size_t bodyLimitBytes_ = 0;
   Duration requestTimeout_{};
   Duration writeTimeout_{};
+  Duration drainGrace_{};
   Duration drainTimeout_{};
   Duration loadPollInterval_{};
   Duration operationRetention_{};
--- a/modules/azurecross_control/operations/OperationShell.cpp
+++ b/modules/azurecross_control/operations/OperationShell.cpp
@@ -56,6 +56,7 @@
   call.key_ = std::move(aRequest.key_);
   call.customer_ = std::move(aRequest.customer_);
   call.fingerprint_ = aRequest.fingerprint_;
+  call.isFirstAttempt_ = aRequest.isFirstAttempt_;
   call.deadline_ = now + kDecisionTimeout;
   OperationActions actions;
   coordinator_->Begin(std::move(call), now, actions);
--- a/modules/azurecross_gateway/controller/Operation.h
+++ b/modules/azurecross_gateway/controller/Operation.h
@@ -20,6 +20,8 @@
   RequestId requestId_;
   /** Hash of method, target and body: a key belongs to one request only. */
   std::uint64_t fingerprint_ = 0;
+  /** The caller declares that it has not sent the key before. */
+  bool isFirstAttempt_ = false;
 };
 
 /** The right to run an operation once. Opaque to the gateway. */
--- a/modules/azurecross_gateway/filters/RequestPipeline.cpp
+++ b/modules/azurecross_gateway/filters/RequestPipeline.cpp
@@ -30,6 +30,9 @@
 RequestPipeline::Run()
 {
   Failure failure = co_await RunFilters();
+  if (failure && MayRepeatOperation()) {
+    failure->verdict_ = Verdict::MayHaveRun;
+  }
   if (failure && !context_.callerHasLeft_) {
     co_await writer_.WriteError(std::move(*failure));
   }
@@ -40,6 +43,22 @@
     context_.route_.route_, context_.route_.rank_, context_.status_);
 }
 
+bool
+RequestPipeline::MayRepeatOperation() const
+{
+  const bool hasKey = !context_.request_["Idempotency-Key"].empty();
+  const auto method = context_.request_.method();
+  const bool isRead = method == http::verb::get || method == http::verb::head ||
+                      method == http::verb::options;
+  return hasKey && !isRead && !isOperationChecked_ && !IsFirstAttempt();
+}
+
+bool
+RequestPipeline::IsFirstAttempt() const
+{
+  return context_.request_["X-Azurecross-First-Attempt"] == "true";
+}
+
 asio::awaitable<RequestPipeline::Failure>
 RequestPipeline::RunFilters()
 {
@@ -70,6 +89,7 @@
   if (failure) {
     co_return failure;
   }
+  isOperationChecked_ = true;
   std::unique_ptr<OperationGuard> operation;
   const auto decision = co_await CheckOperation(operation);
   if (!decision) {
@@ -125,6 +145,7 @@
   request.customer_ = context_.customer_;
   request.route_ = RouteName(std::string(context_.route_.route_));
   request.requestId_ = context_.requestId_;
+  request.isFirstAttempt_ = IsFirstAttempt();
   request.fingerprint_ = HashBytes(
     context_.request_.body(),
     HashBytes(std::string_view(context_.request_.target()),
--- a/modules/azurecross_gateway/filters/RequestPipeline.h
+++ b/modules/azurecross_gateway/filters/RequestPipeline.h
@@ -32,6 +32,13 @@
 private:
   using Failure = std::optional<Error>;
 
+  /**
+   * @returns whether an earlier attempt under the request's key may have run,
+   * since the operations core has not been asked. Such a refusal must not say
+   * `not_run`.
+   */
+  bool MayRepeatOperation() const;
+  bool IsFirstAttempt() const;
   boost::asio::awaitable<Failure> RunFilters();
   boost::asio::awaitable<Failure> IssueOperationKey();
   boost::asio::awaitable<Failure> Resume();
@@ -47,6 +54,7 @@
   AnswerWriter& writer_;
   RunningRequests::Registration& registration_;
   ExchangeFilter exchange_;
+  bool isOperationChecked_ = false;
 };
 
 } // namespace azurecross
--- a/modules/azurecross_gateway/server/CallerConnection.cpp
+++ b/modules/azurecross_gateway/server/CallerConnection.cpp
@@ -45,6 +45,7 @@
     co_await RefuseRequest(std::move(read.error_));
     co_return false;
   }
+  hasServed_ = true;
   RequestContext context;
   context.arrival_ = ReadMonotonicTime();
   context.request_ = parser.release();
@@ -81,7 +82,7 @@
 void
 CallerConnection::CloseIfIdle()
 {
-  if (channel_->IsIdle()) {
+  if (hasServed_ && channel_->IsIdle()) {
     channel_->Close();
   }
 }
--- a/modules/azurecross_gateway/server/CallerConnection.h
+++ b/modules/azurecross_gateway/server/CallerConnection.h
@@ -28,7 +28,11 @@
   /** Serves until the connection ends. */
   boost::asio::awaitable<void> Run();
 
-  /** Closes the connection if no request has begun on it. */
+  /**
+   * Closes the connection if it waits for another request. One that has not
+   * sent its first request stays: that request is on its way and gets an
+   * answer.
+   */
   void CloseIfIdle();
   /** Ends the connection and the request in progress. */
   void Close();
@@ -41,6 +45,7 @@
   WorkerServices& services_;
   std::shared_ptr<CallerChannel> channel_;
   std::function<void()> leave_;
+  bool hasServed_ = false;
 };
 
 } // namespace azurecross
--- a/tests/gateway_tests/DrainTests.cpp
+++ b/tests/gateway_tests/DrainTests.cpp
@@ -23,6 +23,9 @@
   });
   controller_.AddBackendServer("a", engine.GetAddress());
   TestCaller idle = Connect();
+  idle.Send("GET /none HTTP/1.1\r\nHost: x\r\n\r\n");
+  idle.ReadAnswer();
+  TestCaller fresh = Connect();
   TestCaller streaming = Connect();
   streaming.Send(MakeStreamRequest("X-Request-Id: r-1\r\n"));
   streaming.ReadUntil("id: a.g1.0");
@@ -31,6 +34,9 @@
   auto isDrained = drained.get_future();
   server_->BeginDrain([&] { drained.set_value(); });
   BOOST_TEST(idle.WaitForClose());
+  // The first request of an open connection may already be on its way.
+  fresh.Send(MakeStreamRequest());
+  BOOST_TEST(fresh.ReadAnswer().status_ == 503U);
   const CallerAnswer refused = Call(MakeStreamRequest());
   BOOST_TEST(refused.status_ == 503U);
   BOOST_TEST(refused.Count("\"code\":\"draining\"") == 1);
@@ -52,6 +58,23 @@
   BOOST_TEST(server_->DescribeRunning() == "[]");
 }
 
+// Guards against a false `not_run` for a key under which an earlier attempt may
+// have run: while the entry drains, nobody has looked.
+BOOST_FIXTURE_TEST_CASE(DrainDoesNotClaimThatAKeyDidNotRun, GatewayFixture)
+{
+  std::promise<void> drained;
+  server_->BeginDrain([&] { drained.set_value(); });
+  const std::string request = "POST /bookings/1 HTTP/1.1\r\nHost: x\r\n"
+                              "Idempotency-Key: k\r\n"
+                              "Content-Length: 0\r\n";
+  const CallerAnswer repeat = Call(request + "\r\n");
+  BOOST_TEST(repeat.status_ == 503U);
+  BOOST_TEST(repeat.FindHeader("X-Azurecross-Verdict") == "may_have_run");
+  const CallerAnswer first =
+    Call(request + "X-Azurecross-First-Attempt: true\r\n\r\n");
+  BOOST_TEST(first.FindHeader("X-Azurecross-Verdict") == "not_run");
+}
+
 // Guards against grants lost when the server is stopped in mid-stream.
 BOOST_FIXTURE_TEST_CASE(StopReleasesGrants, GatewayFixture)
 {
