Give the choice of a group and the exchange of news classes of their own

Change: GroupSelector chooses the group of a request; NewsExchange publishes and reads summaries and leaving notices. Their behaviour is the same, but the saturation of home groups is now noted at each tick. Conclusion: each class has one job again.

--- a/modules/azurecross_control/grants/GrantCoordinator.cpp
+++ b/modules/azurecross_control/grants/GrantCoordinator.cpp
@@ -4,15 +4,6 @@
 
 namespace azurecross {
 
-namespace {
-
-/** Above this saturation a group has no free slot and work spills over. */
-constexpr double kSpillSaturation = 1.5;
-/** A shard that holds the prompt's prefix is left above this saturation. */
-constexpr double kPrefixSaturation = 1.2;
-
-} // namespace
-
 GrantCoordinator::GrantCoordinator(EntryId aSelf,
                                    AvailabilityZone aZone,
                                    const ArbiterOptions& aOptions,
@@ -21,7 +12,7 @@
   , zone_(std::move(aZone))
   , options_(aOptions)
   , seed_(aSeed)
-  , random_(aSeed)
+  , selector_(zone_, aSeed)
   , groups_(std::make_shared<GroupMap>())
 {
 }
@@ -32,6 +23,7 @@
                             GrantActions& aActions)
 {
   groups_ = std::move(aGroups);
+  selector_.SetGroups(groups_);
   static const GroupMap::Group kNoServers{};
   for (auto& [group, home] : homes_) {
     const auto found = groups_->groups_.find(group);
@@ -153,7 +145,10 @@
                           GrantActions& aActions)
 {
   aRequest.entry_ = self_;
-  const auto group = ChooseGroup(aPool, aRequest);
+  const auto hasHome = [this](const GroupId& aGroup) {
+    return FindHome(aGroup).has_value();
+  };
+  const auto group = selector_.Choose(aPool, aRequest, hasHome);
   if (!group) {
     aActions.refused_.push_back({ aRequest.request_,
                                   ErrorCode::NoBackendServer,
@@ -260,84 +255,6 @@
   return found != silentHomes_.end() && aNow < found->second;
 }
 
-std::optional<GroupId>
-GrantCoordinator::ChooseGroup(const PoolName& aPool,
-                              const GrantRequest& aRequest)
-{
-  auto own = ChooseShard(aPool, zone_, aRequest);
-  const auto getSaturation = [&](const GroupId& aGroup) {
-    const auto summary = FindSummary(aGroup);
-    if (summary) {
-      return summary->saturation_;
-    }
-    const auto found = remoteSaturation_.find(aGroup);
-    return found == remoteSaturation_.end() ? 0.0 : found->second;
-  };
-  if (own && getSaturation(*own) < kSpillSaturation) {
-    return own;
-  }
-  std::optional<GroupId> best = own;
-  for (const auto& [key, shards] : groups_->shards_) {
-    if (key.first != aPool || key.second == zone_) {
-      continue;
-    }
-    const auto other = ChooseShard(aPool, key.second, aRequest);
-    const bool isBetter =
-      other && FindHome(*other) &&
-      (!best || getSaturation(*other) < getSaturation(*best) - 0.25);
-    if (isBetter) {
-      best = other;
-    }
-  }
-  return best;
-}
-
-std::optional<GroupId>
-GrantCoordinator::ChooseShard(const PoolName& aPool,
-                              const AvailabilityZone& aZone,
-                              const GrantRequest& aRequest)
-{
-  const auto shards = groups_->shards_.find({ aPool, aZone });
-  if (shards == groups_->shards_.end()) {
-    return std::nullopt;
-  }
-  const auto isUsable = [&](const GroupId& aGroup) {
-    const auto found = groups_->groups_.find(aGroup);
-    return found != groups_->groups_.end() &&
-           std::any_of(found->second.servers_.begin(),
-                       found->second.servers_.end(),
-                       [&](const BackendServerDescription& aServer) {
-                         const auto& excluded = aRequest.excluded_;
-                         return !aServer.isLeaving_ &&
-                                std::find(excluded.begin(),
-                                          excluded.end(),
-                                          aServer.id_) == excluded.end();
-                       });
-  };
-  const auto getSaturation = [&](const GroupId& aGroup) {
-    const auto found = remoteSaturation_.find(aGroup);
-    return found == remoteSaturation_.end() ? 0.0 : found->second;
-  };
-  // The same prefix goes to the same shard, whose engines may hold it.
-  const std::uint32_t preferred =
-    aRequest.prefixHashes_.empty()
-      ? static_cast<std::uint32_t>(random_.DrawBelow(shards->second))
-      : static_cast<std::uint32_t>(aRequest.prefixHashes_.front() %
-                                   shards->second);
-  std::optional<GroupId> fallback;
-  for (std::uint32_t offset = 0; offset < shards->second; ++offset) {
-    const GroupId group{ aPool, aZone, (preferred + offset) % shards->second };
-    if (!isUsable(group)) {
-      continue;
-    }
-    if (getSaturation(group) < kPrefixSaturation) {
-      return group;
-    }
-    fallback = fallback.value_or(group);
-  }
-  return fallback;
-}
-
 void
 GrantCoordinator::Cancel(const RequestId& aRequest,
                          Time aNow,
@@ -566,9 +483,11 @@
 }
 
 void
-GrantCoordinator::SetRemoteSummary(const GroupId& aGroup, double aSaturation)
+GrantCoordinator::SetSaturation(const GroupId& aGroup, double aSaturation)
 {
-  remoteSaturation_[aGroup] = aSaturation;
+  if (!IsHome(aGroup)) {
+    selector_.SetSaturation(aGroup, aSaturation);
+  }
 }
 
 std::vector<std::string>
--- a/modules/azurecross_control/grants/GrantCoordinator.h
+++ b/modules/azurecross_control/grants/GrantCoordinator.h
@@ -3,6 +3,7 @@
 #include "../groups/GroupDirectory.h"
 #include "GrantActions.h"
 #include "GrantMessages.h"
+#include "GroupSelector.h"
 #include "HomeGroup.h"
 
 #include <azurecross_cluster/azurecross_cluster.h>
@@ -93,8 +94,8 @@
   std::vector<GroupId> ListHomeGroups() const;
   /** @returns the summary of a group whose home is this entry. */
   std::optional<GroupSummary> FindSummary(const GroupId& aGroup) const;
-  /** Takes a summary of another zone's group, for spill-over. */
-  void SetRemoteSummary(const GroupId& aGroup, double aSaturation);
+  /** Takes the saturation of a group with another home, for spill-over. */
+  void SetSaturation(const GroupId& aGroup, double aSaturation);
   std::vector<std::string> Explain(const RequestId& aRequest) const;
   std::size_t CountPending() const { return pending_.size(); }
   std::size_t CountHeld() const { return held_.size(); }
@@ -109,11 +110,6 @@
     bool usesFixedShare_ = false;
   };
 
-  std::optional<GroupId> ChooseGroup(const PoolName& aPool,
-                                     const GrantRequest& aRequest);
-  std::optional<GroupId> ChooseShard(const PoolName& aPool,
-                                     const AvailabilityZone& aZone,
-                                     const GrantRequest& aRequest);
   bool IsHome(const GroupId& aGroup) const { return homes_.contains(aGroup); }
   std::optional<EntryId> FindHome(const GroupId& aGroup) const;
   bool IsHomeSilent(const EntryId& aHome, Time aNow) const;
@@ -177,12 +173,11 @@
   ArbiterOptions options_;
   std::uint64_t seed_;
   std::uint64_t arbiterCount_ = 0;
-  Random random_;
+  GroupSelector selector_;
   std::shared_ptr<const GroupMap> groups_;
   HomeView view_;
   std::map<GroupId, HomeGroup> homes_;
   std::map<GroupId, Arbiter> fixedShares_;
-  std::map<GroupId, double> remoteSaturation_;
   std::map<RequestId, PendingRequest> pending_;
   std::unordered_map<GrantId, HeldGrant> held_;
   /** Home entries that did not answer, and when to ask them again. */
--- a/modules/azurecross_control/grants/GrantCoordinatorMessages.cpp
+++ b/modules/azurecross_control/grants/GrantCoordinatorMessages.cpp
@@ -223,6 +223,7 @@
     ArbiterActions decisions;
     home.Tick(aNow, decisions);
     DeliverHome(group, home, decisions, aNow, aActions);
+    selector_.SetSaturation(group, home.GetArbiter().Summarize().saturation_);
   }
   for (auto& [group, arbiter] : fixedShares_) {
     ArbiterActions decisions;
--- a/modules/azurecross_control/plane/ControlLoop.cpp
+++ b/modules/azurecross_control/plane/ControlLoop.cpp
@@ -16,35 +16,6 @@
 
 /** Recent requests that can be explained. */
 constexpr std::size_t kRememberedRequests = 10'000;
-constexpr Duration kNewsInterval = std::chrono::seconds(1);
-/** Covers the lag of the VM list; the home entry publishes it again. */
-constexpr Duration kNoticeLifetime = std::chrono::seconds(60);
-constexpr double kThousandths = 1000.0;
-/** A queue without a slot has no finite saturation. */
-constexpr double kHighestSaturation = 1000.0;
-
-double
-FromThousandths(std::uint32_t aValue)
-{
-  return aValue / kThousandths;
-}
-
-wire::GroupSummary
-ToWire(const GroupId& aGroup, const GroupSummary& aSummary)
-{
-  wire::GroupSummary summary;
-  summary.set_pool(aGroup.pool_.GetValue());
-  summary.set_zone(aGroup.zone_.GetValue());
-  summary.set_shard(aGroup.shard_);
-  const double saturation = std::min(aSummary.saturation_, kHighestSaturation);
-  summary.set_saturation(static_cast<std::uint32_t>(saturation * kThousandths));
-  std::uint32_t queued = 0;
-  for (std::uint32_t count : aSummary.queued_) {
-    queued += count;
-  }
-  summary.set_queue_length(queued);
-  return summary;
-}
 
 std::uint32_t
 ClampTokens(std::uint64_t aTokens)
@@ -111,6 +82,7 @@
   , operations_(aContext, aSettings, peers_, tables_.GetStore())
   , orders_(aContext, aSettings, tables_.GetStore())
   , retries_(DrawSystemSeed())
+  , news_(peers_, directory_)
   , groups_(std::make_shared<GroupMap>())
   , grants_(aSettings.entryId_,
             aSettings.availabilityZone_,
@@ -193,7 +165,9 @@
     orders_.Tick(aNow);
   }
   PollLoads(aNow);
-  ExchangeNews(aNow);
+  if (news_.Exchange(grants_, *groups_, aNow)) {
+    RebuildGroups();
+  }
   heldGauge_.Set(static_cast<double>(grants_.CountHeld()));
   pendingGauge_.Set(static_cast<double>(grants_.CountPending()));
 }
@@ -221,67 +195,6 @@
   poller_.Poll(targets);
 }
 
-void
-ControlLoop::ExchangeNews(Time aNow)
-{
-  if (aNow - lastNews_ < kNewsInterval) {
-    return;
-  }
-  lastNews_ = aNow;
-  ClusterActions actions;
-  for (const GroupId& group : grants_.ListHomeGroups()) {
-    if (const auto summary = grants_.FindSummary(group)) {
-      peers_.GetView().GetSummaries().PublishGroup(
-        ToWire(group, *summary), aNow, actions);
-    }
-  }
-  peers_.Process(std::move(actions));
-  const SummaryBoard& board = peers_.GetView().GetSummaries();
-  for (const SummaryItem& item : board.ListGroups(aNow)) {
-    grants_.SetRemoteSummary({ PoolName(item.summary_.pool()),
-                               AvailabilityZone(item.summary_.zone()),
-                               item.summary_.shard() },
-                             FromThousandths(item.summary_.saturation()));
-  }
-  for (const SummaryItem& item : board.ListZones(aNow)) {
-    const PoolName pool(item.summary_.pool());
-    const AvailabilityZone zone(item.summary_.zone());
-    const auto shards = groups_->shards_.find({ pool, zone });
-    const std::uint32_t count =
-      shards == groups_->shards_.end() ? 0 : shards->second;
-    for (std::uint32_t shard = 0; shard < count; ++shard) {
-      grants_.SetRemoteSummary({ pool, zone, shard },
-                               FromThousandths(item.summary_.saturation()));
-    }
-  }
-  TakeNotices();
-}
-
-void
-ControlLoop::TakeNotices()
-{
-  bool isNews = false;
-  for (const BackendServerId& server :
-       peers_.GetView().GetGossip().ListLeaving()) {
-    isNews = directory_.AddLeaving(server) || isNews;
-  }
-  if (isNews) {
-    RebuildGroups();
-  }
-}
-
-void
-ControlLoop::PublishLeaving(const BackendServerId& aServer, Time aNow)
-{
-  if (peers_.GetView().GetGossip().IsLeaving(aServer)) {
-    return;
-  }
-  ClusterActions actions;
-  peers_.GetView().GetGossip().PublishLeaving(
-    aServer, kNoticeLifetime, aNow, actions);
-  peers_.Process(std::move(actions));
-}
-
 void
 ControlLoop::TakeLoad(const LoadReport& aReport)
 {
@@ -296,7 +209,7 @@
     RebuildGroups();
   }
   if (aReport.isLeaving_) {
-    PublishLeaving(server, ReadMonotonicTime());
+    news_.PublishLeaving(server, ReadMonotonicTime());
   }
   for (const GroupId& group : grants_.ListHomeGroups()) {
     const auto found = groups_->groups_.find(group);
--- a/modules/azurecross_control/plane/ControlLoop.h
+++ b/modules/azurecross_control/plane/ControlLoop.h
@@ -6,6 +6,7 @@
 #include "../operations/OperationShell.h"
 #include "../orders/OrderShell.h"
 #include "ControlSettings.h"
+#include "NewsExchange.h"
 #include "PeerBridge.h"
 #include "TableSync.h"
 
@@ -86,10 +87,6 @@
   boost::asio::awaitable<void> PollVmList(SocketAddress aAddress);
   void Tick(Time aNow);
   void PollLoads(Time aNow);
-  /** Publishes the summaries of home groups and reads those of others. */
-  void ExchangeNews(Time aNow);
-  void TakeNotices();
-  void PublishLeaving(const BackendServerId& aServer, Time aNow);
   void TakeMessage(const wire::PeerMessage& aMessage);
   void TakeMemberChanges(const std::vector<Member>& aChanges);
   void TakeTables(Tables::Version aTables);
@@ -114,11 +111,11 @@
   OrderShell orders_;
   RetryBudget retries_;
   GroupDirectory directory_;
+  NewsExchange news_;
   std::shared_ptr<const GroupMap> groups_;
   GrantCoordinator grants_;
   LoadPoller poller_;
   Time lastPoll_;
-  Time lastNews_;
   bool areHomesStale_ = false;
   bool isStopped_ = false;
   std::unordered_map<RequestId, Waiting> waiting_;
