Carry peer messages over Asio instead of nng

The trace shows nng 1.5.2's one releasing thread waiting without end for an operation of a connection whose peer had gone, and nng_close waiting for that thread.

Change: PeerTransport keeps its interface and moves length-prefixed messages over Boost.Asio TCP on one thread.

--- a/modules/azurecross_cluster/azurecross_cluster.h
+++ b/modules/azurecross_cluster/azurecross_cluster.h
@@ -6,7 +6,7 @@
  *
  * `Membership`, `Gossip` and `HomeSelector` do no I/O: they take events, a time
  * and a seed and append messages to send to a vector. One thread owns them.
- * `PeerTransport` moves the messages. nng stays out of the headers.
+ * `PeerTransport` moves the messages; Asio stays out of the public header.
  */
 
 #include "messages/Envelope.h"
@@ -23,5 +23,6 @@
 #include "gossip/SummaryBoard.h"
 #include "selection/HomeSelector.h"
 #include "transport/LinkFilter.h"
+#include "transport/PeerFrame.h"
 #include "transport/PeerTransport.h"
 #include "view/ClusterView.h"
--- a/modules/azurecross_cluster/transport/PeerLink.cpp
+++ b/modules/azurecross_cluster/transport/PeerLink.cpp
@@ -1,160 +1,293 @@
 #include "PeerLink.h"
 
-#include <nng/protocol/pipeline0/push.h>
+#include "PeerFrame.h"
+#include "TcpOptions.h"
 
-#include <thread>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 
 namespace azurecross {
 
 namespace {
 
-constexpr nng_duration kLeastReconnectMs = 50;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using SystemError = boost::system::error_code;
+
+constexpr Duration kLeastDialDelay = std::chrono::milliseconds(50);
 // A healed link is in use again within a second.
-constexpr nng_duration kMostReconnectMs = 500;
-constexpr Duration kLeastLife = std::chrono::milliseconds(20);
+constexpr Duration kMostDialDelay = std::chrono::milliseconds(500);
+// Without it, a dial to a VM that is gone takes over two minutes.
+constexpr Duration kConnectTimeout = std::chrono::seconds(1);
+// Time after which the kernel gives up on bytes that are not acknowledged.
+constexpr int kUnacknowledgedMs = 5000;
+// One write carries what queued during the write before it.
+constexpr std::size_t kMostBatchBytes = 256UL * 1024;
 
 } // namespace
 
-PeerLink::PeerLink(const PeerTransportSettings& aSettings,
+PeerLink::PeerLink(asio::io_context& aContext,
+                   const PeerTransportSettings& aSettings,
                    SocketAddress aAddress,
                    TransportCounts& aCounts)
-  : settings_(aSettings)
+  : context_(aContext)
+  , settings_(aSettings)
   , address_(std::move(aAddress))
   , counts_(aCounts)
-  , opened_(ReadMonotonicTime())
+  , resolver_(aContext)
+  , socket_(aContext)
+  , timer_(aContext)
+  , delay_(kLeastDialDelay)
 {
-  Open();
 }
 
-PeerLink::~PeerLink()
-{
-  {
-    const std::lock_guard lock(mutex_);
-    isClosing_ = true;
-    counts_.droppedMessages_ += queue_.size();
-    queue_.clear();
-  }
-  // nng 1.5.2 leaks the connection of a socket that is closed within
-  // milliseconds of its dial; 200 such sockets leaked 117 KB. Links that young
-  // are rare, so the wait is.
-  std::this_thread::sleep_for(opened_ + kLeastLife - ReadMonotonicTime());
-  if (nng_dialer_id(dialer_) > 0) {
-    nng_dialer_close(dialer_);
-  }
-  socket_.Close();
-  operation_.Stop();
-}
+PeerLink::~PeerLink() = default;
 
 void
 PeerLink::Open()
 {
-  if (operation_.Allocate(&PeerLink::OnSent, this) != 0 ||
-      socket_.Open(nng_push0_open) != 0) {
-    WriteLog(LogLevel::Error,
-             "peer socket not opened",
-             { { "address", address_.Format() } });
-    isClosing_ = true;
-    return;
-  }
-  nng_socket_set_ms(socket_.Get(), NNG_OPT_RECONNMINT, kLeastReconnectMs);
-  nng_socket_set_ms(socket_.Get(), NNG_OPT_RECONNMAXT, kMostReconnectMs);
-  const std::string url = "tcp://" + address_.Format();
-  const int status =
-    nng_dial(socket_.Get(), url.c_str(), &dialer_, NNG_FLAG_NONBLOCK);
-  if (status != 0) {
-    WriteLog(
-      LogLevel::Error,
-      "peer address not dialled",
-      { { "address", address_.Format() }, { "error", nng_strerror(status) } });
-    isClosing_ = true;
-  }
+  asio::post(context_, [self = shared_from_this()] { self->StartDial(); });
 }
 
 void
-PeerLink::Send(NngMessage aMessage)
+PeerLink::Send(std::string aMessage)
 {
-  NngMessage next;
   {
     const std::lock_guard lock(mutex_);
-    if (isClosing_ || !aMessage) {
+    if (isClosing_) {
       ++counts_.droppedMessages_;
       return;
     }
-    queuedBytes_ += aMessage.GetBytes().size();
+    queuedBytes_ += aMessage.size();
     queue_.push_back({ std::move(aMessage), ReadMonotonicTime() });
     while (queue_.size() > 1 && (queue_.size() > settings_.queueMessages_ ||
                                  queuedBytes_ > settings_.queueBytes_)) {
       DropOldest();
     }
-    if (isSending_) {
+    if (isFlushPosted_) {
       return;
     }
-    next = TakeNext();
+    isFlushPosted_ = true;
   }
-  StartSend(std::move(next));
+  asio::post(context_, [self = shared_from_this()] { self->Flush(); });
 }
 
 void
-PeerLink::DropOldest()
+PeerLink::Close()
 {
-  queuedBytes_ -= queue_.front().message_.GetBytes().size();
-  queue_.pop_front();
-  ++counts_.droppedMessages_;
+  {
+    const std::lock_guard lock(mutex_);
+    isClosing_ = true;
+    counts_.droppedMessages_ += queue_.size();
+    queue_.clear();
+    queuedBytes_ = 0;
+  }
+  asio::post(context_, [self = shared_from_this()] { self->CloseSocket(); });
 }
 
-NngMessage
-PeerLink::TakeNext()
+void
+PeerLink::StartDial()
 {
-  const Time oldest = ReadMonotonicTime() - settings_.longestWait_;
-  while (!queue_.empty() && queue_.front().since_ < oldest) {
-    DropOldest();
+  {
+    const std::lock_guard lock(mutex_);
+    if (isClosing_) {
+      return;
+    }
   }
-  isSending_ = !queue_.empty() && !isClosing_;
-  if (!isSending_) {
-    return NngMessage();
+  StartConnectTimer();
+  SystemError error;
+  const auto host = asio::ip::make_address(address_.host_, error);
+  if (error) {
+    StartResolve();
+    return;
   }
-  NngMessage message = std::move(queue_.front().message_);
-  queue_.pop_front();
-  queuedBytes_ -= message.GetBytes().size();
-  return message;
+  StartConnect({ host, address_.port_ });
 }
 
 void
-PeerLink::StartSend(NngMessage aMessage)
+PeerLink::StartConnectTimer()
 {
-  if (!aMessage) {
-    return;
-  }
-  counts_.sentBytes_ += aMessage.GetBytes().size();
-  ++counts_.sentMessages_;
-  nng_aio_set_msg(operation_.Get(), aMessage.Release());
-  // Runs without the lock, since nng may call back at once.
-  nng_send_aio(socket_.Get(), operation_.Get());
+  timer_.expires_after(kConnectTimeout);
+  timer_.async_wait(
+    [self = shared_from_this(), attempt = attempt_](const SystemError& aError) {
+      if (!aError && attempt == self->attempt_ && !self->isConnected_) {
+        self->ScheduleDial();
+      }
+    });
 }
 
 void
-PeerLink::OnSent(void* aLink)
+PeerLink::StartResolve()
 {
-  static_cast<PeerLink*>(aLink)->FinishSend();
+  resolver_.async_resolve(
+    address_.host_,
+    std::to_string(address_.port_),
+    [self = shared_from_this(), attempt = attempt_](
+      const SystemError& aError, const tcp::resolver::results_type& aResults) {
+      if (attempt != self->attempt_) {
+        return;
+      }
+      if (aError || aResults.empty()) {
+        self->ScheduleDial();
+        return;
+      }
+      self->StartConnect(aResults.begin()->endpoint());
+    });
 }
 
 void
-PeerLink::FinishSend()
-{
-  if (nng_aio_result(operation_.Get()) != 0) {
-    // The message stays with the operation after a failure.
-    const NngMessage failed(nng_aio_get_msg(operation_.Get()));
-    nng_aio_set_msg(operation_.Get(), nullptr);
-    ++counts_.droppedMessages_;
-    --counts_.sentMessages_;
-    counts_.sentBytes_ -= failed ? failed.GetBytes().size() : 0;
+PeerLink::StartConnect(const tcp::endpoint& aEndpoint)
+{
+  socket_.async_connect(
+    aEndpoint,
+    [self = shared_from_this(), attempt = attempt_](const SystemError& aError) {
+      if (attempt != self->attempt_) {
+        return;
+      }
+      if (aError || self->IsConnectedToItself()) {
+        self->ScheduleDial();
+        return;
+      }
+      self->FinishConnect();
+    });
+}
+
+bool
+PeerLink::IsConnectedToItself() const
+{
+  // On loopback, the kernel can choose the port of an absent peer for the
+  // dialling side, and the socket is then connected to itself.
+  SystemError error;
+  const tcp::endpoint local = socket_.local_endpoint(error);
+  return !error && local == socket_.remote_endpoint(error);
+}
+
+void
+PeerLink::FinishConnect()
+{
+  timer_.cancel();
+  isConnected_ = true;
+  delay_ = kLeastDialDelay;
+  SetSocketOptions();
+  WatchForEnd();
+  Flush();
+}
+
+void
+PeerLink::SetSocketOptions()
+{
+  // A socket that has failed already is noticed by the next read or write.
+  SystemError ignored;
+  socket_.set_option(tcp::no_delay(true), ignored);
+  SetTcpOption(socket_, TCP_USER_TIMEOUT, kUnacknowledgedMs);
+}
+
+void
+PeerLink::WatchForEnd()
+{
+  socket_.async_read_some(asio::buffer(&unexpected_, 1),
+                          [self = shared_from_this(), attempt = attempt_](
+                            const SystemError&, std::size_t) {
+                            if (attempt == self->attempt_) {
+                              self->ScheduleDial();
+                            }
+                          });
+}
+
+void
+PeerLink::ScheduleDial()
+{
+  CloseSocket();
+  timer_.expires_after(delay_);
+  delay_ = std::min(2 * delay_, kMostDialDelay);
+  timer_.async_wait(
+    [self = shared_from_this(), attempt = attempt_](const SystemError& aError) {
+      if (!aError && attempt == self->attempt_) {
+        self->StartDial();
+      }
+    });
+}
+
+void
+PeerLink::CloseSocket()
+{
+  ++attempt_;
+  isConnected_ = false;
+  if (isWriting_) {
+    counts_.droppedMessages_ += batch_.messages_;
   }
-  NngMessage next;
+  isWriting_ = false;
+  SystemError ignored;
+  socket_.close(ignored);
+  timer_.cancel();
+  resolver_.cancel();
+}
+
+void
+PeerLink::Flush()
+{
   {
     const std::lock_guard lock(mutex_);
-    next = TakeNext();
+    isFlushPosted_ = false;
+    if (!isConnected_ || isWriting_) {
+      return;
+    }
+    batch_ = TakeBatch();
+  }
+  if (batch_.messages_ == 0) {
+    return;
+  }
+  isWriting_ = true;
+  asio::async_write(socket_,
+                    asio::buffer(batch_.bytes_),
+                    [self = shared_from_this(), attempt = attempt_](
+                      const SystemError& aError, std::size_t) {
+                      if (attempt != self->attempt_) {
+                        return;
+                      }
+                      if (aError) {
+                        self->ScheduleDial();
+                        return;
+                      }
+                      self->FinishWrite();
+                    });
+}
+
+void
+PeerLink::FinishWrite()
+{
+  isWriting_ = false;
+  counts_.sentMessages_ += batch_.messages_;
+  counts_.sentBytes_ +=
+    batch_.bytes_.size() - batch_.messages_ * kPeerFrameHeaderBytes;
+  Flush();
+}
+
+void
+PeerLink::DropOldest()
+{
+  queuedBytes_ -= queue_.front().message_.size();
+  queue_.pop_front();
+  ++counts_.droppedMessages_;
+}
+
+PeerLink::Batch
+PeerLink::TakeBatch()
+{
+  Batch batch;
+  const Time oldest = ReadMonotonicTime() - settings_.longestWait_;
+  while (!queue_.empty() && queue_.front().since_ < oldest) {
+    DropOldest();
+  }
+  while (!queue_.empty() && batch.bytes_.size() < kMostBatchBytes) {
+    const std::string& message = queue_.front().message_;
+    AppendPeerFrame(message, batch.bytes_);
+    ++batch.messages_;
+    queuedBytes_ -= message.size();
+    queue_.pop_front();
   }
-  StartSend(std::move(next));
+  return batch;
 }
 
 } // namespace azurecross
--- a/modules/azurecross_cluster/transport/PeerLink.h
+++ b/modules/azurecross_cluster/transport/PeerLink.h
@@ -1,36 +1,30 @@
 #pragma once
 
-#include "NngHandles.h"
 #include "PeerTransport.h"
+#include "TransportCounts.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
-#include <atomic>
 #include <deque>
 #include <mutex>
+#include <string>
 
 namespace azurecross {
 
-/** Counters that the links and the listener of a transport share. */
-struct TransportCounts
-{
-  std::atomic<std::uint64_t> sentMessages_{ 0 };
-  std::atomic<std::uint64_t> sentBytes_{ 0 };
-  std::atomic<std::uint64_t> receivedMessages_{ 0 };
-  std::atomic<std::uint64_t> receivedBytes_{ 0 };
-  std::atomic<std::uint64_t> droppedMessages_{ 0 };
-  std::atomic<std::uint64_t> malformedMessages_{ 0 };
-  std::atomic<std::uint64_t> rejectedMessages_{ 0 };
-  std::atomic<std::uint64_t> blockedMessages_{ 0 };
-};
-
 /**
- * The sending side of one peer: a push socket with one dialer and a bounded
- * queue. One message at a time is with nng, so that this queue, not nng's,
- * decides what is dropped.
+ * The sending side of one peer: a connection that is dialled again whenever it
+ * is lost, and a bounded queue.
+ *
+ * `Send` and `Close` can be called from any thread; everything else runs on the
+ * thread of the context.
  */
-class PeerLink
+class PeerLink : public std::enable_shared_from_this<PeerLink>
 {
 public:
-  PeerLink(const PeerTransportSettings& aSettings,
+  PeerLink(boost::asio::io_context& aContext,
+           const PeerTransportSettings& aSettings,
            SocketAddress aAddress,
            TransportCounts& aCounts);
   ~PeerLink();
@@ -39,36 +33,68 @@
 
   const SocketAddress& GetAddress() const { return address_; }
 
+  /** Starts to dial. */
+  void Open();
+
   /** Queues one encoded message. */
-  void Send(NngMessage aMessage);
+  void Send(std::string aMessage);
+
+  /** Drops what is queued and ends the connection. */
+  void Close();
 
 private:
   struct Waiting
   {
-    NngMessage message_;
+    std::string message_;
     Time since_;
   };
 
-  static void OnSent(void* aLink);
+  /** Frames that are written in one call. */
+  struct Batch
+  {
+    std::string bytes_;
+    std::uint64_t messages_ = 0;
+  };
 
-  void Open();
-  void FinishSend();
+  void StartDial();
+  void StartResolve();
+  void StartConnect(const boost::asio::ip::tcp::endpoint& aEndpoint);
+  void StartConnectTimer();
+  void FinishConnect();
+  bool IsConnectedToItself() const;
+  void SetSocketOptions();
+  /** Notices a peer that closes the connection; peers never send on it. */
+  void WatchForEnd();
+  void ScheduleDial();
+  void CloseSocket();
+
+  void Flush();
+  void FinishWrite();
   void DropOldest();
-  /** Takes the next message for nng, or nothing. Needs the lock. */
-  NngMessage TakeNext();
-  void StartSend(NngMessage aMessage);
+  Batch TakeBatch();
 
+  boost::asio::io_context& context_;
   const PeerTransportSettings settings_;
   const SocketAddress address_;
   TransportCounts& counts_;
-  const Time opened_;
-  nng_dialer dialer_ = NNG_DIALER_INITIALIZER;
-  NngSocket socket_;
-  NngOperation operation_;
+
+  /** Used on the thread of the context only. */
+  boost::asio::ip::tcp::resolver resolver_;
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  /** Tells handlers of an earlier connection that they are out of date. */
+  std::uint64_t attempt_ = 0;
+  Duration delay_;
+  Batch batch_;
+  char unexpected_ = 0;
+  bool isConnected_ = false;
+  bool isWriting_ = false;
+
   std::mutex mutex_;
+  /** Guarded by the mutex. */
   std::deque<Waiting> queue_;
   std::size_t queuedBytes_ = 0;
-  bool isSending_ = false;
+  bool isFlushPosted_ = false;
   bool isClosing_ = false;
 };
 
--- a/modules/azurecross_cluster/transport/PeerTransport.cpp
+++ b/modules/azurecross_cluster/transport/PeerTransport.cpp
@@ -1,16 +1,29 @@
 #include "PeerTransport.h"
 
 #include "../messages/EnvelopeFilter.h"
-#include "NngHandles.h"
+#include "PeerConnection.h"
 #include "PeerLink.h"
 
-#include <nng/protocol/pipeline0/pull.h>
+#include <boost/asio/post.hpp>
 
 #include <map>
 #include <mutex>
+#include <thread>
 
 namespace azurecross {
 
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using SystemError = boost::system::error_code;
+
+// Without the pause, a process at its limit of descriptors accepts in a busy
+// loop.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
+
+} // namespace
+
 /** The listener, the links and their bookkeeping. */
 class PeerTransport::Implementation
 {
@@ -22,59 +35,63 @@
     : settings_(aSettings)
     , stamper_(std::move(aSelf), aIncarnation)
     , receiver_(std::move(aReceiver))
+    , context_(1)
+    , acceptor_(context_)
+    , acceptTimer_(context_)
   {
   }
 
   ~Implementation()
   {
-    socket_.Close();
-    operation_.Stop();
+    // Handlers run in order, so what was sent before is written first as far as
+    // the kernel takes it.
+    asio::post(context_, [this] { context_.stop(); });
   }
 
   Implementation(const Implementation&) = delete;
   Implementation& operator=(const Implementation&) = delete;
 
-  /** @returns an nng error, or 0. */
-  int Listen()
+  /** Listens and starts the thread. */
+  SystemError Listen()
   {
-    int status = operation_.Allocate(&Implementation::OnReceived, this);
-    if (status == 0) {
-      status = socket_.Open(nng_pull0_open);
+    SystemError error;
+    const tcp::endpoint endpoint = ResolveListenAddress(error);
+    if (!error) {
+      acceptor_.open(endpoint.protocol(), error);
     }
-    if (status != 0) {
-      return status;
+    if (!error) {
+      acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
     }
-    nng_socket_set_size(socket_.Get(), NNG_OPT_RECVMAXSZ, kLongestPeerMessage);
-    const std::string url = "tcp://" + settings_.listenAddress_.Format();
-    nng_listener listener = NNG_LISTENER_INITIALIZER;
-    status = nng_listen(socket_.Get(), url.c_str(), &listener, 0);
-    if (status != 0) {
-      return status;
+    if (!error) {
+      acceptor_.bind(endpoint, error);
+    }
+    if (!error) {
+      acceptor_.listen(tcp::acceptor::max_listen_connections, error);
+    }
+    if (error) {
+      return error;
     }
-    int port = 0;
-    status = nng_listener_get_int(listener, NNG_OPT_TCP_BOUND_PORT, &port);
     listenAddress_ = { settings_.listenAddress_.host_,
-                       static_cast<std::uint16_t>(port) };
-    nng_recv_aio(socket_.Get(), operation_.Get());
-    return status;
+                       acceptor_.local_endpoint(error).port() };
+    Accept();
+    thread_ = std::jthread([this] { context_.run(); });
+    return error;
   }
 
   void AddPeer(const EntryId& aPeer, const SocketAddress& aAddress)
   {
-    std::shared_ptr<PeerLink> replaced;
     const std::lock_guard lock(mutex_);
-    EnsureLink(aPeer, aAddress, false, replaced);
+    EnsureLink(aPeer, aAddress, false);
   }
 
   void RemovePeer(const EntryId& aPeer)
   {
-    std::shared_ptr<PeerLink> removed;
     const std::lock_guard lock(mutex_);
     const auto found = links_.find(aPeer);
     if (found == links_.end()) {
       return;
     }
-    removed = std::move(found->second);
+    found->second->Close();
     links_.erase(found);
   }
 
@@ -91,10 +108,9 @@
 
   void Send(OutgoingMessage aMessage)
   {
-    std::shared_ptr<PeerLink> replaced;
     const std::lock_guard lock(mutex_);
-    PeerLink& link = EnsureLink(
-      aMessage.receiver_, aMessage.address_, aMessage.redial_, replaced);
+    PeerLink& link =
+      EnsureLink(aMessage.receiver_, aMessage.address_, aMessage.redial_);
     SendOnLink(aMessage.receiver_, link, aMessage.message_);
   }
 
@@ -128,25 +144,68 @@
   LinkFilter& GetLinkFilter() { return filter_; }
 
 private:
-  static void OnReceived(void* aImplementation)
+  tcp::endpoint ResolveListenAddress(SystemError& aError)
   {
-    static_cast<Implementation*>(aImplementation)->FinishReceive();
+    const SocketAddress& address = settings_.listenAddress_;
+    tcp::resolver resolver(context_);
+    const auto results =
+      resolver.resolve(address.host_,
+                       std::to_string(address.port_),
+                       tcp::resolver::passive | tcp::resolver::numeric_service,
+                       aError);
+    return aError || results.empty() ? tcp::endpoint()
+                                     : results.begin()->endpoint();
   }
 
-  /**
-   * Needs the lock. A link that was replaced is handed out, so that the caller
-   * destroys it after unlocking.
-   */
+  void Accept()
+  {
+    acceptor_.async_accept(
+      [this](const SystemError& aError, tcp::socket aSocket) {
+        if (aError == asio::error::operation_aborted) {
+          return;
+        }
+        if (aError) {
+          AcceptAfterPause();
+          return;
+        }
+        StartConnection(std::move(aSocket));
+        Accept();
+      });
+  }
+
+  void AcceptAfterPause()
+  {
+    acceptTimer_.expires_after(kAcceptPause);
+    acceptTimer_.async_wait([this](const SystemError& aError) {
+      if (!aError) {
+        Accept();
+      }
+    });
+  }
+
+  void StartConnection(tcp::socket aSocket)
+  {
+    std::make_shared<PeerConnection>(
+      std::move(aSocket),
+      [this](std::string_view aBytes) { Deliver(aBytes); },
+      [this] { ++counts_.malformedMessages_; })
+      ->Start();
+  }
+
+  /** Needs the lock. */
   PeerLink& EnsureLink(const EntryId& aPeer,
                        const SocketAddress& aAddress,
-                       bool aRedial,
-                       std::shared_ptr<PeerLink>& aReplaced)
+                       bool aRedial)
   {
     std::shared_ptr<PeerLink>& link = links_[aPeer];
-    if (link == nullptr || aRedial || link->GetAddress() != aAddress) {
-      aReplaced = std::move(link);
-      link = std::make_shared<PeerLink>(settings_, aAddress, counts_);
+    if (link != nullptr && !aRedial && link->GetAddress() == aAddress) {
+      return *link;
+    }
+    if (link != nullptr) {
+      link->Close();
     }
+    link = std::make_shared<PeerLink>(context_, settings_, aAddress, counts_);
+    link->Open();
     return *link;
   }
 
@@ -160,23 +219,7 @@
       return;
     }
     stamper_.Stamp(aLink.GetAddress(), aMessage);
-    aLink.Send(NngMessage::Copy(EncodePeerMessage(aMessage)));
-  }
-
-  void FinishReceive()
-  {
-    const int status = nng_aio_result(operation_.Get());
-    if (status == NNG_ECLOSED || status == NNG_ECANCELED) {
-      return;
-    }
-    if (status != 0) {
-      nng_recv_aio(socket_.Get(), operation_.Get());
-      return;
-    }
-    const NngMessage message(nng_aio_get_msg(operation_.Get()));
-    nng_aio_set_msg(operation_.Get(), nullptr);
-    Deliver(message.GetBytes());
-    nng_recv_aio(socket_.Get(), operation_.Get());
+    aLink.Send(EncodePeerMessage(aMessage));
   }
 
   void Deliver(std::string_view aBytes)
@@ -204,13 +247,16 @@
   mutable std::mutex mutex_;
   EnvelopeStamper stamper_;
   TransportCounts counts_;
-  std::map<EntryId, std::shared_ptr<PeerLink>> links_;
   LinkFilter filter_;
-  /** Used by the receive callback only. */
+  /** Used on the transport thread only. */
   EnvelopeFilter envelopes_;
   Receiver receiver_;
-  NngSocket socket_;
-  NngOperation operation_;
+  asio::io_context context_;
+  tcp::acceptor acceptor_;
+  asio::steady_timer acceptTimer_;
+  std::map<EntryId, std::shared_ptr<PeerLink>> links_;
+  /** Last, so that it has ended before anything that it uses is destroyed. */
+  std::jthread thread_;
 };
 
 Result<std::unique_ptr<PeerTransport>>
@@ -221,13 +267,13 @@
 {
   auto implementation = std::make_unique<Implementation>(
     aSettings, std::move(aSelf), aIncarnation, std::move(aReceiver));
-  const int status = implementation->Listen();
-  if (status != 0) {
+  const SystemError error = implementation->Listen();
+  if (error) {
     return MakeFailure(ErrorCode::Internal,
                        Verdict::NotRun,
                        "can't listen for peers on " +
                          aSettings.listenAddress_.Format() + ": " +
-                         nng_strerror(status));
+                         error.message());
   }
   return std::unique_ptr<PeerTransport>(
     new PeerTransport(std::move(implementation)));
--- a/modules/azurecross_cluster/transport/PeerTransport.h
+++ b/modules/azurecross_cluster/transport/PeerTransport.h
@@ -39,6 +39,7 @@
   std::uint64_t receivedBytes_ = 0;
   /** Dropped from a full queue, or too old, or without a known peer. */
   std::uint64_t droppedMessages_ = 0;
+  /** Not a message, or longer than one can be. */
   std::uint64_t malformedMessages_ = 0;
   /** Stale incarnations and duplicates. */
   std::uint64_t rejectedMessages_ = 0;
@@ -47,19 +48,20 @@
 };
 
 /**
- * Moves peer messages over nng push/pull sockets on TCP: one listener, and one
- * dialer for each peer.
+ * Moves peer messages over TCP: one listener, and one dialled connection for
+ * each peer. Each message follows its length, 4 bytes with the most significant
+ * one first.
  *
- * All functions can be called from any thread, but `RemovePeer` and the
- * destructor not from the callback. Sends never block; a full queue drops its
- * oldest message. Messages can be lost, and after a reconnection reordered.
+ * All functions can be called from any thread, but the destructor not from the
+ * callback. Sends never block; a full queue drops its oldest message. Messages
+ * can be lost, and after a reconnection reordered.
  */
 class PeerTransport
 {
 public:
   /**
-   * Called for each accepted message, on a transport thread and for one message
-   * at a time; posts the message to the executor that handles it.
+   * Called for each accepted message, on the transport thread and for one
+   * message at a time; posts the message to the executor that handles it.
    */
   using Receiver = std::function<void(wire::PeerMessage)>;
 
