--- a/bench/control/MeasuredEntry.cpp
+++ b/bench/control/MeasuredEntry.cpp
@@ -103,7 +103,7 @@
 {
   if (scenario_.countsKinds_) {
     bytesByKind_.at(aMessage.body_case()) +=
-      aMessage.ByteSizeLong() + kFrameBytes;
+      aMessage.ByteSizeLong() + kPeerFrameHeaderBytes;
   }
 }
 
