Protect small customers from a flood and admit a little less

Change: customers with at most four queued requests go first within a burst of 8,192 charged tokens; while they are served, customers with longer queues only get engines with at most 256 pending prompt tokens; the mean gap allowed for urgent work is 0.78 of the target instead of 0.8.

--- a/modules/azurecross_policy/admission/BackendServerModel.cpp
+++ b/modules/azurecross_policy/admission/BackendServerModel.cpp
@@ -9,7 +9,7 @@
 /** The mean gap is held to these fractions of the target, because prefill of
  * other prompts makes single gaps longer than the mean. Lesser work stops
  * earlier, so that urgent work finds a free slot at once. */
-constexpr double kUrgentGapFraction = 0.8;
+constexpr double kUrgentGapFraction = 0.78;
 constexpr double kLesserGapFraction = 0.7;
 /** Share of `maxConcurrent` open to lesser work where no gap is known. */
 constexpr double kLesserSlotFraction = 0.9;
--- a/modules/azurecross_policy/arbitration/Arbiter.cpp
+++ b/modules/azurecross_policy/arbitration/Arbiter.cpp
@@ -55,8 +55,7 @@
     for (const ModelName& model : models) {
       auto& lane = lanes_[model];
       if (!lane) {
-        lane = std::make_unique<Lane>();
-        lane->model_ = model;
+        lane = std::make_unique<Lane>(model);
       }
       lane->servers_.push_back(index);
     }
--- a/modules/azurecross_policy/arbitration/Arbiter.h
+++ b/modules/azurecross_policy/arbitration/Arbiter.h
@@ -148,7 +148,7 @@
   std::optional<Placement> Place(const Lane& aLane,
                                  const GrantRequest& aRequest,
                                  const MemoryForecast& aForecast,
-                                 Rank aLimitRank);
+                                 const PlacementBounds& aBounds);
   std::uint32_t FindMatch(std::uint32_t aServer) const;
   void AddGrant(GrantId aGrant, Granted aGranted, Time aNow);
   std::vector<std::string> ExplainQueued(const Queued& aQueued) const;
--- a/modules/azurecross_policy/arbitration/ArbiterDispatch.cpp
+++ b/modules/azurecross_policy/arbitration/ArbiterDispatch.cpp
@@ -15,9 +15,12 @@
 constexpr double kSharedPart = 0.9;
 /** Puts a suspect backend server behind all others. */
 constexpr double kSuspectPenalty = 10.0;
-/** A customer with more queued requests than this asks for more than it gets;
- * a burst of a small customer stays below. */
-constexpr std::size_t kLongOwnQueue = 4;
+/** While light customers are served, requests of customers with long queues
+ * go only to engines with at most half a step of prefill pending: a prompt
+ * behind a full step of others gets its first token a step later. */
+constexpr std::int64_t kMostYieldingPrompt = 256;
+/** How long that lasts after a light customer's grant. */
+constexpr Duration kYieldTime = std::chrono::seconds(1);
 /** A refused caller is told to wait at least this long. */
 constexpr double kShortestRetryAfter = 1.0;
 constexpr double kLongestRetryAfter = 60.0;
@@ -229,7 +232,8 @@
     return Rank::Urgent;
   }
   const CustomerId& customer = queued_.at(*number).request_.customer_;
-  return aLane.queues_[urgent].CountItemsOf(customer) > kLongOwnQueue
+  return aLane.queues_[urgent].CountItemsOf(customer) >
+             FairQueue::kMostLightItems
            ? Rank::Lesser
            : Rank::Urgent;
 }
@@ -294,7 +298,13 @@
   const MemoryForecast forecast = Forecast(request, queued.lengthClass_, 0);
   matches_.clear();
   prefixes_.FindLongest(request.prefixHashes_, aNow, matches_);
-  const auto placement = Place(*queued.lane_, request, forecast, aLimitRank);
+  const bool isHeavy =
+    request.rank_ == Rank::Urgent && aLimitRank == Rank::Lesser;
+  PlacementBounds bounds{ aLimitRank };
+  if (isHeavy && aNow < queued.lane_->yieldUntil_) {
+    bounds.pendingPrompt_ = kMostYieldingPrompt;
+  }
+  const auto placement = Place(*queued.lane_, request, forecast, bounds);
   if (!placement) {
     return false;
   }
@@ -314,6 +324,9 @@
                  request.entry_,
                  grant,
                  servers_[placement->server_].model_.GetDescription().id_ });
+  if (request.rank_ == Rank::Urgent && !isHeavy) {
+    granted.lane_->yieldUntil_ = aNow + kYieldTime;
+  }
   granted.lane_->queues_[static_cast<std::size_t>(request.rank_)].PopNext();
   RemoveQueued(aNumber);
   prefixes_.AddPrompt(placement->server_, granted.request_.prefixHashes_, aNow);
@@ -336,7 +349,7 @@
 Arbiter::Place(const Lane& aLane,
                const GrantRequest& aRequest,
                const MemoryForecast& aForecast,
-               Rank aLimitRank)
+               const PlacementBounds& aBounds)
 {
   std::optional<Placement> best;
   const double savedPerBlock =
@@ -351,10 +364,13 @@
     const std::uint32_t index =
       aLane.servers_[choices == 0 ? step
                                   : random_.DrawBelow(aLane.servers_.size())];
-    if (!slots_[index].HasRoom(aLimitRank)) {
+    if (!slots_[index].HasRoom(aBounds.limitRank_)) {
       continue;
     }
     const BackendServerModel& model = servers_[index].model_;
+    if (model.GetPendingPrompt() > aBounds.pendingPrompt_) {
+      continue;
+    }
     // A held prefix counts as the prefill that it saves, so a backend server
     // that is busier than that saving is not preferred.
     const std::uint32_t blocks = matches_.empty() ? 0 : FindMatch(index);
@@ -364,18 +380,19 @@
       savedPerBlock * blocks +
       (health_.IsSuspect(index) ? kSuspectPenalty : 0.0);
     if ((best && score >= best->score_) ||
-        !model.HasMemoryFor(aForecast, aLimitRank) ||
+        !model.HasMemoryFor(aForecast, aBounds.limitRank_) ||
         (!aRequest.excluded_.empty() &&
          IsExcluded(aRequest, model.GetDescription().id_))) {
       continue;
     }
-    best =
-      Placement{ index,
-                 score,
-                 slots_[index].running_,
-                 slots_[index].limits_[static_cast<std::size_t>(aLimitRank)],
-                 model.ComputeMemoryShare(),
-                 blocks };
+    best = Placement{
+      index,
+      score,
+      slots_[index].running_,
+      slots_[index].limits_[static_cast<std::size_t>(aBounds.limitRank_)],
+      model.ComputeMemoryShare(),
+      blocks
+    };
   }
   return best;
 }
--- a/modules/azurecross_policy/arbitration/ArbiterState.h
+++ b/modules/azurecross_policy/arbitration/ArbiterState.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cstdint>
+#include <limits>
 
 namespace azurecross {
 
@@ -51,6 +52,15 @@
   double predictedWait_ = 0.0;
 };
 
+/** What a backend server must have left to be considered for a request. */
+struct PlacementBounds
+{
+  /** Whose limits of slots and memory apply. */
+  Rank limitRank_ = Rank::Urgent;
+  /** Prompt tokens that may wait for prefill. */
+  std::int64_t pendingPrompt_ = std::numeric_limits<std::int64_t>::max();
+};
+
 /** Where a request was placed, and what decided it. */
 struct Placement
 {
--- a/modules/azurecross_policy/arbitration/Lane.h
+++ b/modules/azurecross_policy/arbitration/Lane.h
@@ -15,6 +15,19 @@
  * model. Plain services have one lane, for the empty model name. */
 struct Lane
 {
+  explicit Lane(const ModelName& aModel)
+    : model_(aModel)
+  {
+    queues_.fill(
+      FairQueue(aModel.GetValue().empty() ? kBurstCalls : kBurstTokens));
+  }
+
+  /** Charge by which a customer with few queued requests may run ahead: some
+   * seconds of a fair share on a dozen engines, or calls of a service. */
+  static constexpr double kBurstTokens = 8192.0;
+  static constexpr double kBurstCalls = 16.0;
+  static constexpr Duration kUrgentMemory = std::chrono::minutes(2);
+
   ModelName model_;
   /** Indexes of the backend servers that hold the model. */
   std::vector<std::uint32_t> servers_;
@@ -30,8 +43,8 @@
    * free, because a long lesser generation can't be taken back. */
   DecayingPeak urgentSlots_{ kUrgentMemory };
   DecayingPeak urgentTokens_{ kUrgentMemory };
-
-  static constexpr Duration kUrgentMemory = std::chrono::minutes(2);
+  /** Until then, customers with long queues leave prefill time to others. */
+  Time yieldUntil_{};
 };
 
 } // namespace azurecross
--- a/modules/azurecross_policy/fairness/FairQueue.cpp
+++ b/modules/azurecross_policy/fairness/FairQueue.cpp
@@ -4,6 +4,21 @@
 
 namespace azurecross {
 
+namespace {
+
+bool
+IsLight(std::size_t aItems)
+{
+  return aItems > 0 && aItems <= FairQueue::kMostLightItems;
+}
+
+} // namespace
+
+FairQueue::FairQueue(double aBurst)
+  : burst_(aBurst)
+{
+}
+
 FairQueue::Entry&
 FairQueue::FindOrAdd(const CustomerId& aCustomer)
 {
@@ -33,6 +48,10 @@
   if (!customer.items_.empty()) {
     byLength_.insert({ customer.items_.size(), customer.number_, &aEntry });
   }
+  light_.erase({ customer.charge_, customer.number_, &aEntry });
+  if (IsLight(customer.items_.size())) {
+    light_.insert({ customer.charge_, customer.number_, &aEntry });
+  }
 }
 
 void
@@ -79,16 +98,25 @@
   if (backlogged_.empty()) {
     return std::nullopt;
   }
-  return *backlogged_.begin()->entry_->second.items_.begin();
+  return *FindNextCustomer().entry_->second.items_.begin();
+}
+
+const FairQueue::Ordered<double>&
+FairQueue::FindNextCustomer() const
+{
+  if (!light_.empty() && light_.begin()->key_ < virtualTime_ + burst_) {
+    return *light_.begin();
+  }
+  return *backlogged_.begin();
 }
 
 void
 FairQueue::PopNext()
 {
-  Entry& entry = *backlogged_.begin()->entry_;
-  const double charge = entry.second.charge_;
+  const double leastCharge = backlogged_.begin()->key_;
+  Entry& entry = *FindNextCustomer().entry_;
   Remove(entry.first, *entry.second.items_.begin());
-  AdvanceVirtualTime(charge);
+  AdvanceVirtualTime(leastCharge);
 }
 
 void
@@ -110,11 +138,15 @@
   Customer& customer = entry.second;
   auto& order = customer.items_.empty() ? idle_ : backlogged_;
   order.erase({ customer.charge_, customer.number_, &entry });
+  light_.erase({ customer.charge_, customer.number_, &entry });
   // A returned advance may not lower a charge below the virtual time, because
   // that would be saved credit.
   customer.charge_ = std::max(customer.charge_ + aCost,
                               std::min(customer.charge_, virtualTime_));
   order.insert({ customer.charge_, customer.number_, &entry });
+  if (IsLight(customer.items_.size())) {
+    light_.insert({ customer.charge_, customer.number_, &entry });
+  }
 }
 
 std::optional<FairQueue::Item>
--- a/modules/azurecross_policy/fairness/FairQueue.h
+++ b/modules/azurecross_policy/fairness/FairQueue.h
@@ -19,6 +19,11 @@
  * customer that returns after a pause starts at the present virtual time, so
  * it has no saved credit. All operations cost at most the logarithm of the
  * number of customers and items.
+ *
+ * A light customer, one with few items queued, goes before the others until its
+ * charge is a burst above the virtual time. Without this, one long generation
+ * makes the next requests of a small customer wait as if it had flooded. The
+ * burst is charged, so shares over a longer time stay equal.
  */
 class FairQueue
 {
@@ -26,6 +31,12 @@
   /** Items of one customer leave in rising order. */
   using Item = std::uint64_t;
 
+  /** A customer with more items than this is not light. */
+  static constexpr std::size_t kMostLightItems = 4;
+
+  /** Takes how far a light customer's charge may run ahead. */
+  explicit FairQueue(double aBurst = 0.0);
+
   void Push(const CustomerId& aCustomer, Item aItem);
 
   /** @returns whether the item was queued. */
@@ -82,8 +93,13 @@
   void SetIdle(Entry& aEntry);
   void AdvanceVirtualTime(double aTime);
 
+  const Ordered<double>& FindNextCustomer() const;
+
+  double burst_;
   Customers customers_;
   std::set<Ordered<double>> backlogged_;
+  /** The light ones of the backlogged customers. */
+  std::set<Ordered<double>> light_;
   std::set<Ordered<double>> idle_;
   std::set<Ordered<std::size_t>> byLength_;
   std::size_t itemCount_ = 0;
--- a/tests/policy_tests/ArbiterTests.cpp
+++ b/tests/policy_tests/ArbiterTests.cpp
@@ -79,6 +79,43 @@
   BOOST_TEST(next[0].request_ == RequestId("small"));
 }
 
+// Guards against first tokens of small customers that wait behind a step full
+// of a flooding customer's prompts, and against a flood that is held back when
+// nobody else asks.
+BOOST_AUTO_TEST_CASE(FloodLeavesPrefillTimeToOthers)
+{
+  const auto countFloodGrants = [](bool aHasSmallCustomer) {
+    ArbiterFixture fixture;
+    Arbiter& arbiter = fixture.arbiter_;
+    const auto enqueue = [&](const std::string& aEntry, int aCount) {
+      for (int number = 0; number < aCount; ++number) {
+        GrantRequest request = ArbiterFixture::MakeRequest(
+          aEntry + std::to_string(number), Rank::Urgent, "large");
+        request.entry_ = EntryId(aEntry);
+        request.promptTokens_ = 300;
+        arbiter.Enqueue(request, fixture.now_, fixture.actions_);
+      }
+    };
+    arbiter.SetBackendServers(
+      { ArbiterFixture::MakeEngine("s1") }, fixture.now_, fixture.actions_);
+    enqueue("full", 40);
+    enqueue("flood", 40);
+    fixture.Advance(std::chrono::seconds(2));
+    if (aHasSmallCustomer) {
+      arbiter.Enqueue(
+        ArbiterFixture::MakeRequest("small", Rank::Urgent, "small"),
+        fixture.now_,
+        fixture.actions_);
+    }
+    fixture.actions_.clear();
+    arbiter.ReleaseEntry(EntryId("full"), fixture.now_, fixture.actions_);
+    return fixture.Take<GrantAction>().size();
+  };
+  BOOST_TEST(countFloodGrants(false) > 10U);
+  // The small customer's request, and one prompt besides it.
+  BOOST_TEST(countFloodGrants(true) == 2U);
+}
+
 // Guards against an unbounded queue, and against a flood that takes the place
 // of another customer's request in a full queue.
 BOOST_AUTO_TEST_CASE(FullQueueRefusesLongestCustomer)
--- a/tests/policy_tests/FairQueueTests.cpp
+++ b/tests/policy_tests/FairQueueTests.cpp
@@ -62,6 +62,52 @@
   BOOST_TEST(fromIdle <= 11);
 }
 
+// Guards against a small customer whose next request waits behind a flood,
+// because one of its generations was long.
+BOOST_AUTO_TEST_CASE(LightCustomerGoesFirstWithinItsBurst)
+{
+  FairQueue queue(100.0);
+  const CustomerId flood("flood");
+  const CustomerId light("light");
+  for (FairQueue::Item item = 0; item < 50; ++item) {
+    queue.Push(flood, item);
+  }
+  queue.Charge(light, 99.0);
+  queue.Push(light, 50);
+  BOOST_TEST(*queue.FindNext() == 50U);
+  queue.PopNext();
+  BOOST_TEST(*queue.FindNext() == 0U);
+}
+
+// Guards against a burst that is never paid back, and so against a customer
+// that gets more than its share by keeping its queue short.
+BOOST_AUTO_TEST_CASE(LightCustomerGetsItsShareOnly)
+{
+  constexpr double kBurst = 100.0;
+  constexpr int kSteps = 1000;
+  FairQueue queue(kBurst);
+  const CustomerId flood("flood");
+  const CustomerId light("light");
+  FairQueue::Item item = 0;
+  for (; item < kSteps; ++item) {
+    queue.Push(flood, item);
+  }
+  queue.Push(light, item++);
+  double chargedToLight = 0.0;
+  for (int step = 0; step < kSteps; ++step) {
+    const bool isLight = *queue.FindNext() >= kSteps;
+    queue.PopNext();
+    queue.Charge(isLight ? light : flood, 10.0);
+    if (isLight) {
+      chargedToLight += 10.0;
+      queue.Push(light, item++);
+    }
+  }
+  const double equalShare = kSteps * 10.0 / 2.0;
+  BOOST_TEST(chargedToLight >= equalShare);
+  BOOST_TEST(chargedToLight <= equalShare + kBurst);
+}
+
 // Guards against memory that grows with every customer ever seen.
 BOOST_AUTO_TEST_CASE(IdleCustomersAreForgotten)
 {
@@ -82,7 +128,7 @@
 // Guards against items lost or delivered twice, in any order of calls.
 RC_BOOST_PROP(EveryItemLeavesOnce, (const std::vector<std::uint8_t>& aCalls))
 {
-  FairQueue queue;
+  FairQueue queue(20.0);
   std::map<FairQueue::Item, CustomerId> expected;
   FairQueue::Item next = 0;
   for (const std::uint8_t call : aCalls) {
