Name the file when the linter fails without a message

A crash of clang-tidy prints on standard error only, which the script dropped, so the file and the reason were lost. Change: on failure the script prints the file, the exit code and the last lines of standard error. Conclusion: no silent failure of the linter any more.

--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -25,9 +25,19 @@
       modules/azurecross_operations/* | modules/azurecross_orders/*) ;;
     *) checks=(--checks=-clang-analyzer-*) ;;
   esac
+  local errors status=0
+  errors=$(mktemp)
   clang-tidy -p build/lint --quiet "${checks[@]}" \
     --extra-arg=-Wno-unknown-warning-option \
-    --extra-arg=-Wno-ignored-optimization-argument "$1" 2> /dev/null
+    --extra-arg=-Wno-ignored-optimization-argument "$1" 2> "$errors" ||
+    status=$?
+  if [ "$status" -ne 0 ]; then
+    # A crash prints nothing on standard output.
+    echo "clang-tidy: $1: exit code $status"
+    tail -n 20 "$errors"
+  fi
+  rm "$errors"
+  return "$status"
 }
 export -f lint_one
 
