Charge whole answers for the tokens that they state

Cause: a run of the daemon with one whole (not streamed) answer of 50 tokens showed a busiest minute of 0.3: the gateway released its slot with 0 tokens. So such generations were nearly free in fairness, invisible to the length prediction, and not counted in the busiest minute.

Change: the gateway reads usage.completion_tokens of a whole answer. Arbiter takes the total at the release by ReportTotal, which charges it but learns neither gaps nor the time to the first token from it.

With ReportProgress in place of ReportTotal the new test fails: the time of whole answers is taken for that of first tokens, and a hurried request is refused.

Conclusion: whole and streamed generations cost a customer the same.

--- a/modules/azurecross_control/grants/GrantCoordinator.cpp
+++ b/modules/azurecross_control/grants/GrantCoordinator.cpp
@@ -332,14 +332,14 @@
   const auto share = fixedShares_.find(aGroup);
   if (share != fixedShares_.end()) {
     ArbiterActions decisions;
-    share->second.ReportProgress(aGrant, aTokens, aNow, decisions);
+    share->second.ReportTotal(aGrant, aTokens, aNow);
     share->second.Release(aGrant, aOutcome, aNow, decisions);
     Deliver(aGroup, decisions, aNow, aActions);
   }
   const auto own = homes_.find(aGroup);
   if (own != homes_.end()) {
     ArbiterActions decisions;
-    own->second.GetArbiter().ReportProgress(aGrant, aTokens, aNow, decisions);
+    own->second.GetArbiter().ReportTotal(aGrant, aTokens, aNow);
     own->second.Release(aGrant, aOutcome, aNow, decisions);
     DeliverHome(aGroup, own->second, decisions, aNow, aActions);
     return;
@@ -482,6 +482,34 @@
   return found->second.GetArbiter().Summarize();
 }
 
+std::optional<double>
+GrantCoordinator::FindPeak(const GroupId& aGroup) const
+{
+  const auto found = homes_.find(aGroup);
+  if (found == homes_.end()) {
+    return std::nullopt;
+  }
+  return found->second.GetArbiter().ExportPeak();
+}
+
+void
+GrantCoordinator::LoadPeak(const GroupId& aGroup, double aPeak)
+{
+  const auto found = homes_.find(aGroup);
+  if (found != homes_.end()) {
+    found->second.GetArbiter().LoadPeak(aPeak);
+  }
+}
+
+void
+GrantCoordinator::StartMonth(const GroupId& aGroup)
+{
+  const auto found = homes_.find(aGroup);
+  if (found != homes_.end()) {
+    found->second.GetArbiter().StartMonth();
+  }
+}
+
 void
 GrantCoordinator::SetSaturation(const GroupId& aGroup, double aSaturation)
 {
--- a/modules/azurecross_control/grants/GrantCoordinator.h
+++ b/modules/azurecross_control/grants/GrantCoordinator.h
@@ -94,6 +94,12 @@
   std::vector<GroupId> ListHomeGroups() const;
   /** @returns the summary of a group whose home is this entry. */
   std::optional<GroupSummary> FindSummary(const GroupId& aGroup) const;
+  /** @returns the busiest minute of a group whose home is this entry. */
+  std::optional<double> FindPeak(const GroupId& aGroup) const;
+  /** Takes the busiest minute of a group from the store. */
+  void LoadPeak(const GroupId& aGroup, double aPeak);
+  /** Forgets the busiest minute of a group: a new month is billed. */
+  void StartMonth(const GroupId& aGroup);
   /** Takes the saturation of a group with another home, for spill-over. */
   void SetSaturation(const GroupId& aGroup, double aSaturation);
   std::vector<std::string> Explain(const RequestId& aRequest) const;
--- a/modules/azurecross_control/grants/GrantCoordinatorMessages.cpp
+++ b/modules/azurecross_control/grants/GrantCoordinatorMessages.cpp
@@ -172,8 +172,8 @@
       continue;
     }
     ArbiterActions decisions;
-    home.GetArbiter().ReportProgress(
-      grant, static_cast<std::uint32_t>(aMessage.tokens()), aNow, decisions);
+    home.GetArbiter().ReportTotal(
+      grant, static_cast<std::uint32_t>(aMessage.tokens()), aNow);
     home.Release(grant, outcome, aNow, decisions);
     DeliverHome(group, home, decisions, aNow, aActions);
     return;
--- a/modules/azurecross_gateway/backend/EngineAdapter.cpp
+++ b/modules/azurecross_gateway/backend/EngineAdapter.cpp
@@ -1,6 +1,7 @@
 #include "EngineAdapter.h"
 
 #include <boost/beast/core/string.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 namespace azurecross {
@@ -80,6 +81,21 @@
                 {} };
 }
 
+std::uint64_t
+EngineAdapter::ReadUsedTokens(std::string_view aBody)
+{
+  boost::system::error_code error;
+  const boost::json::value answer = boost::json::parse(aBody, error);
+  const boost::json::value* tokens =
+    error ? nullptr : answer.find_pointer("/usage/completion_tokens", error);
+  if (tokens == nullptr) {
+    return 0;
+  }
+  const std::int64_t* count = tokens->if_int64();
+  return count == nullptr || *count < 0 ? 0
+                                        : static_cast<std::uint64_t>(*count);
+}
+
 bool
 EngineAdapter::IsEventStream(const BackendConnection::Head& aHead)
 {
--- a/modules/azurecross_gateway/backend/EngineAdapter.h
+++ b/modules/azurecross_gateway/backend/EngineAdapter.h
@@ -19,6 +19,12 @@
   static std::optional<Error> CheckHead(const RequestContext& aContext,
                                         const BackendConnection::Head& aHead);
 
+  /**
+   * @returns the output tokens that a whole answer states in its usage, or 0 if
+   * it states none.
+   */
+  static std::uint64_t ReadUsedTokens(std::string_view aBody);
+
   /** @returns whether the answer is an event stream. */
   static bool IsEventStream(const BackendConnection::Head& aHead);
 };
--- a/modules/azurecross_gateway/filters/ExchangeFilter.cpp
+++ b/modules/azurecross_gateway/filters/ExchangeFilter.cpp
@@ -179,6 +179,9 @@
     outcome.error_ = body.error();
     co_return outcome;
   }
+  if (context_.route_.kind_ == RequestKind::Generation) {
+    aSlot.SetTokens(EngineAdapter::ReadUsedTokens(*body));
+  }
   const BackendConnection::Head& head = aConnection.GetHead();
   const bool isRefusal = head.result() == http::status::service_unavailable;
   if (isRefusal && IsRepeatable() && !context_.callerHasLeft_) {
--- a/modules/azurecross_policy/arbitration/Arbiter.cpp
+++ b/modules/azurecross_policy/arbitration/Arbiter.cpp
@@ -7,6 +7,7 @@
 Arbiter::Arbiter(const ArbiterOptions& aOptions)
   : options_(aOptions)
   , random_(aOptions.seed_)
+  , pacer_(aOptions.minuteOffset_)
 {
   constexpr std::uint64_t kCounterBits = 32;
   nextGrant_ = (random_.DrawBits() << kCounterBits) + 1;
@@ -306,6 +307,12 @@
   return pacer_.GetPeak();
 }
 
+void
+Arbiter::StartMonth()
+{
+  pacer_.StartMonth();
+}
+
 void
 Arbiter::LoadPeak(double aTokensPerMinute)
 {
--- a/modules/azurecross_policy/arbitration/Arbiter.h
+++ b/modules/azurecross_policy/arbitration/Arbiter.h
@@ -68,6 +68,13 @@
                       ArbiterActions& aActions);
 
   /** Returns a slot. */
+  /**
+   * Takes the tokens of a generation that has ended. Unlike progress, it says
+   * nothing about when the first token came or how long the gaps were: a whole
+   * answer arrives at once.
+   */
+  void ReportTotal(GrantId aGrant, std::uint32_t aTokens, Time aNow);
+
   void Release(GrantId aGrant,
                GrantOutcome aOutcome,
                Time aNow,
@@ -102,6 +109,8 @@
   double ExportPeak() const;
   /** Takes the busiest minute from the store; a lower value is ignored. */
   void LoadPeak(double aTokensPerMinute);
+  /** @see Pacer::StartMonth */
+  void StartMonth();
 
 private:
   using Server = ArbiterServer;
@@ -153,6 +162,7 @@
   void AddGrant(GrantId aGrant, Granted aGranted, Time aNow);
   std::vector<std::string> ExplainQueued(const Queued& aQueued) const;
   std::vector<std::string> ExplainGranted(const Granted& aGranted) const;
+  void RecordTokens(Granted& aGranted, std::uint32_t aTokens, Time aNow);
   void ReleaseGrant(GrantId aGrant, GrantOutcome aOutcome, Time aNow);
   void UpdatePacing(Time aNow);
   std::uint32_t CountLesserRunning() const;
--- a/modules/azurecross_policy/arbitration/ArbiterGrants.cpp
+++ b/modules/azurecross_policy/arbitration/ArbiterGrants.cpp
@@ -36,11 +36,7 @@
     model.ObserveGap(gap);
     health_.ObserveGap(index, gap, model.GetRunning(), aNow);
   }
-  health_.ObserveProgress(index, aNow);
-  pacer_.Record(granted.request_.rank_, aTokens - granted.tokens_);
-  lengths_.ObserveGrowth(granted.lengthClass_, granted.tokens_, aTokens);
-  granted.tokens_ = aTokens;
-  granted.lastProgress_ = aNow;
+  RecordTokens(granted, aTokens, aNow);
   const MemoryForecast forecast =
     Forecast(granted.request_, granted.lengthClass_, aTokens);
   model.UpdateForecast(granted.forecast_, forecast);
@@ -59,6 +55,33 @@
   Dispatch(*granted.lane_, aNow, aActions);
 }
 
+void
+Arbiter::RecordTokens(Granted& aGranted, std::uint32_t aTokens, Time aNow)
+{
+  health_.ObserveProgress(aGranted.placement_.server_, aNow);
+  pacer_.Record(aGranted.request_.rank_, aTokens - aGranted.tokens_);
+  lengths_.ObserveGrowth(aGranted.lengthClass_, aGranted.tokens_, aTokens);
+  aGranted.tokens_ = aTokens;
+  aGranted.lastProgress_ = aNow;
+}
+
+void
+Arbiter::ReportTotal(GrantId aGrant, std::uint32_t aTokens, Time aNow)
+{
+  const auto position = granted_.find(aGrant);
+  if (position == granted_.end() || aTokens <= position->second.tokens_) {
+    return;
+  }
+  Granted& granted = position->second;
+  const std::uint32_t index = granted.placement_.server_;
+  if (granted.tokens_ == 0) {
+    servers_[index].model_.AddPendingPrompt(
+      -std::int64_t{ granted.request_.promptTokens_ });
+    ++servers_[index].decoding_;
+  }
+  RecordTokens(granted, aTokens, aNow);
+}
+
 void
 Arbiter::AddGrant(GrantId aGrant, Granted aGranted, Time aNow)
 {
--- a/modules/azurecross_policy/arbitration/ArbiterOptions.h
+++ b/modules/azurecross_policy/arbitration/ArbiterOptions.h
@@ -20,6 +20,8 @@
   double promptWeight_ = 0.1;
   /** Whether lesser work stays under the minute already paid for. */
   bool isPaced_ = false;
+  /** Added to the time, so that minutes begin when the supplier's do. */
+  Duration minuteOffset_{};
   /**
    * How many random backend servers are considered for each request; 0 is all
    * of them. With 2 or more the arbiter counts requests of other entries from
--- a/modules/azurecross_policy/pacing/Pacer.cpp
+++ b/modules/azurecross_policy/pacing/Pacer.cpp
@@ -40,6 +40,12 @@
   peak_ = std::max(peak_, aTokensPerMinute);
 }
 
+void
+Pacer::StartMonth()
+{
+  peak_ = 0.0;
+}
+
 void
 Pacer::Tick(std::uint32_t aLesserRunning, Time aNow)
 {
--- a/modules/azurecross_policy/pacing/Pacer.h
+++ b/modules/azurecross_policy/pacing/Pacer.h
@@ -43,6 +43,8 @@
   double GetPeak() const { return peak_; }
   /** Takes a peak from the store; a lower one than known is ignored. */
   void LoadPeak(double aTokensPerMinute);
+  /** Forgets the peak: a new month is billed. */
+  void StartMonth();
 
 private:
   std::int64_t GetMinute(Time aNow) const;
--- a/tests/gateway_tests/GatewayTests.cpp
+++ b/tests/gateway_tests/GatewayTests.cpp
@@ -63,6 +63,32 @@
   BOOST_TEST(*controller_.GetRequest(0).outputLimit_ == 5U);
 }
 
+// Guards against generations that cost a customer nothing because their answer
+// comes whole, and against a damaged answer that is refused for its usage.
+BOOST_FIXTURE_TEST_CASE(WholeAnswerReportsItsTokens, GatewayFixture)
+{
+  const std::vector<std::pair<std::string, std::uint64_t>> answers = {
+    { R"({"id":"g","usage":{"completion_tokens":50}})", 50 },
+    { R"({"id":"g","usage":{"completion_tokens":-3}})", 0 },
+    { R"({"id":"g","usage":7})", 0 },
+    { "not JSON", 0 },
+  };
+  std::size_t next = 0;
+  FakeBackendServer engine([&](FakeConnection& aConnection) {
+    aConnection.ReadRequest();
+    aConnection.Answer(200, answers[next++].first);
+  });
+  controller_.AddBackendServer("e1", engine.GetAddress());
+  for (std::size_t call = 0; call < answers.size(); ++call) {
+    const CallerAnswer answer =
+      Call(MakePost("/v1/completions", R"({"model":"m","prompt":"p"})", ""));
+    BOOST_TEST(answer.body_ == answers[call].first);
+    BOOST_TEST(controller_.WaitForReleases());
+    BOOST_TEST(controller_.GetRelease(call + 1).outputTokens_ ==
+               answers[call].second);
+  }
+}
+
 // Guards against answers to pipelined requests that are mixed up or lost.
 BOOST_FIXTURE_TEST_CASE(PipelinedRequestsAreAnsweredInOrder, GatewayFixture)
 {
--- a/tests/policy_tests/ArbiterTests.cpp
+++ b/tests/policy_tests/ArbiterTests.cpp
@@ -79,6 +79,38 @@
   BOOST_TEST(next[0].request_ == RequestId("small"));
 }
 
+// Guards against whole answers that are not charged to their customer or not
+// counted in the busiest minute, and against their duration being taken for
+// the time to a first token, which would refuse requests as too late.
+BOOST_FIXTURE_TEST_CASE(WholeAnswersAreCharged, ArbiterFixture)
+{
+  arbiter_.SetBackendServers({ MakeEngine("s1") }, now_, actions_);
+  for (int number = 0; number < 20; ++number) {
+    const std::string id = "whole" + std::to_string(number);
+    arbiter_.Enqueue(MakeRequest(id, Rank::Urgent, "a"), now_, actions_);
+    const auto granted = Take<GrantAction>();
+    BOOST_REQUIRE(granted.size() == 1U);
+    Advance(std::chrono::seconds(1));
+    arbiter_.ReportTotal(granted[0].grant_, 500, now_);
+    arbiter_.Release(
+      granted[0].grant_, GrantOutcome::Completed, now_, actions_);
+    arbiter_.Tick(now_, actions_);
+    actions_.clear();
+  }
+  BOOST_TEST(arbiter_.ExportPeak() >= 20 * 500.0);
+
+  for (int number = 0; number < 60; ++number) {
+    const std::string id = "running" + std::to_string(number);
+    arbiter_.Enqueue(MakeRequest(id, Rank::Urgent, "b"), now_, actions_);
+  }
+  actions_.clear();
+  GrantRequest hurried = MakeRequest("hurried", Rank::Urgent, "c");
+  hurried.deadline_ = now_ + std::chrono::milliseconds(500);
+  arbiter_.Enqueue(hurried, now_, actions_);
+  arbiter_.Tick(Advance(std::chrono::milliseconds(50)), actions_);
+  BOOST_TEST(Take<RefuseAction>().empty());
+}
+
 // Guards against first tokens of small customers that wait behind a step full
 // of a flooding customer's prompts, and against a flood that is held back when
 // nobody else asks.
