Keep the busiest minute in the store and pace in the daemon

Cause: the busiest minute that the supplier bills was kept in the memory of each arbiter, so a restart forgot it, and the daemon could not pace.

PeakShell makes the calls. Metrics and a status field.

Ruled out: one key for a zone (every group's home would race for it), a write for each new peak.

Conclusion: a new home entry paces under what is paid for already.

--- a/apps/entry/EntryDaemon.cpp
+++ b/apps/entry/EntryDaemon.cpp
@@ -12,6 +12,17 @@
 /** A successor in the zone answers in milliseconds; the rest is for repeats. */
 constexpr Duration kHandoverTimeout = std::chrono::seconds(5);
 
+/**
+ * @returns what turns the monotonic clock into one whose minutes begin with the
+ * supplier's.
+ */
+Duration
+ComputeMinuteOffset(Duration aBeforeUtc)
+{
+  const Duration unix = std::chrono::milliseconds(ReadUnixMilliseconds());
+  return unix - ReadMonotonicTime().time_since_epoch() + aBeforeUtc;
+}
+
 ControlSettings
 MakeControlSettings(const EntrySettings& aSettings)
 {
@@ -27,6 +38,9 @@
     settings.vmList_ = aSettings.vmList_.front();
   }
   settings.arbiter_.lesserFloor_ = aSettings.lesserFloor_;
+  settings.arbiter_.isPaced_ = aSettings.isPaced_;
+  settings.arbiter_.minuteOffset_ =
+    ComputeMinuteOffset(aSettings.minuteOffset_);
   settings.arbiter_.queueLimit_ = aSettings.queueLimit_;
   settings.loadPollInterval_ = aSettings.loadPollInterval_;
   settings.operationRetention_ = aSettings.operationRetention_;
--- a/apps/entry/EntrySettings.cpp
+++ b/apps/entry/EntrySettings.cpp
@@ -99,6 +99,15 @@
                     0,
                     0.9,
                     "Share of capacity that lesser work keeps in a flood");
+  aParser.AddFlag("pace",
+                  "Keep lesser work under the busiest minute of the month, "
+                  "but for its floor");
+  aParser.AddMilliseconds("minute-offset-ms",
+                          milliseconds(0),
+                          milliseconds(0),
+                          milliseconds(59'999),
+                          "How long before a UTC minute the supplier's billed "
+                          "minute begins");
   aParser.AddInteger("queue-limit",
                      1000,
                      1,
@@ -176,6 +185,8 @@
   aSettings.drainGrace_ = aValues.GetMilliseconds("drain-grace-ms");
   aSettings.drainTimeout_ = aValues.GetMilliseconds("drain-timeout-ms");
   aSettings.lesserFloor_ = aValues.GetNumber("lesser-floor");
+  aSettings.isPaced_ = aValues.GetFlag("pace");
+  aSettings.minuteOffset_ = aValues.GetMilliseconds("minute-offset-ms");
   aSettings.queueLimit_ =
     static_cast<std::size_t>(aValues.GetInteger("queue-limit"));
   aSettings.loadPollInterval_ =
--- a/apps/entry/EntrySettings.h
+++ b/apps/entry/EntrySettings.h
@@ -28,6 +28,9 @@
   /** Relative size of this VM, for the choice of home entries. */
   double weight_ = 1.0;
   double lesserFloor_ = 0.1;
+  /** Whether lesser work stays under the busiest minute of the month. */
+  bool isPaced_ = false;
+  Duration minuteOffset_{};
   std::size_t queueLimit_ = 0;
   std::uint32_t headerLimitBytes_ = 0;
   std::size_t bodyLimitBytes_ = 0;
--- a/modules/azurecross_control/azurecross_control.h
+++ b/modules/azurecross_control/azurecross_control.h
@@ -21,6 +21,8 @@
 #include "operations/OperationWire.h"
 #include "orders/EngineStateReport.h"
 #include "orders/OrderShell.h"
+#include "pacing/PeakKeeper.h"
+#include "pacing/PeakShell.h"
 #include "plane/AwaitCallback.h"
 #include "plane/ControlLoop.h"
 #include "plane/ControlPlane.h"
--- a/modules/azurecross_control/plane/ControlLoop.cpp
+++ b/modules/azurecross_control/plane/ControlLoop.cpp
@@ -88,6 +88,7 @@
             aSettings.availabilityZone_,
             aSettings.arbiter_,
             DrawSystemSeed())
+  , peaks_(aContext, tables_.GetStore(), grants_, aMetrics)
   , poller_(aContext.get_executor(),
             [this](const LoadReport& aReport) { TakeLoad(aReport); })
   , membersGauge_(
@@ -133,6 +134,7 @@
 {
   view_.isDraining_ = true;
   orders_.Release();
+  peaks_.Flush(ReadMonotonicTime());
   peers_.AnnounceLeaving(ReadMonotonicTime());
   UpdateHomes();
 }
@@ -161,6 +163,7 @@
   grants_.Tick(aNow, actions);
   Process(std::move(actions));
   operations_.Tick(aNow);
+  peaks_.Tick(aNow);
   if (!view_.isDraining_) {
     orders_.Tick(aNow);
   }
--- a/modules/azurecross_control/plane/ControlLoop.h
+++ b/modules/azurecross_control/plane/ControlLoop.h
@@ -5,6 +5,7 @@
 #include "../load/LoadPoller.h"
 #include "../operations/OperationShell.h"
 #include "../orders/OrderShell.h"
+#include "../pacing/PeakShell.h"
 #include "ControlSettings.h"
 #include "NewsExchange.h"
 #include "PeerBridge.h"
@@ -114,6 +115,7 @@
   NewsExchange news_;
   std::shared_ptr<const GroupMap> groups_;
   GrantCoordinator grants_;
+  PeakShell peaks_;
   LoadPoller poller_;
   Time lastPoll_;
   bool areHomesStale_ = false;
--- a/modules/azurecross_control/plane/ControlStatus.cpp
+++ b/modules/azurecross_control/plane/ControlStatus.cpp
@@ -27,7 +27,9 @@
 }
 
 json::object
-DescribeSummary(const GroupId& aGroup, const GroupSummary& aSummary)
+DescribeSummary(const GroupId& aGroup,
+                const GroupSummary& aSummary,
+                double aPeak)
 {
   constexpr auto kUrgent = static_cast<std::size_t>(Rank::Urgent);
   constexpr auto kLesser = static_cast<std::size_t>(Rank::Lesser);
@@ -37,7 +39,8 @@
            { "running_urgent", aSummary.running_.at(kUrgent) },
            { "running_lesser", aSummary.running_.at(kLesser) },
            { "slots", aSummary.slots_ },
-           { "saturation", aSummary.saturation_ } };
+           { "saturation", aSummary.saturation_ },
+           { "busiest_minute_tokens", aPeak } };
 }
 
 json::object
@@ -79,7 +82,8 @@
   json::array groups;
   for (const GroupId& group : grants_.ListHomeGroups()) {
     if (const auto summary = grants_.FindSummary(group)) {
-      groups.push_back(DescribeSummary(group, *summary));
+      const double peak = grants_.FindPeak(group).value_or(0.0);
+      groups.push_back(DescribeSummary(group, *summary, peak));
     }
   }
   status["home_groups"] = std::move(groups);
