--- a/modules/azurecross_control/azurecross_control.h
+++ b/modules/azurecross_control/azurecross_control.h
@@ -29,4 +29,5 @@
 #include "plane/ControlSettings.h"
 #include "plane/NewsExchange.h"
 #include "plane/PeerBridge.h"
+#include "plane/PeerMetrics.h"
 #include "plane/TableSync.h"
--- a/modules/azurecross_control/plane/ControlLoop.cpp
+++ b/modules/azurecross_control/plane/ControlLoop.cpp
@@ -91,6 +91,7 @@
   , peaks_(aContext, tables_.GetStore(), grants_, aMetrics)
   , poller_(aContext.get_executor(),
             [this](const LoadReport& aReport) { TakeLoad(aReport); })
+  , peerMetrics_(aMetrics)
   , membersGauge_(
       aMetrics.GetGauge("azurecross_zone_members", "Live entries of the zone."))
   , homesGauge_(
@@ -171,6 +172,7 @@
   if (news_.Exchange(grants_, *groups_, aNow)) {
     RebuildGroups();
   }
+  peerMetrics_.Update(peers_.ReadCounters());
   heldGauge_.Set(static_cast<double>(grants_.CountHeld()));
   pendingGauge_.Set(static_cast<double>(grants_.CountPending()));
 }
--- a/modules/azurecross_control/plane/ControlLoop.h
+++ b/modules/azurecross_control/plane/ControlLoop.h
@@ -9,6 +9,7 @@
 #include "ControlSettings.h"
 #include "NewsExchange.h"
 #include "PeerBridge.h"
+#include "PeerMetrics.h"
 #include "TableSync.h"
 
 #include <azurecross_core/azurecross_core.h>
@@ -124,6 +125,7 @@
   /** Ids of recent requests by the caller's request id, for `Explain`. */
   std::unordered_map<RequestId, RequestId> recentIds_;
   std::deque<RequestId> recentOrder_;
+  PeerMetrics peerMetrics_;
   prometheus::Gauge& membersGauge_;
   prometheus::Gauge& homesGauge_;
   prometheus::Gauge& heldGauge_;
