Record an operation's answer before the caller gets it

The gateway recorded the answer when its guard ended, after the answer had been written, so a caller that repeats at once could come before the record. In the product the coordinator holds such a repeat back, since the first attempt is still open; the test's controller does not. Change: the guard records the answer first (FinishWith), then it is written. Ruled out: a second run in the product; the coordinator's property tests cover repeats during an open attempt. Conclusion: an answer that a caller has seen is on record.

--- a/modules/azurecross_gateway/filters/ExchangeFilter.cpp
+++ b/modules/azurecross_gateway/filters/ExchangeFilter.cpp
@@ -197,7 +197,7 @@
     answer.status_ = head.result_int();
     answer.contentType_ = std::string(head[http::field::content_type]);
     answer.body_ = *body;
-    aOperation->SetAnswer(std::move(answer));
+    aOperation->FinishWith(std::move(answer));
   }
   outcome.isAnswered_ = true;
   co_await writer_.WriteAnswer(head, *body);
--- a/modules/azurecross_gateway/filters/OperationGuard.h
+++ b/modules/azurecross_gateway/filters/OperationGuard.h
@@ -20,10 +20,7 @@
     answer_.verdict_ = Verdict::NotRun;
   }
 
-  ~OperationGuard()
-  {
-    controller_.FinishOperation(attempt_, std::move(answer_));
-  }
+  ~OperationGuard() { Finish(); }
 
   OperationGuard(const OperationGuard&) = delete;
   OperationGuard& operator=(const OperationGuard&) = delete;
@@ -31,13 +28,29 @@
   /** Notes that a byte of the request may have left. */
   void SetMayHaveRun() { answer_.verdict_ = Verdict::MayHaveRun; }
 
-  /** Notes the answer. */
-  void SetAnswer(OperationAnswer aAnswer) { answer_ = std::move(aAnswer); }
+  /**
+   * Records the answer. It comes before the answer goes to the caller, so that
+   * a repeat that the caller sends next finds the record.
+   */
+  void FinishWith(OperationAnswer aAnswer)
+  {
+    answer_ = std::move(aAnswer);
+    Finish();
+  }
 
 private:
+  void Finish()
+  {
+    if (!isFinished_) {
+      isFinished_ = true;
+      controller_.FinishOperation(attempt_, std::move(answer_));
+    }
+  }
+
   ControllerPort& controller_;
   OperationAttempt attempt_;
   OperationAnswer answer_;
+  bool isFinished_ = false;
 };
 
 } // namespace azurecross
