Let a backend server that stays get work again at once

Cause: a leaving notice was kept by every entry that read it, and published until its lifetime of 60 s ended. A server that stayed, or that came back under its id, was noted as leaving and as staying in turns at its home entry, and for good in the fixed shares of others. Change: GroupDirectory keeps what a server says itself, for 5 s, above the notices of peers, and takes the notices as a set, so that ended ones are forgotten. The entry that published a notice withdraws it. Measured: with 12 entries nobody has the notice 5 s after the withdrawal, and a late copy does not bring it back (the new tests; both fail without the change by construction, since nothing removed a notice). Conclusion: the known limit of 60 s is gone.

--- a/modules/azurecross_cluster/gossip/Gossip.cpp
+++ b/modules/azurecross_cluster/gossip/Gossip.cpp
@@ -9,6 +9,12 @@
 
 constexpr Duration kWithdrawnLifetime = std::chrono::minutes(1);
 
+std::string
+MakeLeavingKey(const BackendServerId& aServer)
+{
+  return "leaving/" + aServer.GetValue();
+}
+
 } // namespace
 
 Gossip::Gossip(EntryId aSelf,
@@ -119,7 +125,7 @@
 {
   wire::GossipRecord record;
   record.mutable_leaving()->set_backend_server(aBackendServer.GetValue());
-  Publish("leaving/" + aBackendServer.GetValue(),
+  Publish(MakeLeavingKey(aBackendServer),
           std::move(record),
           GossipScope::Zone,
           aLifetime,
@@ -127,10 +133,18 @@
           aActions);
 }
 
+void
+Gossip::WithdrawLeaving(const BackendServerId& aBackendServer,
+                        Time aNow,
+                        ClusterActions& aActions)
+{
+  Withdraw(MakeLeavingKey(aBackendServer), GossipScope::Zone, aNow, aActions);
+}
+
 bool
 Gossip::IsLeaving(const BackendServerId& aBackendServer) const
 {
-  const std::string key = "leaving/" + aBackendServer.GetValue();
+  const std::string key = MakeLeavingKey(aBackendServer);
   return std::any_of(store_.GetStreams().begin(),
                      store_.GetStreams().end(),
                      [&](const auto& aItem) {
--- a/modules/azurecross_cluster/gossip/Gossip.h
+++ b/modules/azurecross_cluster/gossip/Gossip.h
@@ -101,6 +101,11 @@
                       Time aNow,
                       ClusterActions& aActions);
 
+  /** Takes back this entry's notice that a backend server is leaving. */
+  void WithdrawLeaving(const BackendServerId& aBackendServer,
+                       Time aNow,
+                       ClusterActions& aActions);
+
   /** @returns whether any entry says that the backend server is leaving. */
   bool IsLeaving(const BackendServerId& aBackendServer) const;
 
--- a/modules/azurecross_control/groups/GroupDirectory.cpp
+++ b/modules/azurecross_control/groups/GroupDirectory.cpp
@@ -15,15 +15,46 @@
 }
 
 bool
-GroupDirectory::AddLeaving(const BackendServerId& aServer)
+GroupDirectory::IsLeaving(const BackendServerId& aServer) const
 {
-  return leaving_.insert(aServer).second;
+  const auto word = words_.find(aServer);
+  return word == words_.end() ? notices_.contains(aServer)
+                              : word->second.isLeaving_;
 }
 
 bool
-GroupDirectory::RemoveLeaving(const BackendServerId& aServer)
+GroupDirectory::TakeWord(const BackendServerId& aServer,
+                         bool aIsLeaving,
+                         Time aNow)
 {
-  return leaving_.erase(aServer) > 0;
+  const bool wasLeaving = IsLeaving(aServer);
+  words_[aServer] = { aIsLeaving, aNow };
+  return wasLeaving != aIsLeaving;
+}
+
+bool
+GroupDirectory::SetNotices(const std::vector<BackendServerId>& aServers)
+{
+  std::set<BackendServerId> notices(aServers.begin(), aServers.end());
+  if (notices == notices_) {
+    return false;
+  }
+  notices_ = std::move(notices);
+  return true;
+}
+
+bool
+GroupDirectory::DropOldWords(Time aNow)
+{
+  bool isChange = false;
+  std::erase_if(words_, [&](const auto& aItem) {
+    const auto& [server, word] = aItem;
+    const bool isOld = aNow - word.since_ > kWordLifetime;
+    isChange =
+      isChange || (isOld && word.isLeaving_ != notices_.contains(server));
+    return isOld;
+  });
+  return isChange;
 }
 
 std::shared_ptr<const GroupMap>
@@ -44,7 +75,7 @@
 {
   std::map<AvailabilityZone, std::vector<BackendServer>> byZone;
   for (BackendServer& server : ResolveBackendServers(aPool, vms_)) {
-    server.isLeaving_ = server.isLeaving_ || leaving_.contains(server.id_);
+    server.isLeaving_ = server.isLeaving_ || IsLeaving(server.id_);
     byZone[server.availabilityZone_].push_back(std::move(server));
   }
   for (auto& [zone, servers] : byZone) {
--- a/modules/azurecross_control/groups/GroupDirectory.h
+++ b/modules/azurecross_control/groups/GroupDirectory.h
@@ -45,24 +45,41 @@
 
   void SetTables(Tables::Version aTables);
   void SetVmList(VmList aVms);
+  /** How long what a backend server said itself outweighs peers' notices. */
+  static constexpr Duration kWordLifetime = std::chrono::seconds(5);
+
+  /**
+   * Takes what a backend server says itself, which outweighs the notices of
+   * peers: they can be left over from before it was replaced.
+   * @returns whether that changes its state.
+   */
+  bool TakeWord(const BackendServerId& aServer, bool aIsLeaving, Time aNow);
   /**
-   * Notes that a backend server is leaving by its own word or a peer's, before
-   * the VM list says so.
-   * @returns whether that is news.
+   * Takes all notices of entries that a backend server is leaving; with them
+   * it gets no new work although the VM list lags.
+   * @returns whether they have changed.
    */
-  bool AddLeaving(const BackendServerId& aServer);
-  /** Forgets a notice, after the server has been replaced or stays. */
-  bool RemoveLeaving(const BackendServerId& aServer);
+  bool SetNotices(const std::vector<BackendServerId>& aServers);
+  /** Forgets old words. @returns whether that changes a server's state. */
+  bool DropOldWords(Time aNow);
 
   /** @returns the groups that follow from the current inputs. */
   std::shared_ptr<const GroupMap> Build() const;
 
 private:
+  struct Word
+  {
+    bool isLeaving_ = false;
+    Time since_;
+  };
+
+  bool IsLeaving(const BackendServerId& aServer) const;
   void AddPool(const Pool& aPool, GroupMap& aMap) const;
 
   Tables::Version tables_;
   VmList vms_;
-  std::set<BackendServerId> leaving_;
+  std::set<BackendServerId> notices_;
+  std::unordered_map<BackendServerId, Word> words_;
 };
 
 } // namespace azurecross
--- a/modules/azurecross_control/plane/ControlLoop.cpp
+++ b/modules/azurecross_control/plane/ControlLoop.cpp
@@ -204,9 +204,8 @@
 ControlLoop::TakeLoad(const LoadReport& aReport)
 {
   const BackendServerId& server = aReport.load_.id_;
-  const bool isNews = aReport.isLeaving_ ? directory_.AddLeaving(server)
-                                         : directory_.RemoveLeaving(server);
-  if (isNews) {
+  const Time now = ReadMonotonicTime();
+  if (directory_.TakeWord(server, aReport.isLeaving_, now)) {
     WriteLog(LogLevel::Info,
              aReport.isLeaving_ ? "backend server is leaving"
                                 : "backend server stays",
@@ -214,7 +213,9 @@
     RebuildGroups();
   }
   if (aReport.isLeaving_) {
-    news_.PublishLeaving(server, ReadMonotonicTime());
+    news_.PublishLeaving(server, now);
+  } else {
+    news_.WithdrawLeaving(server, now);
   }
   for (const GroupId& group : grants_.ListHomeGroups()) {
     const auto found = groups_->groups_.find(group);
@@ -227,7 +228,7 @@
                                       isSame);
     if (isMember) {
       GrantActions actions;
-      grants_.ReportLoad(group, aReport.load_, ReadMonotonicTime(), actions);
+      grants_.ReportLoad(group, aReport.load_, now, actions);
       Process(std::move(actions));
       return;
     }
--- a/modules/azurecross_control/plane/NewsExchange.cpp
+++ b/modules/azurecross_control/plane/NewsExchange.cpp
@@ -52,7 +52,10 @@
   last_ = aNow;
   PublishSummaries(aGrants, aNow);
   ReadSummaries(aGrants, aGroups, aNow);
-  return ReadNotices();
+  const bool haveNotices =
+    directory_.SetNotices(peers_.GetView().GetGossip().ListLeaving());
+  const bool haveWords = directory_.DropOldWords(aNow);
+  return haveNotices || haveWords;
 }
 
 void
@@ -93,17 +96,6 @@
   }
 }
 
-bool
-NewsExchange::ReadNotices()
-{
-  bool isNews = false;
-  for (const BackendServerId& server :
-       peers_.GetView().GetGossip().ListLeaving()) {
-    isNews = directory_.AddLeaving(server) || isNews;
-  }
-  return isNews;
-}
-
 void
 NewsExchange::PublishLeaving(const BackendServerId& aServer, Time aNow)
 {
@@ -114,6 +106,18 @@
   peers_.GetView().GetGossip().PublishLeaving(
     aServer, kNoticeLifetime, aNow, actions);
   peers_.Process(std::move(actions));
+  published_.insert(aServer);
+}
+
+void
+NewsExchange::WithdrawLeaving(const BackendServerId& aServer, Time aNow)
+{
+  if (published_.erase(aServer) == 0) {
+    return;
+  }
+  ClusterActions actions;
+  peers_.GetView().GetGossip().WithdrawLeaving(aServer, aNow, actions);
+  peers_.Process(std::move(actions));
 }
 
 } // namespace azurecross
--- a/modules/azurecross_control/plane/NewsExchange.h
+++ b/modules/azurecross_control/plane/NewsExchange.h
@@ -23,22 +23,24 @@
   /**
    * Publishes the summaries of home groups and passes on those of others, each
    * `kInterval`.
-   * @returns whether a backend server was newly noted as leaving.
+   * @returns whether a backend server has begun or ceased to leave.
    */
   bool Exchange(GrantCoordinator& aGrants, const GroupMap& aGroups, Time aNow);
 
   /** Tells the zone that a backend server is leaving. */
   void PublishLeaving(const BackendServerId& aServer, Time aNow);
+  /** Takes back what this entry has told the zone of a server that stays. */
+  void WithdrawLeaving(const BackendServerId& aServer, Time aNow);
 
 private:
   void PublishSummaries(const GrantCoordinator& aGrants, Time aNow);
   void ReadSummaries(GrantCoordinator& aGrants,
                      const GroupMap& aGroups,
                      Time aNow) const;
-  bool ReadNotices();
 
   PeerBridge& peers_;
   GroupDirectory& directory_;
+  std::set<BackendServerId> published_;
   Time last_;
 };
 
--- a/tests/cluster_tests/GossipTests.cpp
+++ b/tests/cluster_tests/GossipTests.cpp
@@ -185,6 +185,40 @@
   }
 }
 
+// Guards against a backend server that stays but is avoided until its notice
+// ends after a minute, and against a late copy that brings the notice back.
+BOOST_AUTO_TEST_CASE(WithdrawnLeavingNoticeDoesNotComeBack)
+{
+  VirtualNetwork network(47);
+  network.AddZone("helwan", 12);
+  network.Run(5s);
+  const EntryId origin = network.GetNodes().begin()->first;
+  const BackendServerId server("engine-1");
+  ClusterActions published;
+  network.GetGossip(origin).PublishLeaving(
+    server, 60s, network.GetNow(), published);
+  network.Run(5s);
+  const auto countLeaving = [&] {
+    std::size_t count = 0;
+    for (auto& [id, node] : network.GetNodes()) {
+      count += network.GetGossip(id).IsLeaving(server) ? 1 : 0;
+    }
+    return count;
+  };
+  BOOST_TEST(countLeaving() == 12U);
+  ClusterActions ignored;
+  network.GetGossip(origin).WithdrawLeaving(server, network.GetNow(), ignored);
+  network.Run(5s);
+  BOOST_TEST(countLeaving() == 0U);
+  BOOST_REQUIRE(!published.messages_.empty());
+  wire::PeerMessage late = published.messages_.front().message_;
+  late.set_sender(origin.GetValue());
+  for (auto& [id, node] : network.GetNodes()) {
+    network.GetGossip(id).HandleMessage(late, network.GetNow(), ignored);
+  }
+  BOOST_TEST(countLeaving() == 0U);
+}
+
 // Guards against messages that grow with the number of records: 590 leaving
 // notices at once go out in bounded parts and still all arrive.
 BOOST_AUTO_TEST_CASE(MessagesStayBounded)
--- a/tests/control_tests/GroupDirectoryTests.cpp
+++ b/tests/control_tests/GroupDirectoryTests.cpp
@@ -61,13 +61,40 @@
   GroupDirectory directory;
   directory.SetTables(MakeTables());
   directory.SetVmList(MakeVms(2));
-  BOOST_TEST(directory.AddLeaving(BackendServerId("vm-0")));
-  BOOST_TEST(!directory.AddLeaving(BackendServerId("vm-0")));
+  BOOST_TEST(directory.SetNotices({ BackendServerId("vm-0") }));
+  BOOST_TEST(!directory.SetNotices({ BackendServerId("vm-0") }));
   const auto map = directory.Build();
   BOOST_TEST(map->servers_.at(BackendServerId("vm-0")).isLeaving_);
   BOOST_TEST(!map->servers_.at(BackendServerId("vm-1")).isLeaving_);
 }
 
+// Guards against a backend server that gets no work because of a notice from
+// before it was replaced, and against a last word that outweighs a later
+// notice for good.
+BOOST_AUTO_TEST_CASE(OwnWordOutweighsNotices)
+{
+  const BackendServerId server("vm-0");
+  GroupDirectory directory;
+  directory.SetTables(MakeTables());
+  directory.SetVmList(MakeVms(2));
+  const auto isLeaving = [&] {
+    return directory.Build()->servers_.at(server).isLeaving_;
+  };
+  const Time start{ std::chrono::hours(1) };
+  directory.SetNotices({ server });
+  BOOST_TEST(directory.TakeWord(server, false, start));
+  BOOST_TEST(!isLeaving());
+  BOOST_TEST(!directory.TakeWord(server, false, start));
+  BOOST_TEST(!directory.DropOldWords(start + GroupDirectory::kWordLifetime));
+  const Time later = start + 2 * GroupDirectory::kWordLifetime;
+  BOOST_TEST(directory.DropOldWords(later));
+  BOOST_TEST(isLeaving());
+  BOOST_TEST(directory.SetNotices({}));
+  BOOST_TEST(!isLeaving());
+  BOOST_TEST(directory.TakeWord(server, true, later));
+  BOOST_TEST(isLeaving());
+}
+
 // Guards against a crash before the first tables arrive.
 BOOST_AUTO_TEST_CASE(NoTablesMeansNoGroups)
 {
