Show that each check of the fault bench can fail

Cause: only the count of double runs had been seen to rise; the other checks were part of the run and could not be fed. Callers that never ended were a remark in the examples, not a violation. Change: the checks are a library of their own (bench/fault/checks) with a test program that feeds one broken promise each; unfinished callers are a violation. Ruled out: a deliberate fault in the entry, which would put test code into the product. Conclusion: zero violations now means that the checks looked and found none.

--- a/bench/fault/EditLoop.cpp
+++ b/bench/fault/EditLoop.cpp
@@ -1,4 +1,5 @@
 #include "FaultDriver.h"
+#include "checks/RecordChecks.h"
 
 #include <azurecross_platform/azurecross_platform.h>
 
@@ -40,12 +41,7 @@
   if (entry.starts_ != starts || revision < 0) {
     co_return -1;
   }
-  if (revision < entry.revision_) {
-    ++aState.figures_.revertedEdits_;
-    aState.figures_.AddExample(entry.id_ + " went back to revision " +
-                               std::to_string(revision));
-  }
-  entry.revision_ = revision;
+  CheckRevision(entry.id_, revision, entry.revision_, aState.figures_);
   co_return revision;
 }
 
@@ -103,12 +99,8 @@
       continue;
     }
     const std::int64_t revision = head->revision_.number_;
-    if (revision < aState.acceptedRevision_) {
-      ++aState.figures_.revertedEdits_;
-      aState.figures_.AddExample("the store went back to revision " +
-                                 std::to_string(revision));
-    }
-    aState.acceptedRevision_ = std::max(aState.acceptedRevision_, revision);
+    CheckRevision(
+      "the store", revision, aState.acceptedRevision_, aState.figures_);
     const double duration = co_await FollowEdit(aState, revision, start);
     if (duration >= 0) {
       aState.figures_.editSeconds_.push_back(duration);
--- a/bench/fault/FaultRun.cpp
+++ b/bench/fault/FaultRun.cpp
@@ -61,6 +61,7 @@
     co_await Sleep(std::chrono::milliseconds(100));
   }
   if (aState.active_ > 0) {
+    figures.unfinished_ += aState.active_;
     figures.AddExample("callers or faults did not end in time");
   }
   co_await CheckRecords(aState);
--- a/bench/fault/FaultRun.h
+++ b/bench/fault/FaultRun.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Figures.h"
+#include "checks/Figures.h"
 
 #include <cstdint>
 #include <string>
--- a/bench/fault/OperationCallers.cpp
+++ b/bench/fault/OperationCallers.cpp
@@ -1,4 +1,5 @@
 #include "Callers.h"
+#include "checks/RecordChecks.h"
 
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -34,24 +35,6 @@
   co_return std::string(answer.at("key").as_string());
 }
 
-void
-CheckAnswer(RunState& aState,
-            const OperationRecord& aRecord,
-            const HttpResponse& aResponse)
-{
-  boost::system::error_code code;
-  const json::value answer = json::parse(aResponse.body_, code);
-  const bool isOwn = !code && answer.is_object() &&
-                     answer.as_object().contains("echo") &&
-                     answer.at("echo") == json::value(aRecord.body_);
-  const std::string& requestId = aRecord.attempts_.back().requestId_;
-  if (!isOwn || aResponse.FindHeader("X-Request-Id") != requestId) {
-    ++aState.figures_.crossedAnswers_;
-    aState.figures_.AddExample("answer of another request for " + requestId +
-                               ": " + aResponse.body_);
-  }
-}
-
 /** @returns whether the operation has its answer. */
 asio::awaitable<bool>
 SendAttempt(RunState& aState, OperationRecord& aRecord, std::string aKey)
@@ -88,7 +71,10 @@
   if (response->status_ != 200 || !ended.verdict_.empty()) {
     co_return false;
   }
-  CheckAnswer(aState, aRecord, *response);
+  CheckAnswer(aRecord,
+              response->FindHeader("X-Request-Id"),
+              response->body_,
+              aState.figures_);
   co_return true;
 }
 
--- a/bench/fault/RunState.h
+++ b/bench/fault/RunState.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "Deployment.h"
-#include "Figures.h"
+#include "checks/Figures.h"
+#include "checks/Records.h"
 
 #include <boost/json/value.hpp>
 
@@ -13,33 +14,6 @@
 
 namespace azurecross {
 
-/** What a caller saw of one stream, over all its connections. */
-struct StreamRecord
-{
-  std::string requestId_;
-  std::string generation_;
-  std::int64_t wanted_ = 0;
-  std::int64_t received_ = 0;
-  bool isComplete_ = false;
-};
-
-/** One try of an operation. */
-struct AttemptRecord
-{
-  std::string requestId_;
-  /** The verdict of a refusal; empty after an answer or a lost connection. */
-  std::string verdict_;
-  std::int64_t endedMilliseconds_ = 0;
-};
-
-/** What a caller knows of one operation; its body is unique. */
-struct OperationRecord
-{
-  std::string body_;
-  std::vector<AttemptRecord> attempts_;
-  bool isAnswered_ = false;
-};
-
 /** Shared by the coroutines of one run, which share one thread. */
 struct RunState
 {
--- a/bench/fault/Figures.h
+++ b/bench/fault/checks/Figures.h
@@ -20,6 +20,8 @@
   std::int64_t revertedEdits_ = 0;
   std::int64_t workAfterLeaving_ = 0;
   std::int64_t cutByPlannedStop_ = 0;
+  /** Callers and faults that had not ended well after the run. */
+  std::int64_t unfinished_ = 0;
 
   std::int64_t edits_ = 0;
   std::vector<double> editSeconds_;
@@ -47,7 +49,7 @@
   {
     return doubleRuns_ + falseNotRun_ + tokensLost_ + tokensRepeated_ +
            tokensFromSecondGeneration_ + crossedAnswers_ + revertedEdits_ +
-           workAfterLeaving_ + cutByPlannedStop_;
+           workAfterLeaving_ + cutByPlannedStop_ + unfinished_;
   }
 };
 
--- a/bench/fault/main.cpp
+++ b/bench/fault/main.cpp
@@ -70,6 +70,7 @@
     { "edit_p99_s", FindPercentile99(aFigures.editSeconds_) },
     { "work_after_leaving_3s", aFigures.workAfterLeaving_ },
     { "cut_by_planned_stop", aFigures.cutByPlannedStop_ },
+    { "unfinished", aFigures.unfinished_ },
     { "store_calls_per_s", aFigures.storeCallsPerSecond_ },
     { "streams_completed", aFigures.streamsCompleted_ },
     { "streams_resumed", aFigures.streamsResumed_ },
