Remove the peak minute from gossip

Cause: gossip carried a highest peak minute that nothing in the product raised or read; PeakKeeper now keeps the busiest minutes in the store. Conclusion: one way to learn the peak, in the store.

--- a/modules/azurecross_cluster/gossip/Gossip.cpp
+++ b/modules/azurecross_cluster/gossip/Gossip.cpp
@@ -192,17 +192,6 @@
   revision_ = std::max(revision_, aRevision);
 }
 
-void
-Gossip::RaisePeak(const wire::PeakMinute& aPeak)
-{
-  const bool isLaterMonth = aPeak.month() > peak_.month();
-  const bool isHigher =
-    aPeak.month() == peak_.month() && aPeak.tokens() > peak_.tokens();
-  if (isLaterMonth || isHigher) {
-    peak_ = aPeak;
-  }
-}
-
 void
 Gossip::Tick(Time aNow, ClusterActions& aActions)
 {
--- a/modules/azurecross_cluster/gossip/Gossip.h
+++ b/modules/azurecross_cluster/gossip/Gossip.h
@@ -21,7 +21,7 @@
 
 /**
  * Spreads small records of entries: leaving notices of backend servers, group
- * summaries, the highest table revision and the highest peak minute.
+ * summaries and the highest table revision.
  *
  * Each second an entry compares versions with one random peer of its zone, and
  * a delegate also with one delegate of another zone; both then send what the
@@ -121,10 +121,6 @@
   void RaiseTableRevision(std::uint64_t aRevision);
   std::uint64_t GetTableRevision() const { return revision_; }
 
-  /** Raises the peak minute; a later month replaces an earlier one. */
-  void RaisePeak(const wire::PeakMinute& aPeak);
-  const wire::PeakMinute& GetPeak() const { return peak_; }
-
   /** Handles digests and deltas; other messages are ignored. */
   void HandleMessage(const wire::PeerMessage& aMessage,
                      Time aNow,
@@ -159,8 +155,6 @@
   void MergeStream(const wire::StreamDelta& aDelta, Time aNow);
   /** Sends the notices whose round is due to a few peers. */
   void ForwardNotices(Time aNow, ClusterActions& aActions);
-  template<typename Message>
-  void FillMaxima(Message& aMessage) const;
 
   /** A leaving notice that is being forwarded. */
   struct Notice
@@ -182,7 +176,6 @@
   std::vector<Member> zonePeers_;
   std::vector<Member> otherDelegates_;
   std::uint64_t revision_ = 0;
-  wire::PeakMinute peak_;
   /** First hash of the next digest when one does not hold all streams. */
   std::uint64_t digestCursor_ = 0;
   Time nextExchange_;
--- a/modules/azurecross_cluster/gossip/GossipMessages.cpp
+++ b/modules/azurecross_cluster/gossip/GossipMessages.cpp
@@ -53,16 +53,6 @@
   return aStream.id_.origin_ == self_ && aStream.id_.start_ == start_;
 }
 
-template<typename Message>
-void
-Gossip::FillMaxima(Message& aMessage) const
-{
-  aMessage.set_table_revision(revision_);
-  if (peak_.month() != 0) {
-    *aMessage.mutable_peak() = peak_;
-  }
-}
-
 void
 Gossip::HandleMessage(const wire::PeerMessage& aMessage,
                       Time aNow,
@@ -86,13 +76,12 @@
                      ClusterActions& aActions)
 {
   RaiseTableRevision(aDigest.table_revision());
-  RaisePeak(aDigest.peak());
   const auto versions = ReadVersions(aDigest);
   std::size_t messages = 0;
   std::size_t used = 0;
   wire::PeerMessage message;
   const auto sendDelta = [&] {
-    FillMaxima(*message.mutable_gossip_delta());
+    message.mutable_gossip_delta()->set_table_revision(revision_);
     aActions.messages_.push_back(
       { aSender.entry_, aSender.address_, std::move(message), false });
     message = {};
@@ -157,7 +146,7 @@
   }
   request.set_is_request(true);
   request.set_zone(zone_.GetValue());
-  FillMaxima(request);
+  request.set_table_revision(revision_);
   aActions.messages_.push_back(
     { aSender.entry_, aSender.address_, std::move(message), false });
 }
@@ -168,7 +157,6 @@
                     ClusterActions& aActions)
 {
   RaiseTableRevision(aDelta.table_revision());
-  RaisePeak(aDelta.peak());
   for (const wire::StreamDelta& stream : aDelta.streams()) {
     const bool isOutOfScope =
       !stream.all_zones() && stream.zone() != zone_.GetValue();
@@ -234,7 +222,7 @@
   }
   std::erase_if(notices_,
                 [](const Notice& aNotice) { return aNotice.rounds_ == 0; });
-  FillMaxima(*message.mutable_gossip_delta());
+  message.mutable_gossip_delta()->set_table_revision(revision_);
   forwardAllowance_ = std::min(
     kForwardsPerSecond,
     forwardAllowance_ + kForwardsPerSecond * ToSeconds(aNow - allowanceSince_));
@@ -274,7 +262,7 @@
     }
   }
   digest.set_zone(zone_.GetValue());
-  FillMaxima(digest);
+  digest.set_table_revision(revision_);
   aActions.messages_.push_back(
     { aReceiver.entry_, aReceiver.address_, std::move(message), false });
 }
--- a/tests/gateway_tests/GatewayTests.cpp
+++ b/tests/gateway_tests/GatewayTests.cpp
@@ -27,8 +27,8 @@
   BOOST_CHECK(controller_.GetRelease(1).result_ == ReleaseResult::Completed);
 }
 
-// Guards against a body, header or status of a service call that is changed, and
-// against an answer that offers no key for the next operation.
+// Guards against a body, header or status of a service call that is changed,
+// and against an answer that offers no key for the next operation.
 BOOST_FIXTURE_TEST_CASE(ServiceCallIsPassedOn, GatewayFixture)
 {
   std::string seen;
