File each customer of a fair queue in one order only

Cause: the set of light customers beside the set of all backlogged ones made each decision at 590 backend servers slower: 6.0 us p50 with 4,000 queued and 5.1 us with 250 (target 5), load average 2. Change: a customer is either idle, light or heavy, and in that set only; the least charged one is the lower of two beginnings.

--- a/modules/azurecross_policy/fairness/FairQueue.cpp
+++ b/modules/azurecross_policy/fairness/FairQueue.cpp
@@ -4,16 +4,6 @@
 
 namespace azurecross {
 
-namespace {
-
-bool
-IsLight(std::size_t aItems)
-{
-  return aItems > 0 && aItems <= FairQueue::kMostLightItems;
-}
-
-} // namespace
-
 FairQueue::FairQueue(double aBurst)
   : burst_(aBurst)
 {
@@ -24,18 +14,35 @@
 {
   const auto [position, isNew] = customers_.try_emplace(aCustomer);
   if (isNew) {
-    position->second.number_ = nextNumber_++;
-    position->second.charge_ = virtualTime_;
-    SetIdle(*position);
+    Customer& customer = position->second;
+    customer.number_ = nextNumber_++;
+    customer.charge_ = virtualTime_;
+    idle_.insert({ customer.charge_, customer.number_, &*position });
   }
   return *position;
 }
 
+FairQueue::Order&
+FairQueue::FindOrder(std::size_t aItems)
+{
+  if (aItems == 0) {
+    return idle_;
+  }
+  return aItems <= kMostLightItems ? light_ : heavy_;
+}
+
 void
-FairQueue::SetIdle(Entry& aEntry)
+FairQueue::Refile(Entry& aEntry, std::size_t aOldLength, double aNewCharge)
 {
-  const Customer& customer = aEntry.second;
-  idle_.insert({ customer.charge_, customer.number_, &aEntry });
+  Customer& customer = aEntry.second;
+  Order& from = FindOrder(aOldLength);
+  Order& to = FindOrder(customer.items_.size());
+  if (&from == &to && aNewCharge == customer.charge_) {
+    return;
+  }
+  from.erase({ customer.charge_, customer.number_, &aEntry });
+  customer.charge_ = aNewCharge;
+  to.insert({ customer.charge_, customer.number_, &aEntry });
 }
 
 void
@@ -48,10 +55,6 @@
   if (!customer.items_.empty()) {
     byLength_.insert({ customer.items_.size(), customer.number_, &aEntry });
   }
-  light_.erase({ customer.charge_, customer.number_, &aEntry });
-  if (IsLight(customer.items_.size())) {
-    light_.insert({ customer.charge_, customer.number_, &aEntry });
-  }
 }
 
 void
@@ -60,15 +63,15 @@
   Entry& entry = FindOrAdd(aCustomer);
   Customer& customer = entry.second;
   const std::size_t oldLength = customer.items_.size();
-  if (oldLength == 0) {
-    idle_.erase({ customer.charge_, customer.number_, &entry });
-    customer.charge_ = std::max(customer.charge_, virtualTime_);
-    backlogged_.insert({ customer.charge_, customer.number_, &entry });
-  }
-  if (customer.items_.insert(aItem).second) {
-    ++itemCount_;
-    SetLength(entry, oldLength);
+  if (!customer.items_.insert(aItem).second) {
+    return;
   }
+  ++itemCount_;
+  Refile(entry,
+         oldLength,
+         oldLength == 0 ? std::max(customer.charge_, virtualTime_)
+                        : customer.charge_);
+  SetLength(entry, oldLength);
 }
 
 bool
@@ -84,36 +87,41 @@
     return false;
   }
   --itemCount_;
+  Refile(*position, oldLength, customer.charge_);
   SetLength(*position, oldLength);
-  if (customer.items_.empty()) {
-    backlogged_.erase({ customer.charge_, customer.number_, &*position });
-    SetIdle(*position);
-  }
   return true;
 }
 
 std::optional<FairQueue::Item>
 FairQueue::FindNext() const
 {
-  if (backlogged_.empty()) {
+  if (itemCount_ == 0) {
     return std::nullopt;
   }
   return *FindNextCustomer().entry_->second.items_.begin();
 }
 
+const FairQueue::Ordered<double>&
+FairQueue::FindLeastCharged() const
+{
+  const bool isLight =
+    heavy_.empty() || (!light_.empty() && *light_.begin() < *heavy_.begin());
+  return isLight ? *light_.begin() : *heavy_.begin();
+}
+
 const FairQueue::Ordered<double>&
 FairQueue::FindNextCustomer() const
 {
   if (!light_.empty() && light_.begin()->key_ < virtualTime_ + burst_) {
     return *light_.begin();
   }
-  return *backlogged_.begin();
+  return FindLeastCharged();
 }
 
 void
 FairQueue::PopNext()
 {
-  const double leastCharge = backlogged_.begin()->key_;
+  const double leastCharge = FindLeastCharged().key_;
   Entry& entry = *FindNextCustomer().entry_;
   Remove(entry.first, *entry.second.items_.begin());
   AdvanceVirtualTime(leastCharge);
@@ -135,18 +143,12 @@
 FairQueue::Charge(const CustomerId& aCustomer, double aCost)
 {
   Entry& entry = FindOrAdd(aCustomer);
-  Customer& customer = entry.second;
-  auto& order = customer.items_.empty() ? idle_ : backlogged_;
-  order.erase({ customer.charge_, customer.number_, &entry });
-  light_.erase({ customer.charge_, customer.number_, &entry });
+  const Customer& customer = entry.second;
   // A returned advance may not lower a charge below the virtual time, because
   // that would be saved credit.
-  customer.charge_ = std::max(customer.charge_ + aCost,
-                              std::min(customer.charge_, virtualTime_));
-  order.insert({ customer.charge_, customer.number_, &entry });
-  if (IsLight(customer.items_.size())) {
-    light_.insert({ customer.charge_, customer.number_, &entry });
-  }
+  const double charge = std::max(customer.charge_ + aCost,
+                                 std::min(customer.charge_, virtualTime_));
+  Refile(entry, customer.items_.size(), charge);
 }
 
 std::optional<FairQueue::Item>
--- a/modules/azurecross_policy/fairness/FairQueue.h
+++ b/modules/azurecross_policy/fairness/FairQueue.h
@@ -57,7 +57,7 @@
   std::size_t CountItems() const { return itemCount_; }
   std::size_t CountItemsOf(const CustomerId& aCustomer) const;
   /** @returns how many customers have items queued. */
-  std::size_t CountBacklogged() const { return backlogged_.size(); }
+  std::size_t CountBacklogged() const { return light_.size() + heavy_.size(); }
   /** @returns how many customers are remembered; idle ones are dropped. */
   std::size_t CountCustomers() const { return customers_.size(); }
   /** @returns how far a customer's charge lies above the virtual time. */
@@ -88,19 +88,25 @@
     }
   };
 
+  using Order = std::set<Ordered<double>>;
+
   Entry& FindOrAdd(const CustomerId& aCustomer);
+  /** @returns the set of the customers with about as many items. */
+  Order& FindOrder(std::size_t aItems);
+  /** Files a customer by its new number of items and its new charge. */
+  void Refile(Entry& aEntry, std::size_t aOldLength, double aNewCharge);
   void SetLength(Entry& aEntry, std::size_t aOldLength);
-  void SetIdle(Entry& aEntry);
   void AdvanceVirtualTime(double aTime);
-
   const Ordered<double>& FindNextCustomer() const;
+  const Ordered<double>& FindLeastCharged() const;
 
   double burst_;
   Customers customers_;
-  std::set<Ordered<double>> backlogged_;
-  /** The light ones of the backlogged customers. */
-  std::set<Ordered<double>> light_;
-  std::set<Ordered<double>> idle_;
+  /** Each customer is in one of these, ordered by charge: without items, light,
+   * or with more items than a light one. */
+  Order idle_;
+  Order light_;
+  Order heavy_;
   std::set<Ordered<std::size_t>> byLength_;
   std::size_t itemCount_ = 0;
   std::uint64_t nextNumber_ = 0;
