--- a/apps/entry/EntrySettings.cpp
+++ b/apps/entry/EntrySettings.cpp
@@ -114,7 +114,7 @@
                      1'000'000,
                      "Queued requests per arbitration group and rank");
   aParser.AddMilliseconds("load-poll-interval-ms",
-                          milliseconds(500),
+                          milliseconds(1000),
                           milliseconds(50),
                           seconds(60),
                           "Time between load reports of a backend server");
--- a/modules/azurecross_control/plane/ControlSettings.h
+++ b/modules/azurecross_control/plane/ControlSettings.h
@@ -23,7 +23,7 @@
   std::vector<SocketAddress> store_;
   std::optional<SocketAddress> vmList_;
   ArbiterOptions arbiter_;
-  Duration loadPollInterval_ = std::chrono::milliseconds(500);
+  Duration loadPollInterval_ = std::chrono::seconds(1);
   Duration vmListInterval_ = std::chrono::seconds(2);
   Duration operationRetention_ = std::chrono::hours(24);
   std::size_t operationMemoryBytes_ = std::size_t{ 64 } << 20;
