Tidy the exchange of notices and peer metrics after a read-through

Cause: a read of the whole change found an unused argument (PeakKeeper::Flush), a set of published notices that kept ids of servers long gone, and metrics that would jump by 2^64 if they were read after the transport had stopped. Change: the argument is gone, ended notices leave the set, and a count that falls is not added. Measured: control_tests pass, with a stopped transport among the cases. Conclusion: no behaviour changes while an entry runs.

--- a/modules/azurecross_control/pacing/PeakKeeper.cpp
+++ b/modules/azurecross_control/pacing/PeakKeeper.cpp
@@ -154,7 +154,6 @@
 
 void
 PeakKeeper::Flush(const std::map<GroupId, double>& aPeaks,
-                  Time /*aNow*/,
                   PeakActions& aActions)
 {
   for (auto& [id, group] : groups_) {
--- a/modules/azurecross_control/pacing/PeakKeeper.h
+++ b/modules/azurecross_control/pacing/PeakKeeper.h
@@ -99,16 +99,17 @@
 
   explicit PeakKeeper(std::uint64_t aSeed);
 
-  /** Takes the groups whose home is this entry, with their peaks. */
+  /**
+   * Takes the groups whose home is this entry, with their peaks, and asks for
+   * the calls that are due.
+   */
   void Tick(const std::map<GroupId, double>& aPeaks,
             BillingMonth aMonth,
             Time aNow,
             PeakActions& aActions);
 
   /** Writes what has grown at all, at a planned stop. */
-  void Flush(const std::map<GroupId, double>& aPeaks,
-             Time aNow,
-             PeakActions& aActions);
+  void Flush(const std::map<GroupId, double>& aPeaks, PeakActions& aActions);
 
   /** Takes the answer of a read. */
   void TakeRead(const ReadPeak& aRead,
--- a/modules/azurecross_control/pacing/PeakShell.cpp
+++ b/modules/azurecross_control/pacing/PeakShell.cpp
@@ -75,10 +75,10 @@
 }
 
 void
-PeakShell::Flush(Time aNow)
+PeakShell::Flush()
 {
   PeakActions actions;
-  keeper_.Flush(ListPeaks(), aNow, actions);
+  keeper_.Flush(ListPeaks(), actions);
   Process(actions);
 }
 
--- a/modules/azurecross_control/pacing/PeakShell.h
+++ b/modules/azurecross_control/pacing/PeakShell.h
@@ -28,7 +28,7 @@
 
   void Tick(Time aNow);
   /** Writes the peaks that have grown, on a planned stop. */
-  void Flush(Time aNow);
+  void Flush();
 
 private:
   std::map<GroupId, double> ListPeaks() const;
--- a/modules/azurecross_control/plane/ControlLoop.cpp
+++ b/modules/azurecross_control/plane/ControlLoop.cpp
@@ -135,7 +135,7 @@
 {
   view_.isDraining_ = true;
   orders_.Release();
-  peaks_.Flush(ReadMonotonicTime());
+  peaks_.Flush();
   peers_.AnnounceLeaving(ReadMonotonicTime());
   UpdateHomes();
 }
--- a/modules/azurecross_control/plane/NewsExchange.cpp
+++ b/modules/azurecross_control/plane/NewsExchange.cpp
@@ -52,8 +52,11 @@
   last_ = aNow;
   PublishSummaries(aGrants, aNow);
   ReadSummaries(aGrants, aGroups, aNow);
-  const bool haveNotices =
-    directory_.SetNotices(peers_.GetView().GetGossip().ListLeaving());
+  const Gossip& gossip = peers_.GetView().GetGossip();
+  std::erase_if(published_, [&](const BackendServerId& aServer) {
+    return !gossip.IsLeaving(aServer);
+  });
+  const bool haveNotices = directory_.SetNotices(gossip.ListLeaving());
   const bool haveWords = directory_.DropOldWords(aNow);
   return haveNotices || haveWords;
 }
--- a/modules/azurecross_control/plane/PeerMetrics.cpp
+++ b/modules/azurecross_control/plane/PeerMetrics.cpp
@@ -18,7 +18,10 @@
 void
 Add(prometheus::Counter& aCounter, std::uint64_t aNow, std::uint64_t aLast)
 {
-  aCounter.Increment(static_cast<double>(aNow - aLast));
+  // A transport that has stopped reads 0.
+  if (aNow > aLast) {
+    aCounter.Increment(static_cast<double>(aNow - aLast));
+  }
 }
 
 } // namespace
--- a/tests/control_tests/PeakKeeperTests.cpp
+++ b/tests/control_tests/PeakKeeperTests.cpp
@@ -35,7 +35,7 @@
   void Stop()
   {
     PeakActions actions;
-    keeper_.Flush({ { kGroup, peak_ } }, now_, actions);
+    keeper_.Flush({ { kGroup, peak_ } }, actions);
     Run(actions);
   }
 
--- a/tests/control_tests/PeerMetricsTests.cpp
+++ b/tests/control_tests/PeerMetricsTests.cpp
@@ -23,6 +23,8 @@
   counters.droppedMessages_ = 9;
   peers.Update(counters);
   peers.Update(counters);
+  // What a stopped transport reads.
+  peers.Update(PeerTransportCounters{});
   const std::string text = metrics.Serialize();
   for (const char* line :
        { "azurecross_peer_messages_sent_total 1\n",
