--- a/modules/azurecross_cluster/transport/PeerConnection.cpp
+++ b/modules/azurecross_cluster/transport/PeerConnection.cpp
@@ -13,7 +13,7 @@
 namespace asio = boost::asio;
 using SystemError = boost::system::error_code;
 
-// A connection whose peer is gone without a word ends after about 90 s.
+// Ends a connection whose peer has vanished without closing it after 90 s.
 constexpr int kKeepAliveIdleSeconds = 60;
 constexpr int kKeepAliveIntervalSeconds = 10;
 constexpr int kKeepAliveProbes = 3;
--- a/modules/azurecross_control/groups/GroupDirectory.cpp
+++ b/modules/azurecross_control/groups/GroupDirectory.cpp
@@ -17,18 +17,18 @@
 bool
 GroupDirectory::IsLeaving(const BackendServerId& aServer) const
 {
-  const auto word = words_.find(aServer);
-  return word == words_.end() ? notices_.contains(aServer)
-                              : word->second.isLeaving_;
+  const auto report = selfReports_.find(aServer);
+  return report == selfReports_.end() ? notices_.contains(aServer)
+                                      : report->second.isLeaving_;
 }
 
 bool
-GroupDirectory::TakeWord(const BackendServerId& aServer,
-                         bool aIsLeaving,
-                         Time aNow)
+GroupDirectory::TakeSelfReport(const BackendServerId& aServer,
+                               bool aIsLeaving,
+                               Time aNow)
 {
   const bool wasLeaving = IsLeaving(aServer);
-  words_[aServer] = { aIsLeaving, aNow };
+  selfReports_[aServer] = { aIsLeaving, aNow };
   return wasLeaving != aIsLeaving;
 }
 
@@ -44,14 +44,14 @@
 }
 
 bool
-GroupDirectory::DropOldWords(Time aNow)
+GroupDirectory::DropOldSelfReports(Time aNow)
 {
   bool isChange = false;
-  std::erase_if(words_, [&](const auto& aItem) {
-    const auto& [server, word] = aItem;
-    const bool isOld = aNow - word.since_ > kWordLifetime;
+  std::erase_if(selfReports_, [&](const auto& aItem) {
+    const auto& [server, report] = aItem;
+    const bool isOld = aNow - report.since_ > kSelfReportLifetime;
     isChange =
-      isChange || (isOld && word.isLeaving_ != notices_.contains(server));
+      isChange || (isOld && report.isLeaving_ != notices_.contains(server));
     return isOld;
   });
   return isChange;
--- a/modules/azurecross_control/groups/GroupDirectory.h
+++ b/modules/azurecross_control/groups/GroupDirectory.h
@@ -45,29 +45,33 @@
 
   void SetTables(Tables::Version aTables);
   void SetVmList(VmList aVms);
-  /** How long what a backend server said itself outweighs peers' notices. */
-  static constexpr Duration kWordLifetime = std::chrono::seconds(5);
+  /** How long what a backend server reports of itself outweighs peers' notices.
+   */
+  static constexpr Duration kSelfReportLifetime = std::chrono::seconds(5);
 
   /**
-   * Takes what a backend server says itself, which outweighs the notices of
-   * peers: they can be left over from before it was replaced.
+   * Takes what a backend server reports of itself, which outweighs the notices
+   * of peers: they can be left over from before it was replaced.
    * @returns whether that changes its state.
    */
-  bool TakeWord(const BackendServerId& aServer, bool aIsLeaving, Time aNow);
+  bool TakeSelfReport(const BackendServerId& aServer,
+                      bool aIsLeaving,
+                      Time aNow);
   /**
    * Takes all notices of entries that a backend server is leaving; with them
    * it gets no new work although the VM list lags.
    * @returns whether they have changed.
    */
   bool SetNotices(const std::vector<BackendServerId>& aServers);
-  /** Forgets old words. @returns whether that changes a server's state. */
-  bool DropOldWords(Time aNow);
+  /** Forgets old self-reports. @returns whether that changes a server's state.
+   */
+  bool DropOldSelfReports(Time aNow);
 
   /** @returns the groups that follow from the current inputs. */
   std::shared_ptr<const GroupMap> Build() const;
 
 private:
-  struct Word
+  struct SelfReport
   {
     bool isLeaving_ = false;
     Time since_;
@@ -79,7 +83,7 @@
   Tables::Version tables_;
   VmList vms_;
   std::set<BackendServerId> notices_;
-  std::unordered_map<BackendServerId, Word> words_;
+  std::unordered_map<BackendServerId, SelfReport> selfReports_;
 };
 
 } // namespace azurecross
--- a/modules/azurecross_control/plane/ControlLoop.cpp
+++ b/modules/azurecross_control/plane/ControlLoop.cpp
@@ -205,7 +205,7 @@
 {
   const BackendServerId& server = aReport.load_.id_;
   const Time now = ReadMonotonicTime();
-  if (directory_.TakeWord(server, aReport.isLeaving_, now)) {
+  if (directory_.TakeSelfReport(server, aReport.isLeaving_, now)) {
     WriteLog(LogLevel::Info,
              aReport.isLeaving_ ? "backend server is leaving"
                                 : "backend server stays",
--- a/modules/azurecross_control/plane/NewsExchange.cpp
+++ b/modules/azurecross_control/plane/NewsExchange.cpp
@@ -57,8 +57,8 @@
     return !gossip.IsLeaving(aServer);
   });
   const bool haveNotices = directory_.SetNotices(gossip.ListLeaving());
-  const bool haveWords = directory_.DropOldWords(aNow);
-  return haveNotices || haveWords;
+  const bool haveReports = directory_.DropOldSelfReports(aNow);
+  return haveNotices || haveReports;
 }
 
 void
--- a/tests/control_tests/GroupDirectoryTests.cpp
+++ b/tests/control_tests/GroupDirectoryTests.cpp
@@ -69,9 +69,9 @@
 }
 
 // Guards against a backend server that gets no work because of a notice from
-// before it was replaced, and against a last word that outweighs a later
+// before it was replaced, and against a self-report that outweighs a later
 // notice for good.
-BOOST_AUTO_TEST_CASE(OwnWordOutweighsNotices)
+BOOST_AUTO_TEST_CASE(SelfReportOutweighsNotices)
 {
   const BackendServerId server("vm-0");
   GroupDirectory directory;
@@ -82,16 +82,17 @@
   };
   const Time start{ std::chrono::hours(1) };
   directory.SetNotices({ server });
-  BOOST_TEST(directory.TakeWord(server, false, start));
+  BOOST_TEST(directory.TakeSelfReport(server, false, start));
   BOOST_TEST(!isLeaving());
-  BOOST_TEST(!directory.TakeWord(server, false, start));
-  BOOST_TEST(!directory.DropOldWords(start + GroupDirectory::kWordLifetime));
-  const Time later = start + 2 * GroupDirectory::kWordLifetime;
-  BOOST_TEST(directory.DropOldWords(later));
+  BOOST_TEST(!directory.TakeSelfReport(server, false, start));
+  BOOST_TEST(
+    !directory.DropOldSelfReports(start + GroupDirectory::kSelfReportLifetime));
+  const Time later = start + 2 * GroupDirectory::kSelfReportLifetime;
+  BOOST_TEST(directory.DropOldSelfReports(later));
   BOOST_TEST(isLeaving());
   BOOST_TEST(directory.SetNotices({}));
   BOOST_TEST(!isLeaving());
-  BOOST_TEST(directory.TakeWord(server, true, later));
+  BOOST_TEST(directory.TakeSelfReport(server, true, later));
   BOOST_TEST(isLeaving());
 }
 
