--- a/apps/azurecross/CommandContext.h
+++ b/apps/azurecross/CommandContext.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <azurecross_platform/azurecross_platform.h>
+#include <azurecross_store/azurecross_store.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
--- a/apps/platform_standin/StandinCodec.cpp
+++ b/apps/platform_standin/StandinCodec.cpp
@@ -1,6 +1,6 @@
 #include "StandinCodec.h"
 
-#include <azurecross_platform/etcd/EtcdFields.h>
+#include <azurecross_store/etcd/EtcdFields.h>
 
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
--- a/apps/platform_standin/StandinCodec.h
+++ b/apps/platform_standin/StandinCodec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <azurecross_platform/store/StoreTypes.h>
+#include <azurecross_store/store/StoreTypes.h>
 
 #include <string>
 #include <string_view>
--- a/bench/fault/EditLoop.cpp
+++ b/bench/fault/EditLoop.cpp
@@ -1,7 +1,7 @@
 #include "FaultDriver.h"
 #include "checks/RecordChecks.h"
 
-#include <azurecross_platform/azurecross_platform.h>
+#include <azurecross_store/azurecross_store.h>
 
 #include <boost/json/value.hpp>
 
--- a/cmake/AzurecrossTargets.cmake
+++ b/cmake/AzurecrossTargets.cmake
@@ -22,7 +22,8 @@
 # GCC 12 reports false positives of these kinds in optimized Boost and
 # standard library headers.
 list(APPEND AZURECROSS_WARNINGS -Wno-maybe-uninitialized -Wno-restrict
-     -Wno-stringop-overread -Wno-array-bounds -Wno-stringop-overflow)
+     -Wno-stringop-overread -Wno-array-bounds -Wno-stringop-overflow
+     -Wno-mismatched-new-delete)
 
 # azurecross_add_module(<name> SOURCES ... LINK ...): the static library of
 # the module modules/azurecross_<name>, as target azurecross::<name>.
--- a/modules/azurecross_control/operations/ClaimStore.h
+++ b/modules/azurecross_control/operations/ClaimStore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <azurecross_operations/azurecross_operations.h>
-#include <azurecross_platform/azurecross_platform.h>
+#include <azurecross_store/azurecross_store.h>
 
 #include <boost/asio/awaitable.hpp>
 
--- a/modules/azurecross_control/orders/OrderShell.h
+++ b/modules/azurecross_control/orders/OrderShell.h
@@ -5,7 +5,7 @@
 
 #include <azurecross_http/azurecross_http.h>
 #include <azurecross_orders/azurecross_orders.h>
-#include <azurecross_platform/azurecross_platform.h>
+#include <azurecross_store/azurecross_store.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
--- a/modules/azurecross_control/pacing/PeakKeeper.h
+++ b/modules/azurecross_control/pacing/PeakKeeper.h
@@ -2,7 +2,7 @@
 
 #include <azurecross_cluster/azurecross_cluster.h>
 #include <azurecross_core/azurecross_core.h>
-#include <azurecross_platform/azurecross_platform.h>
+#include <azurecross_store/azurecross_store.h>
 
 #include <chrono>
 #include <cstdint>
--- a/modules/azurecross_control/pacing/PeakShell.h
+++ b/modules/azurecross_control/pacing/PeakShell.h
@@ -4,7 +4,7 @@
 #include "PeakKeeper.h"
 
 #include <azurecross_core/azurecross_core.h>
-#include <azurecross_platform/azurecross_platform.h>
+#include <azurecross_store/azurecross_store.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
--- a/modules/azurecross_control/plane/ControlLoop.h
+++ b/modules/azurecross_control/plane/ControlLoop.h
@@ -14,7 +14,7 @@
 
 #include <azurecross_core/azurecross_core.h>
 #include <azurecross_gateway/azurecross_gateway.h>
-#include <azurecross_platform/azurecross_platform.h>
+#include <azurecross_store/azurecross_store.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/modules/azurecross_control/plane/TableSync.h
+++ b/modules/azurecross_control/plane/TableSync.h
@@ -4,7 +4,7 @@
 #include "PeerBridge.h"
 
 #include <azurecross_core/azurecross_core.h>
-#include <azurecross_platform/azurecross_platform.h>
+#include <azurecross_store/azurecross_store.h>
 #include <azurecross_tables/azurecross_tables.h>
 
 #include <boost/asio/io_context.hpp>
--- a/modules/azurecross_core/logging/Log.cpp
+++ b/modules/azurecross_core/logging/Log.cpp
@@ -11,8 +11,12 @@
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/make_shared.hpp>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <atomic>
 #include <chrono>
+#include <climits>
 #include <iomanip>
 #include <iostream>
 #include <sstream>
@@ -30,6 +34,32 @@
 std::atomic<int> gLowestLevel{ kLoggingOff };
 std::string gProgram;
 
+std::atomic<std::uint64_t> gDroppedRecords{ 0 };
+
+/** Writes whole lines to standard output as far as that does not block. */
+class NonBlockingBackend
+  : public logging::sinks::basic_formatted_sink_backend<char>
+{
+public:
+  // The name is fixed by Boost.Log.
+  void consume( // NOLINT
+    const logging::record_view&,
+    const std::string& aLine)
+  {
+    pollfd poller{ STDOUT_FILENO, POLLOUT, 0 };
+    const std::string line = aLine + "\n";
+    // A pipe that polls as writable takes PIPE_BUF bytes without blocking.
+    const bool isSent =
+      line.size() <= PIPE_BUF && poll(&poller, 1, 0) == 1 &&
+      (poller.revents & POLLOUT) != 0 &&
+      write(STDOUT_FILENO, line.data(), line.size()) ==
+        static_cast<ssize_t>(line.size());
+    if (!isSent) {
+      gDroppedRecords.fetch_add(1, std::memory_order_relaxed);
+    }
+  }
+};
+
 std::string
 FormatUtcTime()
 {
@@ -56,10 +86,28 @@
 
 } // namespace
 
+std::uint64_t
+CountDroppedLogRecords()
+{
+  return gDroppedRecords.load(std::memory_order_relaxed);
+}
+
 void
-StartLogging(LogLevel aLowestLevel, std::string_view aProgram)
+StartLogging(LogLevel aLowestLevel,
+             std::string_view aProgram,
+             LogOutput aOutput)
 {
   gProgram = aProgram;
+  gLowestLevel = static_cast<int>(aLowestLevel);
+  logging::core::get()->remove_all_sinks();
+  if (aOutput == LogOutput::StandardOutput) {
+    auto output = boost::make_shared<
+      logging::sinks::synchronous_sink<NonBlockingBackend>>();
+    output->set_formatter(logging::expressions::stream
+                          << logging::expressions::smessage);
+    logging::core::get()->add_sink(output);
+    return;
+  }
   auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
   backend->add_stream(
     boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
@@ -67,9 +115,7 @@
   auto sink = boost::make_shared<Sink>(backend);
   sink->set_formatter(logging::expressions::stream
                       << logging::expressions::smessage);
-  logging::core::get()->remove_all_sinks();
   logging::core::get()->add_sink(sink);
-  gLowestLevel = static_cast<int>(aLowestLevel);
 }
 
 bool
--- a/modules/azurecross_core/logging/Log.h
+++ b/modules/azurecross_core/logging/Log.h
@@ -75,9 +75,26 @@
   Value value_;
 };
 
-/** Sets up JSON-line logging to standard error from this level upwards. */
+/** Where log records go. */
+enum class LogOutput
+{
+  StandardError,
+  /**
+   * Standard output. A record that the reader is too slow for is dropped and
+   * counted: writing never blocks.
+   */
+  StandardOutput,
+};
+
+/** Sets up JSON-line logging from this level upwards. */
 void
-StartLogging(LogLevel aLowestLevel, std::string_view aProgram);
+StartLogging(LogLevel aLowestLevel,
+             std::string_view aProgram,
+             LogOutput aOutput = LogOutput::StandardError);
+
+/** @returns how many records were dropped because the reader was too slow. */
+std::uint64_t
+CountDroppedLogRecords();
 
 /** @returns whether records of this level are written. */
 bool
--- a/modules/azurecross_core/time/Time.h
+++ b/modules/azurecross_core/time/Time.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace azurecross {
 
@@ -32,6 +33,19 @@
     std::chrono::steady_clock::now().time_since_epoch()));
 }
 
+/**
+ * @returns the time since boot, for shells. Unlike the monotonic time it goes
+ * on while the VM is suspended, so it bounds the age of what was learned before.
+ */
+inline Time
+ReadBootTime()
+{
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return Time(std::chrono::seconds(time.tv_sec) +
+              std::chrono::nanoseconds(time.tv_nsec));
+}
+
 /** @returns milliseconds since the Unix epoch, for records people read. */
 inline std::int64_t
 ReadUnixMilliseconds()
--- a/modules/azurecross_core/types/Error.h
+++ b/modules/azurecross_core/types/Error.h
@@ -21,6 +21,7 @@
   HeaderTooLarge,
   BodyTooLarge,
   RequestTimeout,
+  KeyUnknown,
   RouteNotFound,
   ModelNotFound,
   QueueFull,
@@ -43,11 +44,12 @@
   Internal,
 };
 
-inline constexpr NameTable<ErrorCode, 24> kErrorCodeNames{
+inline constexpr NameTable<ErrorCode, 25> kErrorCodeNames{
   { { { ErrorCode::InvalidRequest, "invalid_request" },
       { ErrorCode::HeaderTooLarge, "header_too_large" },
       { ErrorCode::BodyTooLarge, "body_too_large" },
       { ErrorCode::RequestTimeout, "request_timeout" },
+      { ErrorCode::KeyUnknown, "key_unknown" },
       { ErrorCode::RouteNotFound, "route_not_found" },
       { ErrorCode::ModelNotFound, "model_not_found" },
       { ErrorCode::QueueFull, "queue_full" },
--- /dev/null
+++ b/modules/azurecross_dispatch/placement/ServerPlacement.cpp
@@ -0,0 +1,165 @@
+#include "ServerPlacement.h"
+
+#include <algorithm>
+
+namespace azurecross {
+
+namespace {
+
+/** Part of an engine's memory that admission fills with expected use. The rest
+ * absorbs outputs that are longer than expected; running out of memory
+ * preempts a running generation, which has to be read again. */
+constexpr double kUsableMemory = 0.92;
+/** Part of the time to the target that the expected first event may take. */
+constexpr double kUsableTime = 0.8;
+/** Costs are in units of one engine's whole memory. */
+constexpr double kOtherZoneCost = 0.15;
+/** Cost of one second to the first event. */
+constexpr double kSecondCost = 0.5;
+/** Cost of 10 ms between tokens: slow engines hold a run for longer. */
+constexpr double kTokenGapCost = 0.1;
+/** Cost of a server whose recent runs all failed. */
+constexpr double kFailureCost = 2.0;
+/** Cost of a server that could not be reached lately, or has just started. */
+constexpr double kSuspectCost = 10.0;
+constexpr double kColdCost = 0.3;
+/** Failures in a row after which a server counts as suspect. */
+constexpr std::uint32_t kSuspectFailures = 4;
+
+} // namespace
+
+bool
+ServerPlacement::IsUsable(const ServerLoad& aServer,
+                    const PlacementRequest& aRequest) const
+{
+  return aServer.record_.pool_ == aRequest.pool_ &&
+         aServer.record_.state_ == ServerState::Ready &&
+         std::find(aRequest.excluded_.begin(),
+                   aRequest.excluded_.end(),
+                   aServer.record_.id_) == aRequest.excluded_.end();
+}
+
+double
+ServerPlacement::ComputePenalty(const ServerLoad& aServer, Time aNow) const
+{
+  double cost = kFailureCost * aServer.failureShare_;
+  if (aServer.record_.zone_ != zone_) {
+    cost += kOtherZoneCost;
+  }
+  if (aNow < aServer.coldUntil_) {
+    cost += kColdCost;
+  }
+  if (aNow < aServer.suspectUntil_ ||
+      aServer.failuresInRow_ >= kSuspectFailures) {
+    cost += kSuspectCost;
+  }
+  return cost;
+}
+
+std::optional<PlacementChoice>
+ServerPlacement::RateEngine(const LoadBoard& aBoard,
+                      const ServerLoad& aServer,
+                      const PlacementRequest& aRequest,
+                      Time aNow) const
+{
+  const EngineTraits& engine = *aServer.engine_;
+  const std::uint32_t runs = aServer.GetRuns();
+  if (runs >= engine.slots_) {
+    return std::nullopt;
+  }
+  const double memory =
+    aServer.GetMemory() + aBoard.PredictMemory(aRequest.route_,
+                                               aRequest.customer_,
+                                               aRequest.demand_,
+                                               aRequest.tokens_);
+  const double share =
+    memory / (kUsableMemory * static_cast<double>(engine.memoryTokens_));
+  // A request that fits nowhere still has to run on an empty engine.
+  if (share > 1.0 && runs > 0) {
+    return std::nullopt;
+  }
+  double seconds = 0.0;
+  if (aRequest.tokens_ == 0) {
+    const double prompt =
+      aRequest.demand_.promptTokens_ -
+      aBoard.FindCachedTokens(aServer.record_.id_, aRequest.demand_, aNow);
+    const double pending = aServer.GetPendingPrompt();
+    seconds = (pending + prompt) * aServer.secondsPerPromptToken_;
+    const double left = ToSeconds(aRequest.timeToTarget_);
+    // A late request waits for an engine without prompts ahead of it.
+    if (pending > 0.0 && seconds > kUsableTime * left) {
+      return std::nullopt;
+    }
+  }
+  PlacementChoice choice;
+  choice.expectedSeconds_ = seconds;
+  choice.loadShare_ = share;
+  choice.cost_ = share + kSecondCost * seconds +
+                 kTokenGapCost * aServer.secondsPerToken_ / 0.01;
+  return choice;
+}
+
+std::optional<PlacementChoice>
+ServerPlacement::RateService(const ServerLoad& aServer) const
+{
+  const std::uint32_t runs = aServer.GetRuns();
+  if (runs >= aServer.record_.slots_) {
+    return std::nullopt;
+  }
+  PlacementChoice choice;
+  choice.loadShare_ =
+    static_cast<double>(runs + 1) / aServer.record_.slots_;
+  choice.expectedSeconds_ = aServer.secondsPerCall_;
+  choice.cost_ = choice.loadShare_ + kSecondCost * aServer.secondsPerCall_;
+  return choice;
+}
+
+std::optional<PlacementChoice>
+ServerPlacement::Choose(const LoadBoard& aBoard,
+                  const PlacementRequest& aRequest,
+                  Time aNow) const
+{
+  std::optional<PlacementChoice> best;
+  for (const auto& [id, server] : aBoard.GetServers()) {
+    if (!IsUsable(server, aRequest)) {
+      continue;
+    }
+    auto choice = server.engine_
+                    ? RateEngine(aBoard, server, aRequest, aNow)
+                    : RateService(server);
+    if (!choice) {
+      continue;
+    }
+    choice->cost_ += ComputePenalty(server, aNow);
+    if (best && choice->cost_ >= best->cost_) {
+      continue;
+    }
+    choice->server_ = id;
+    choice->address_ = server.record_.address_;
+    choice->runs_ = server.GetRuns();
+    best = std::move(choice);
+  }
+  return best;
+}
+
+PoolUse
+ServerPlacement::Summarize(const LoadBoard& aBoard, const PoolName& aPool) const
+{
+  PoolUse use;
+  for (const auto& [id, server] : aBoard.GetServers()) {
+    if (server.record_.pool_ != aPool ||
+        server.record_.state_ != ServerState::Ready) {
+      continue;
+    }
+    ++use.servers_;
+    use.runs_ += server.GetRuns();
+    use.slots_ +=
+      server.engine_ ? server.engine_->slots_ : server.record_.slots_;
+    use.memoryTokens_ += server.GetMemory();
+    use.memoryCapacity_ +=
+      server.engine_ ? static_cast<double>(server.engine_->memoryTokens_) : 0.0;
+  }
+  return use;
+}
+
+} // namespace azurecross
--- /dev/null
+++ b/modules/azurecross_dispatch/placement/ServerPlacement.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "LoadBoard.h"
+
+#include <azurecross_core/azurecross_core.h>
+
+#include <optional>
+#include <vector>
+
+namespace azurecross {
+
+/** A request that needs a backend server now. */
+struct PlacementRequest
+{
+  PoolName pool_;
+  RouteName route_;
+  CustomerId customer_;
+  CallKind kind_ = CallKind::NonIdempotentCall;
+  GenerationDemand demand_;
+  /** Output tokens made so far, for a run that moves. */
+  std::uint32_t tokens_ = 0;
+  /** Time left until the answer or first event is late; negative if it is. */
+  Duration timeToTarget_{};
+  std::vector<BackendServerId> excluded_;
+};
+
+/** The chosen backend server and why. */
+struct PlacementChoice
+{
+  BackendServerId server_;
+  SocketAddress address_;
+  double cost_ = 0.0;
+  /** Expected time to the first event or the answer. */
+  double expectedSeconds_ = 0.0;
+  /** Share of the server's memory in use with the request, or of its slots. */
+  double loadShare_ = 0.0;
+  std::uint32_t runs_ = 0;
+};
+
+/** How much of a pool is in use. */
+struct PoolUse
+{
+  std::size_t servers_ = 0;
+  double memoryTokens_ = 0.0;
+  double memoryCapacity_ = 0.0;
+  std::uint32_t runs_ = 0;
+  std::uint32_t slots_ = 0;
+};
+
+/**
+ * Chooses the backend server of a request.
+ *
+ * Generations are spread evenly over the engines' memory: what one engine
+ * holds is also what its loss breaks off. The own availability zone is
+ * preferred as long as its engines are not much fuller, because a partition
+ * between zones breaks streams that cross it.
+ */
+class ServerPlacement
+{
+public:
+  explicit ServerPlacement(AvailabilityZone aZone)
+    : zone_(std::move(aZone))
+  {
+  }
+
+  /** @returns the best server that has room, or nothing. */
+  std::optional<PlacementChoice> Choose(const LoadBoard& aBoard,
+                                        const PlacementRequest& aRequest,
+                                        Time aNow) const;
+
+  /** @returns the use of the servers that take new work. */
+  PoolUse Summarize(const LoadBoard& aBoard, const PoolName& aPool) const;
+
+private:
+  bool IsUsable(const ServerLoad& aServer,
+                const PlacementRequest& aRequest) const;
+  std::optional<PlacementChoice> RateEngine(const LoadBoard& aBoard,
+                                            const ServerLoad& aServer,
+                                            const PlacementRequest& aRequest,
+                                            Time aNow) const;
+  std::optional<PlacementChoice> RateService(const ServerLoad& aServer) const;
+  double ComputePenalty(const ServerLoad& aServer, Time aNow) const;
+
+  AvailabilityZone zone_;
+};
+
+} // namespace azurecross
--- /dev/null
+++ b/modules/azurecross_dispatch/tables/ServingTables.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include <azurecross_core/azurecross_core.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace azurecross {
+
+/** What a route's requests are, which decides whether they may be repeated. */
+enum class CallKind
+{
+  /** A plain call that may run more than once. */
+  IdempotentCall,
+  /** A plain call that runs at most once. */
+  NonIdempotentCall,
+  /** An event stream of a model engine; runs at most once. */
+  Generation,
+};
+
+inline constexpr NameTable<CallKind, 3> kCallKindNames{
+  { { { CallKind::IdempotentCall, "idempotent_call" },
+      { CallKind::NonIdempotentCall, "non_idempotent_call" },
+      { CallKind::Generation, "generation" } } }
+};
+
+/** A pool that gets a share of a route's requests. */
+struct PoolShare
+{
+  PoolName pool_;
+  /** Relative to the other shares of the route. */
+  double weight_ = 1.0;
+};
+
+/** Where the requests of one host and path prefix go, and at what rank. */
+struct ServingRoute
+{
+  RouteName name_;
+  std::string host_;
+  /** Begins and ends with a slash. */
+  std::string prefix_;
+  CallKind kind_ = CallKind::NonIdempotentCall;
+  /** Longest time from arrival to the end of the answer. */
+  Duration timeout_{};
+  /** Time to the answer, or to the first event, that the route aims at. */
+  Duration latencyTarget_{};
+  /** Longest pause between events that the route aims at; 0 for none. */
+  Duration gapTarget_{};
+  /** 0 is the most urgent. */
+  int priority_ = 0;
+  std::vector<PoolShare> pools_;
+  /** Backend servers that may run one request, the first included. */
+  unsigned attemptLimit_ = 1;
+  /** Whether requests need no API key. */
+  bool isPublic_ = false;
+  /** Whether a caller may go on with an interrupted generation. */
+  bool isResumable_ = false;
+};
+
+/** What the engines of a pool can do. */
+struct EngineTraits
+{
+  /** Requests that one engine runs at once. */
+  std::uint32_t slots_ = 0;
+  std::uint64_t memoryTokens_ = 0;
+  std::uint64_t bytesPerToken_ = 0;
+  /** Bandwidth between engines, for copies of a generation's memory. */
+  double linkBitsPerSecond_ = 0.0;
+  bool canMove_ = false;
+  bool canBackUp_ = false;
+  /** Tokens in one event of a stream. */
+  std::uint32_t tokensPerEvent_ = 1;
+};
+
+/** A group of backend servers. */
+struct ServingPool
+{
+  PoolName name_;
+  /** Connections that one backend server takes from all callers together. */
+  std::uint32_t connectionLimit_ = 0;
+  /** Set for model engines. */
+  std::optional<EngineTraits> engine_;
+};
+
+/** A customer with its API keys. */
+struct ServingCustomer
+{
+  CustomerId name_;
+  std::vector<std::string> apiKeys_;
+  /** Takes precedence over the route's priority. */
+  std::optional<int> priority_;
+};
+
+/** What callers may send and how long they may take. */
+struct CallerLimits
+{
+  std::uint32_t headerBytes_ = 16 * 1024;
+  std::size_t bodyBytes_ = std::size_t{ 4 } << 20;
+  Duration headerTimeout_ = std::chrono::seconds(3);
+  Duration idleTimeout_ = std::chrono::seconds(15);
+};
+
+/**
+ * One version of the routes, pools, customers and limits, with indexes for the
+ * path of a request. Immutable once built.
+ */
+class ServingTables
+{
+public:
+  struct Content
+  {
+    std::uint64_t version_ = 0;
+    std::vector<ServingRoute> routes_;
+    std::vector<ServingPool> pools_;
+    /** Without customers, no request needs a key. */
+    std::vector<ServingCustomer> customers_;
+    CallerLimits limits_;
+  };
+
+  explicit ServingTables(Content aContent);
+
+  std::uint64_t GetVersion() const { return content_.version_; }
+  const CallerLimits& GetLimits() const { return content_.limits_; }
+  const std::vector<ServingRoute>& GetRoutes() const
+  {
+    return content_.routes_;
+  }
+
+  /** @returns the route of the host with the longest prefix that begins the
+   * path, or null. */
+  const ServingRoute* FindRoute(std::string_view aHost,
+                                std::string_view aPath) const;
+  const ServingPool* FindPool(const PoolName& aName) const;
+
+  /** @returns whether requests of routes that are not public need a key. */
+  bool HasCustomers() const { return !content_.customers_.empty(); }
+  const ServingCustomer* FindCustomer(std::string_view aApiKey) const;
+
+private:
+  Content content_;
+  /** Routes of each host, those with longer prefixes first. */
+  std::unordered_map<std::string, std::vector<const ServingRoute*>> byHost_;
+  std::unordered_map<PoolName, const ServingPool*> pools_;
+  std::unordered_map<std::string, const ServingCustomer*> byKey_;
+};
+
+using ServingTablesPtr = std::shared_ptr<const ServingTables>;
+
+/** @returns the pool that takes the request which drew this number in [0, 1).
+ * The route must have a pool. */
+const PoolName&
+ChoosePool(const ServingRoute& aRoute, double aDraw);
+
+} // namespace azurecross
--- a/modules/azurecross_gateway/azurecross_gateway.h
+++ b/modules/azurecross_gateway/azurecross_gateway.h
@@ -11,5 +11,14 @@
 #include "controller/RequestController.h"
 #include "controller/RouteMatch.h"
 
+#include "backend/BackendConnection.h"
+#include "backend/BackendPool.h"
+#include "backend/ServiceAdapter.h"
+#include "messages/AnswerHead.h"
+#include "messages/ErrorReply.h"
+#include "relay/CallerChannel.h"
+
+
+#include "server/DeadlineList.h"
 #include "server/EntryServer.h"
 #include "server/OperationsServer.h"
--- a/modules/azurecross_gateway/backend/BackendConnection.cpp
+++ b/modules/azurecross_gateway/backend/BackendConnection.cpp
@@ -1,5 +1,7 @@
 #include "BackendConnection.h"
 
+#include <azurecross_http/azurecross_http.h>
+
 #include <boost/asio/connect.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -60,6 +62,7 @@
   }
   socket_.set_option(asio::ip::tcp::no_delay(true), code);
   socket_.non_blocking(true, code);
+  SetKeepAlive(socket_.native_handle());
   Reset();
   co_return std::nullopt;
 }
@@ -146,6 +149,20 @@
   }
 }
 
+asio::awaitable<std::optional<Error>>
+BackendConnection::SkipAnswer(bool aIsHeadRequest, Time aDeadline)
+{
+  ResetParser();
+  parser_->skip(aIsHeadRequest);
+  if (auto error = ParseBuffer()) {
+    co_return error;
+  }
+  if (!parser_->is_header_done()) {
+    co_return co_await ReadHead(aIsHeadRequest, aDeadline);
+  }
+  co_return std::nullopt;
+}
+
 asio::mutable_buffer
 BackendConnection::PrepareRead()
 {
--- a/modules/azurecross_gateway/backend/BackendConnection.h
+++ b/modules/azurecross_gateway/backend/BackendConnection.h
@@ -59,6 +59,9 @@
   /** @returns whether the whole answer has been read. */
   bool IsDone() const { return parser_->is_done(); }
 
+  /** @returns whether only the end of the connection ends the body. */
+  bool IsUnframed() const { return parser_->get().need_eof(); }
+
   /** @returns whether another request may follow on this connection. */
   bool IsReusable() const;
 
@@ -75,6 +78,11 @@
   WorkerSocket& GetSocket() { return socket_; }
   Deadline& GetDeadline() { return deadline_; }
 
+  /** Goes on to the answer that follows the present one, whose body has been
+   * read: a server may send an answer that belongs to no request. */
+  boost::asio::awaitable<std::optional<Error>> SkipAnswer(bool aIsHeadRequest,
+                                                          Time aDeadline);
+
   /** Forgets the last answer, before the connection is used again. */
   void Reset();
 
--- a/modules/azurecross_gateway/backend/BackendPool.cpp
+++ b/modules/azurecross_gateway/backend/BackendPool.cpp
@@ -10,8 +10,6 @@
 namespace {
 
 constexpr std::size_t kIdlePerAddress = 16;
-/** Shorter than the keep-alive time of the usual servers. */
-constexpr Duration kIdleTime = std::chrono::seconds(4);
 
 /** @returns whether the peer has neither closed nor sent anything. */
 bool
@@ -32,10 +30,12 @@
   if (found == idle_.end()) {
     return nullptr;
   }
+  const Time now = ReadMonotonicTime();
   while (!found->second.empty()) {
+    const bool isUsable = now < found->second.back().until_;
     auto connection = std::move(found->second.back().connection_);
     found->second.pop_back();
-    if (IsQuiet(connection->GetSocket())) {
+    if (isUsable && IsQuiet(connection->GetSocket())) {
       connection->Reset();
       return connection;
     }
@@ -44,14 +44,15 @@
 }
 
 void
-BackendPool::Give(std::unique_ptr<BackendConnection> aConnection)
+BackendPool::Give(std::unique_ptr<BackendConnection> aConnection,
+                  Duration aIdleTime)
 {
   if (!aConnection->IsReusable()) {
     return;
   }
   auto& list = idle_[aConnection->GetAddress()];
   if (list.size() < kIdlePerAddress) {
-    list.push_back({ std::move(aConnection), ReadMonotonicTime() });
+    list.push_back({ std::move(aConnection), ReadMonotonicTime() + aIdleTime });
   }
 }
 
@@ -60,7 +61,7 @@
 {
   for (auto at = idle_.begin(); at != idle_.end();) {
     std::erase_if(at->second, [&](const Idle& aIdle) {
-      return aNow - aIdle.since_ > kIdleTime;
+      return aNow >= aIdle.until_;
     });
     at = at->second.empty() ? idle_.erase(at) : std::next(at);
   }
--- a/modules/azurecross_gateway/backend/BackendPool.h
+++ b/modules/azurecross_gateway/backend/BackendPool.h
@@ -15,17 +15,27 @@
   /** @returns an open connection to this address, or null. */
   std::unique_ptr<BackendConnection> Take(const SocketAddress& aAddress);
 
-  /** Keeps a connection for later, if it can be used again. */
-  void Give(std::unique_ptr<BackendConnection> aConnection);
+  /**
+   * Keeps a connection for later, if it can be used again.
+   * @param aIdleTime longest time to keep it.
+   */
+  void Give(std::unique_ptr<BackendConnection> aConnection,
+            Duration aIdleTime = kIdleTime);
+
+  /** Closes all idle connections to an address. */
+  void Drop(const SocketAddress& aAddress) { idle_.erase(aAddress); }
 
   /** Closes connections that have been idle too long. */
   void Tick(Time aNow);
 
 private:
+  /** Shorter than the keep-alive time of the usual servers. */
+  static constexpr Duration kIdleTime = std::chrono::seconds(4);
+
   struct Idle
   {
     std::unique_ptr<BackendConnection> connection_;
-    Time since_;
+    Time until_;
   };
 
   std::map<SocketAddress, std::vector<Idle>> idle_;
--- a/modules/azurecross_gateway/messages/ErrorReply.cpp
+++ b/modules/azurecross_gateway/messages/ErrorReply.cpp
@@ -32,6 +32,8 @@
   switch (aCode) {
     case ErrorCode::InvalidRequest:
       return 400;
+    case ErrorCode::KeyUnknown:
+      return 401;
     case ErrorCode::RouteNotFound:
     case ErrorCode::ModelNotFound:
       return 404;
--- a/modules/azurecross_gateway/server/OperationsServer.cpp
+++ b/modules/azurecross_gateway/server/OperationsServer.cpp
@@ -8,7 +8,8 @@
                                    const SocketAddress& aAddress,
                                    const Metrics& aMetrics,
                                    ReadyFunction aIsReady)
-  : pages_(std::make_shared<Pages>(Pages{ aMetrics, std::move(aIsReady), {} }))
+  : pages_(
+      std::make_shared<Pages>(Pages{ aMetrics, std::move(aIsReady), {}, {} }))
   , server_(std::move(aExecutor),
             aAddress,
             [pages = pages_](HttpExchange& aExchange) {
@@ -23,6 +24,12 @@
   pages_->pages_[aPath] = std::move(aPage);
 }
 
+void
+OperationsServer::AddReadyPath(const std::string& aPath)
+{
+  pages_->readyPaths_.insert(aPath);
+}
+
 asio::awaitable<void>
 OperationsServer::Serve(std::shared_ptr<const Pages> aPages,
                         HttpExchange& aExchange)
@@ -47,7 +54,7 @@
   if (path == "/healthz") {
     return MakeJsonResponse(200, R"({"status":"alive"})");
   }
-  if (path == "/readyz") {
+  if (path == "/readyz" || readyPaths_.contains(path)) {
     return isReady_() ? MakeJsonResponse(200, R"({"status":"ready"})")
                       : MakeJsonResponse(503, R"({"status":"not ready"})");
   }
--- a/modules/azurecross_gateway/server/OperationsServer.h
+++ b/modules/azurecross_gateway/server/OperationsServer.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 namespace azurecross {
@@ -35,6 +36,10 @@
   /** Adds a page; call this before `Start`. */
   void AddPage(const std::string& aPath, PageFunction aPage);
 
+  /** Also answers the readiness check under this path, for load balancers
+   * that ask for one of their own; call this before `Start`. */
+  void AddReadyPath(const std::string& aPath);
+
   SocketAddress GetAddress() const { return server_.GetAddress(); }
   void Start() { server_.Start(); }
   void Stop() { server_.Stop(); }
@@ -46,6 +51,7 @@
     const Metrics& metrics_;
     ReadyFunction isReady_;
     std::map<std::string, PageFunction, std::less<>> pages_;
+    std::set<std::string, std::less<>> readyPaths_;
 
     HttpResponse Answer(const HttpRequest& aRequest) const;
   };
--- a/modules/azurecross_http/azurecross_http.h
+++ b/modules/azurecross_http/azurecross_http.h
@@ -7,5 +7,7 @@
  */
 
 #include "client/HttpClient.h"
+#include "client/KeepAlive.h"
+#include "messages/Base64.h"
 #include "messages/HttpMessages.h"
 #include "server/HttpServer.h"
--- a/modules/azurecross_http/client/HttpClient.cpp
+++ b/modules/azurecross_http/client/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "HttpClient.h"
 
+#include "KeepAlive.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -93,6 +95,7 @@
     co_return MakeTransportError(
       Verdict::NotRun, aAddress, "cannot connect to", code);
   }
+  SetKeepAlive(aSent.stream_.socket().native_handle());
   auto request = MakeBeastRequest(aAddress, std::move(aRequest));
   aSent.stream_.expires_after(aLimits.answerTimeout_);
   co_await http::async_write(aSent.stream_, request, token);
--- a/modules/azurecross_policy/azurecross_policy.h
+++ b/modules/azurecross_policy/azurecross_policy.h
@@ -7,6 +7,9 @@
  * same run.
  */
 
+#include "admission/LengthPredictor.h"
 #include "arbitration/Arbiter.h"
+#include "fairness/FairQueue.h"
 #include "health/RetryBudget.h"
+#include "placement/PrefixIndex.h"
 #include "routing/ZoneRouter.h"
--- /dev/null
+++ b/modules/azurecross_serving/daemon/ServingDaemon.h
@@ -0,0 +1,274 @@
+#pragma once
+
+#include "../forward/ForwardServices.h"
+#include "../moves/RunMover.h"
+#include "../peers/LoadExchange.h"
+#include "../server/FrontServer.h"
+#include "../state/StateSync.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <csignal>
+#include <functional>
+#include <optional>
+
+namespace azurecross {
+
+/**
+ * One entry daemon of the forwarding path, on one thread.
+ *
+ * SIGTERM and SIGINT begin a graceful stop: the daemon reports that it is not
+ * ready, serves what still comes and what runs, and ends before the grace time
+ * is over. SIGHUP reloads the settings.
+ */
+template<StateSource Source>
+class ServingDaemon
+{
+public:
+  /** @returns the settings as they are now, or nothing if they can't be used;
+   * the reason is logged by the function. */
+  using Reload = std::function<std::optional<ServingSettings>()>;
+
+  ServingDaemon(boost::asio::io_context& aContext,
+                ServingSettings aSettings,
+                const WireTranslator& aWire,
+                Source& aSource,
+                Reload aReload)
+    : context_(aContext)
+    , settings_(std::move(aSettings))
+    , reload_(std::move(aReload))
+    , servingMetrics_(metrics_)
+    , state_(settings_, log_, servingMetrics_)
+    , random_(DrawSystemSeed())
+    , dispatch_(state_, settings_.zone_, servingMetrics_, random_.DrawBits())
+    , services_{ context_.get_executor(),
+                 aWire,
+                 state_,
+                 dispatch_,
+                 log_,
+                 servingMetrics_,
+                 deadlines_,
+                 connections_,
+                 limits_,
+                 random_,
+                 [this](Duration aLongest) {
+                   return sync_.AwaitProof(aLongest);
+                 },
+                 nullptr,
+                 std::nullopt }
+    , peers_(context_, settings_.peerListen_, state_, log_)
+    , mover_(context_, services_, peers_.GetName())
+    , sync_(context_,
+            aSource,
+            state_,
+            log_,
+            servingMetrics_,
+            random_.DrawBits())
+    , front_(context_, settings_.listen_, services_)
+    , ready_(context_.get_executor(),
+             settings_.readyListen_,
+             metrics_,
+             [this] { return IsReady(); })
+    , metricsServer_(context_.get_executor(),
+                     settings_.metricsListen_,
+                     metrics_,
+                     [this] { return IsReady(); })
+    , signals_(context_, SIGTERM, SIGINT, SIGHUP)
+    , timer_(context_)
+  {
+    services_.mover_ = &mover_;
+    limits_.connectionLimit_ = settings_.descriptorLimit_ / 2;
+    ready_.AddReadyPath(settings_.readyPath_);
+    state_.SetLeavingHandler(
+      [this](const BackendServerId& aServer) { mover_.LeaveServer(aServer); });
+    state_.SetLoadHandler([this] { PostDispatch(); });
+  }
+
+  ServingDaemon(const ServingDaemon&) = delete;
+  ServingDaemon& operator=(const ServingDaemon&) = delete;
+
+  /** Runs until a planned stop has finished. */
+  void Run()
+  {
+    log_.Write(Decision::Started,
+               { { "entry", settings_.entryId_ },
+                 { "availability_zone", settings_.zone_ },
+                 { "listen", front_.GetAddress().Format() },
+                 { "peer_listen", peers_.GetName() },
+                 { "version", GetVersion() } });
+    ready_.Start();
+    metricsServer_.Start();
+    peers_.Start();
+    sync_.Start({ peers_.GetAddress() },
+                [this](const std::vector<MemberRecord>& aMembers) {
+                  peers_.SetMembers(aMembers);
+                });
+    front_.Start();
+    WaitForSignal();
+    ScheduleTick();
+    context_.run();
+    log_.Write(Decision::Stopped,
+               { { "entry", settings_.entryId_ },
+                 { "requests_cut", front_.CountBusy() } });
+  }
+
+  /** @returns whether the daemon takes requests. */
+  bool IsReady() const
+  {
+    return !services_.stopsAt_ && state_.IsServing(ReadBootTime());
+  }
+
+  const FrontServer& GetFront() const { return front_; }
+
+private:
+  /** Time limits are checked this often. */
+  static constexpr Duration kTickInterval = std::chrono::milliseconds(20);
+  /** Taken off the grace time for the last writes. */
+  static constexpr Duration kStopMargin = std::chrono::milliseconds(700);
+  /** The load balancer asks each second and takes a daemon out after two
+   * answers that it is not ready; until then callers still come. */
+  static constexpr Duration kShortestStop = std::chrono::milliseconds(3500);
+  /** Waits for the next requests of callers that were told to go. */
+  static constexpr Duration kQuietTime = std::chrono::milliseconds(200);
+
+  void ScheduleTick()
+  {
+    timer_.expires_after(kTickInterval);
+    timer_.async_wait([this](const boost::system::error_code& aCode) {
+      if (!aCode) {
+        Tick();
+        ScheduleTick();
+      }
+    });
+  }
+
+  void Tick()
+  {
+    const Time now = ReadMonotonicTime();
+    deadlines_.Tick(now);
+    connections_.Tick(now);
+    dispatch_.Tick();
+    state_.Tick(now, ReadBootTime());
+    log_.Tick(now);
+    servingMetrics_.SetLeftOutRecords(log_.CountLeftOut());
+    TakeLimits();
+    if (services_.stopsAt_) {
+      CheckStop(now);
+    }
+  }
+
+  /** Takes the limits for callers from the tables in force. */
+  void TakeLimits()
+  {
+    const ServingTablesPtr& tables = state_.GetTables();
+    if (!tables || tables->GetVersion() == limitsVersion_) {
+      return;
+    }
+    limitsVersion_ = tables->GetVersion();
+    const CallerLimits& limits = tables->GetLimits();
+    limits_.headerLimitBytes_ = limits.headerBytes_;
+    limits_.bodyLimitBytes_ = limits.bodyBytes_;
+    limits_.headerTimeout_ = limits.headerTimeout_;
+    limits_.idleTimeout_ = limits.idleTimeout_;
+  }
+
+  /** Dispatches once after all changes of the load that come together. */
+  void PostDispatch()
+  {
+    if (isDispatchPosted_) {
+      return;
+    }
+    isDispatchPosted_ = true;
+    boost::asio::post(context_, [this] {
+      isDispatchPosted_ = false;
+      dispatch_.Dispatch();
+    });
+  }
+
+  void WaitForSignal()
+  {
+    signals_.async_wait(
+      [this](const boost::system::error_code& aCode, int aSignal) {
+        if (aCode) {
+          return;
+        }
+        if (aSignal == SIGHUP) {
+          ReloadSettings();
+        } else {
+          BeginStop();
+        }
+        WaitForSignal();
+      });
+  }
+
+  void ReloadSettings()
+  {
+    const auto settings = reload_();
+    if (settings) {
+      settings_.stopGrace_ = settings->stopGrace_;
+      state_.GetRetries().SetBounds(settings->retryBounds_);
+    }
+    log_.Write(Decision::Reloaded,
+               { { "outcome", settings ? "applied" : "kept" } });
+  }
+
+  void BeginStop()
+  {
+    if (services_.stopsAt_) {
+      return;
+    }
+    stopBegan_ = ReadMonotonicTime();
+    services_.stopsAt_ = stopBegan_ + settings_.stopGrace_ - kStopMargin;
+    log_.Write(Decision::Stopping,
+               { { "requests", front_.CountBusy() },
+                 { "grace_s", ToSeconds(settings_.stopGrace_) } });
+  }
+
+  void CheckStop(Time aNow)
+  {
+    if (front_.CountBusy() > 0) {
+      quietSince_.reset();
+    } else if (!quietSince_) {
+      quietSince_ = aNow;
+    }
+    const bool isQuiet = quietSince_ && aNow - *quietSince_ >= kQuietTime &&
+                         aNow - stopBegan_ >= kShortestStop;
+    if (isQuiet || aNow >= *services_.stopsAt_) {
+      front_.Stop();
+      context_.stop();
+    }
+  }
+
+  boost::asio::io_context& context_;
+  ServingSettings settings_;
+  Reload reload_;
+  Metrics metrics_;
+  DecisionLog log_;
+  ServingMetrics servingMetrics_;
+  // Coroutines that are still suspended when the context is destroyed use
+  // these.
+  DeadlineList deadlines_;
+  BackendPool connections_;
+  GatewayLimits limits_;
+  ServingState state_;
+  Random random_;
+  DispatchShell dispatch_;
+  ForwardServices services_;
+  LoadExchange peers_;
+  RunMover mover_;
+  StateSync<Source> sync_;
+  FrontServer front_;
+  OperationsServer ready_;
+  OperationsServer metricsServer_;
+  boost::asio::signal_set signals_;
+  boost::asio::steady_timer timer_;
+  std::uint64_t limitsVersion_ = 0;
+  bool isDispatchPosted_ = false;
+  Time stopBegan_;
+  std::optional<Time> quietSince_;
+};
+
+} // namespace azurecross
--- /dev/null
+++ b/modules/azurecross_serving/dispatch/DispatchShell.cpp
@@ -0,0 +1,110 @@
+#include "DispatchShell.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace azurecross {
+
+namespace asio = boost::asio;
+
+DispatchShell::DispatchShell(ServingState& aState,
+                             AvailabilityZone aZone,
+                                          ServingMetrics& aMetrics,
+                             std::uint64_t aSeed)
+  : state_(aState)
+  , metrics_(aMetrics)
+  , dispatcher_(aState.GetBoard(), ServerPlacement(std::move(aZone)), aSeed)
+{
+}
+
+asio::awaitable<AsyncResult<StartedRun>>
+DispatchShell::Acquire(const WorkerExecutor& aExecutor, DispatchTicket aTicket)
+{
+  const TicketNumber number = aTicket.number_;
+  auto waiter = std::make_shared<Waiter>(aExecutor);
+  waiters_.emplace(number, waiter);
+  DispatchDecisions decisions;
+  dispatcher_.Enqueue(std::move(aTicket), ReadMonotonicTime(), decisions);
+  Deliver(std::move(decisions));
+  metrics_.SetQueued(dispatcher_.CountQueued());
+  if (!waiter->started_ && !waiter->error_) {
+    boost::system::error_code ignored;
+    co_await waiter->timer_.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  waiters_.erase(number);
+  if (waiter->error_) {
+    co_return std::move(*waiter->error_);
+  }
+  metrics_.ObserveQueueWait(waiter->started_->waited_);
+  co_return std::move(*waiter->started_);
+}
+
+void
+DispatchShell::Wake(TicketNumber aTicket,
+                    const std::function<void(Waiter&)>& aSet)
+{
+  const auto found = waiters_.find(aTicket);
+  if (found != waiters_.end()) {
+    aSet(*found->second);
+    found->second->timer_.cancel();
+  }
+}
+
+void
+DispatchShell::Cancel(TicketNumber aTicket)
+{
+  dispatcher_.Cancel(aTicket);
+  Wake(aTicket, [](Waiter& aWaiter) {
+    if (!aWaiter.started_ && !aWaiter.error_) {
+      aWaiter.error_ = Error{ ErrorCode::Cancelled,
+                              Verdict::NotRun,
+                              "cancelled while waiting for a backend server",
+                              {} };
+    }
+  });
+}
+
+void
+DispatchShell::Deliver(DispatchDecisions aDecisions)
+{
+  for (StartDecision& start : aDecisions.starts_) {
+    RunHold hold(state_, start.run_);
+    Wake(start.ticket_, [&](Waiter& aWaiter) {
+      aWaiter.started_ =
+        StartedRun{ std::move(hold), std::move(start.choice_), start.waited_ };
+    });
+  }
+  for (const RefuseDecision& refusal : aDecisions.refusals_) {
+    Wake(refusal.ticket_, [&](Waiter& aWaiter) {
+      aWaiter.error_ =
+        Error{ refusal.reason_,
+               Verdict::NotRun,
+               "no backend server is expected to have room in time; waited " +
+                 std::to_string(ToSeconds(refusal.waited_)) + " s, " +
+                 std::to_string(refusal.queued_) + " queued",
+               std::chrono::duration_cast<std::chrono::milliseconds>(
+                 refusal.retryAfter_) };
+    });
+  }
+}
+
+void
+DispatchShell::Dispatch()
+{
+  DispatchDecisions decisions;
+  dispatcher_.Dispatch(ReadMonotonicTime(), decisions);
+  Deliver(std::move(decisions));
+  metrics_.SetQueued(dispatcher_.CountQueued());
+}
+
+void
+DispatchShell::Tick()
+{
+  DispatchDecisions decisions;
+  dispatcher_.Tick(ReadMonotonicTime(), decisions);
+  Deliver(std::move(decisions));
+  metrics_.SetQueued(dispatcher_.CountQueued());
+}
+
+} // namespace azurecross
--- /dev/null
+++ b/modules/azurecross_serving/dispatch/DispatchShell.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "../state/ServingState.h"
+
+#include <azurecross_dispatch/azurecross_dispatch.h>
+#include <azurecross_gateway/azurecross_gateway.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace azurecross {
+
+/**
+ * A run that is counted on the load board; ends it once, as withdrawn unless
+ * told otherwise.
+ */
+class RunHold
+{
+public:
+  RunHold() = default;
+  RunHold(ServingState& aState, RunNumber aRun)
+    : state_(&aState)
+    , run_(aRun)
+  {
+  }
+  RunHold(RunHold&& aOther) noexcept
+    : state_(std::exchange(aOther.state_, nullptr))
+    , run_(aOther.run_)
+    , end_(aOther.end_)
+  {
+  }
+  RunHold& operator=(RunHold&& aOther) noexcept
+  {
+    if (this != &aOther) {
+      Finish();
+      state_ = std::exchange(aOther.state_, nullptr);
+      run_ = aOther.run_;
+      end_ = aOther.end_;
+    }
+    return *this;
+  }
+  ~RunHold() { Finish(); }
+
+  RunNumber GetRun() const { return run_; }
+  void SetEnd(RunEnd aEnd) { end_ = aEnd; }
+
+private:
+  void Finish()
+  {
+    if (state_ != nullptr) {
+      state_->GetBoard().Finish(run_, end_, ReadMonotonicTime());
+      state_->NotifyLoad();
+      state_ = nullptr;
+    }
+  }
+
+  ServingState* state_ = nullptr;
+  RunNumber run_ = 0;
+  RunEnd end_ = RunEnd::Withdrawn;
+};
+
+/** A backend server for one request. */
+struct StartedRun
+{
+  RunHold hold_;
+  PlacementChoice choice_;
+  Duration waited_{};
+};
+
+/** Lets requests wait for the decisions of the dispatcher. */
+class DispatchShell
+{
+public:
+  DispatchShell(ServingState& aState,
+                AvailabilityZone aZone,
+                ServingMetrics& aMetrics,
+                std::uint64_t aSeed);
+
+  DispatchShell(const DispatchShell&) = delete;
+  DispatchShell& operator=(const DispatchShell&) = delete;
+
+  /** @returns a number for a ticket. */
+  TicketNumber DrawTicket() { return nextTicket_++; }
+
+  /** Waits for a backend server. A failure has the verdict `NotRun`. */
+  boost::asio::awaitable<AsyncResult<StartedRun>> Acquire(
+    const WorkerExecutor& aExecutor,
+    DispatchTicket aTicket);
+
+  /** Ends the wait of a request with `Cancelled`. */
+  void Cancel(TicketNumber aTicket);
+
+  /** Starts what has room. */
+  void Dispatch();
+  void Tick();
+
+  const ServerPlacement& GetPlacement() const { return dispatcher_.GetPlacement(); }
+  void ObserveHold(const PoolName& aPool, Duration aHeld)
+  {
+    dispatcher_.ObserveHold(aPool, aHeld);
+  }
+
+private:
+  struct Waiter
+  {
+    explicit Waiter(const WorkerExecutor& aExecutor)
+      : timer_(aExecutor)
+    {
+      timer_.expires_at(std::chrono::steady_clock::time_point::max());
+    }
+
+    boost::asio::steady_timer timer_;
+    std::optional<StartedRun> started_;
+    std::optional<Error> error_;
+  };
+
+  void Deliver(DispatchDecisions aDecisions);
+  void Wake(TicketNumber aTicket, const std::function<void(Waiter&)>& aSet);
+
+  ServingState& state_;
+  ServingMetrics& metrics_;
+  Dispatcher dispatcher_;
+  std::map<TicketNumber, std::shared_ptr<Waiter>> waiters_;
+  TicketNumber nextTicket_ = 1;
+};
+
+} // namespace azurecross
--- /dev/null
+++ b/modules/azurecross_serving/metrics/ServingMetrics.cpp
@@ -0,0 +1,182 @@
+#include "ServingMetrics.h"
+
+namespace azurecross {
+
+namespace {
+
+/** From a plain call's few milliseconds to the longest generation. */
+const prometheus::Histogram::BucketBoundaries kLatencyBounds = {
+  0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 2.5, 4.0, 8.0, 16.0, 40.0
+};
+/** Around the pauses at which readers notice a stall. */
+const prometheus::Histogram::BucketBoundaries kGapBounds = { 0.02,  0.037, 0.05,
+                                                             0.075, 0.1,   0.18,
+                                                             0.3,   0.5,   1.0 };
+
+} // namespace
+
+ServingMetrics::ServingMetrics(Metrics& aMetrics)
+  : metrics_(aMetrics)
+  , firstEvent_(aMetrics.GetHistogram(
+      "azurecross_forward_first_event_seconds",
+      "Time from a request's arrival to the first event of its stream",
+      kLatencyBounds))
+  , eventGap_(aMetrics.GetHistogram(
+      "azurecross_forward_event_gap_seconds",
+      "Time between two events of a stream as they are passed on",
+      kGapBounds))
+  , queueWait_(aMetrics.GetHistogram(
+      "azurecross_forward_queue_wait_seconds",
+      "Time from a request's arrival to its start on a backend server",
+      kLatencyBounds))
+  , queued_(aMetrics.GetGauge("azurecross_forward_queued_requests",
+                              "Requests that wait for a backend server"))
+  , tablesVersion_(aMetrics.GetGauge("azurecross_forward_tables_version",
+                                     "Version of the tables in force"))
+  , proofAge_(aMetrics.GetGauge(
+      "azurecross_forward_tables_proof_age_seconds",
+      "Time since the tables were last known to be the newest"))
+  , members_(aMetrics.GetGauge("azurecross_forward_live_peers",
+                               "Other daemons heard of lately"))
+  , leftOut_(aMetrics.GetGauge("azurecross_forward_log_records_left_out",
+                               "Log records left out over their budget"))
+{
+}
+
+void
+ServingMetrics::CountRequest(CallKind aKind,
+                             unsigned aStatus,
+                             Verdict aVerdict,
+                             Duration aLatency)
+{
+  auto& counter = requests_[{ aKind, aStatus, aVerdict }];
+  if (counter == nullptr) {
+    counter = &metrics_.GetCounter(
+      "azurecross_forward_requests_total",
+      "Requests by kind, status and whether they may have run",
+      { { "kind", std::string(kCallKindNames.FindName(aKind)) },
+        { "status", std::to_string(aStatus) },
+        { "verdict", std::string(kVerdictNames.FindName(aVerdict)) } });
+  }
+  counter->Increment();
+  auto& latency = latencies_[aKind];
+  if (latency == nullptr) {
+    latency = &metrics_.GetHistogram(
+      "azurecross_forward_request_seconds",
+      "Time from a request's arrival to the end of its answer",
+      kLatencyBounds,
+      { { "kind", std::string(kCallKindNames.FindName(aKind)) } });
+  }
+  latency->Observe(ToSeconds(aLatency));
+}
+
+void
+ServingMetrics::CountFailure(ErrorCode aReason)
+{
+  metrics_
+    .GetCounter("azurecross_forward_failures_total",
+                "Requests that ended in a failure of this daemon's own",
+                { { "reason", std::string(kErrorCodeNames.FindName(aReason)) } })
+    .Increment();
+}
+
+void
+ServingMetrics::ObserveFirstEvent(Duration aLatency)
+{
+  firstEvent_.Observe(ToSeconds(aLatency));
+}
+
+void
+ServingMetrics::ObserveEventGap(Duration aGap)
+{
+  eventGap_.Observe(ToSeconds(aGap));
+}
+
+void
+ServingMetrics::ObserveQueueWait(Duration aWait)
+{
+  queueWait_.Observe(ToSeconds(aWait));
+}
+
+void
+ServingMetrics::CountRetry(bool aIsAllowed)
+{
+  metrics_
+    .GetCounter("azurecross_forward_retries_total",
+                "Requests for another send, by whether the budget allowed it",
+                { { "allowed", aIsAllowed ? "yes" : "no" } })
+    .Increment();
+}
+
+void
+ServingMetrics::CountMove(std::string_view aOutcome)
+{
+  metrics_
+    .GetCounter("azurecross_forward_moves_total",
+                "Moves of running generations by outcome",
+                { { "outcome", std::string(aOutcome) } })
+    .Increment();
+}
+
+void
+ServingMetrics::CountResume(bool aIsDone)
+{
+  metrics_
+    .GetCounter("azurecross_forward_resumes_total",
+                "Generations that went on from a copy of their memory",
+                { { "outcome", aIsDone ? "done" : "failed" } })
+    .Increment();
+}
+
+void
+ServingMetrics::CountStoreCall(std::string_view aCall, bool aIsAnswered)
+{
+  metrics_
+    .GetCounter("azurecross_forward_store_calls_total",
+                "Calls to the store by whether they were answered",
+                { { "call", std::string(aCall) },
+                  { "answered", aIsAnswered ? "yes" : "no" } })
+    .Increment();
+}
+
+void
+ServingMetrics::CountBackendConnection(bool aIsReused)
+{
+  metrics_
+    .GetCounter("azurecross_forward_backend_connections_total",
+                "Connections used for requests, new or used again",
+                { { "reused", aIsReused ? "yes" : "no" } })
+    .Increment();
+}
+
+void
+ServingMetrics::SetQueued(std::size_t aCount)
+{
+  queued_.Set(static_cast<double>(aCount));
+}
+
+void
+ServingMetrics::SetTablesVersion(std::uint64_t aVersion)
+{
+  tablesVersion_.Set(static_cast<double>(aVersion));
+}
+
+void
+ServingMetrics::SetProofAge(Duration aAge)
+{
+  proofAge_.Set(ToSeconds(aAge));
+}
+
+void
+ServingMetrics::SetMembers(std::size_t aCount)
+{
+  members_.Set(static_cast<double>(aCount));
+}
+
+void
+ServingMetrics::SetLeftOutRecords(std::uint64_t aCount)
+{
+  leftOut_.Set(static_cast<double>(aCount));
+}
+
+} // namespace azurecross
--- /dev/null
+++ b/modules/azurecross_serving/metrics/ServingMetrics.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <azurecross_core/azurecross_core.h>
+#include <azurecross_dispatch/azurecross_dispatch.h>
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <tuple>
+
+namespace azurecross {
+
+/** The metrics of the forwarding path. Labels come from bounded sets. */
+class ServingMetrics
+{
+public:
+  explicit ServingMetrics(Metrics& aMetrics);
+
+  ServingMetrics(const ServingMetrics&) = delete;
+  ServingMetrics& operator=(const ServingMetrics&) = delete;
+
+  /** Counts the end of a request. */
+  void CountRequest(CallKind aKind,
+                    unsigned aStatus,
+                    Verdict aVerdict,
+                    Duration aLatency);
+  void CountFailure(ErrorCode aReason);
+  void ObserveFirstEvent(Duration aLatency);
+  void ObserveEventGap(Duration aGap);
+  void ObserveQueueWait(Duration aWait);
+  void CountRetry(bool aIsAllowed);
+  void CountMove(std::string_view aOutcome);
+  void CountResume(bool aIsDone);
+  void CountStoreCall(std::string_view aCall, bool aIsAnswered);
+  void CountBackendConnection(bool aIsReused);
+  void SetQueued(std::size_t aCount);
+  void SetTablesVersion(std::uint64_t aVersion);
+  void SetProofAge(Duration aAge);
+  void SetMembers(std::size_t aCount);
+  void SetLeftOutRecords(std::uint64_t aCount);
+
+private:
+  Metrics& metrics_;
+  std::map<std::tuple<CallKind, unsigned, Verdict>, prometheus::Counter*>
+    requests_;
+  std::map<CallKind, prometheus::Histogram*> latencies_;
+  prometheus::Histogram& firstEvent_;
+  prometheus::Histogram& eventGap_;
+  prometheus::Histogram& queueWait_;
+  prometheus::Gauge& queued_;
+  prometheus::Gauge& tablesVersion_;
+  prometheus::Gauge& proofAge_;
+  prometheus::Gauge& members_;
+  prometheus::Gauge& leftOut_;
+};
+
+} // namespace azurecross
--- /dev/null
+++ b/modules/azurecross_serving/moves/RunMover.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "../forward/ForwardServices.h"
+#include "ActiveGeneration.h"
+
+#include <azurecross_http/azurecross_http.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace azurecross {
+
+/**
+ * Takes this daemon's generations off engines that go away: copies the memory
+ * while the generation runs, stops it for the short rest of the copy, and lets
+ * the exchange go on from the copy.
+ */
+class RunMover
+{
+public:
+  RunMover(boost::asio::io_context& aContext,
+           ForwardServices& aServices,
+           std::string aDaemon);
+
+  RunMover(const RunMover&) = delete;
+  RunMover& operator=(const RunMover&) = delete;
+
+  /** Makes a generation known while its stream is passed on. */
+  void Add(const std::shared_ptr<ActiveGeneration>& aGeneration);
+  /** Forgets a generation that has ended and frees a copy that is left. */
+  void Remove(const std::shared_ptr<ActiveGeneration>& aGeneration);
+
+  /** Moves what runs on an engine that begins to leave. */
+  void LeaveServer(const BackendServerId& aServer);
+
+private:
+  using Generation = std::shared_ptr<ActiveGeneration>;
+
+  boost::asio::awaitable<void> MoveAll(BackendServerId aServer,
+                                       std::vector<PlannedMove> aMoves);
+  boost::asio::awaitable<void> MoveOne(Generation aGeneration);
+  /** @returns whether the first copy is complete. */
+  boost::asio::awaitable<bool> CopyRunning(Generation aGeneration);
+  boost::asio::awaitable<void> StopAndCopyRest(Generation aGeneration);
+  boost::asio::awaitable<MoveAnswer> CallMove(SocketAddress aEngine,
+                                              MoveCall aCall);
+  boost::asio::awaitable<void> DropCopy(GenerationCopy aCopy);
+  Generation Find(RunNumber aRun) const;
+  void LogEnd(const ActiveGeneration& aGeneration,
+              std::string_view aStep,
+              std::string_view aOutcome);
+
+  boost::asio::io_context& context_;
+  ForwardServices& services_;
+  MoveSchedule schedule_;
+  HttpClient client_;
+  std::set<Generation> generations_;
+};
+
+} // namespace azurecross
--- /dev/null
+++ b/modules/azurecross_serving/server/FrontServer.cpp
@@ -0,0 +1,131 @@
+#include "FrontServer.h"
+
+#include <boost/asio/co_spawn.hpp>
+
+namespace azurecross {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/** Wait after a failed accept, usually for want of file descriptors. */
+constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+
+} // namespace
+
+FrontServer::FrontServer(asio::io_context& aContext,
+                         const SocketAddress& aAddress,
+                         ForwardServices& aServices)
+  : context_(aContext)
+  , services_(aServices)
+  , acceptor_(aContext,
+              { asio::ip::make_address(aAddress.host_), aAddress.port_ })
+  , timer_(aContext)
+{
+}
+
+FrontServer::~FrontServer() = default;
+
+SocketAddress
+FrontServer::GetAddress() const
+{
+  const auto endpoint = acceptor_.local_endpoint();
+  return { endpoint.address().to_string(), endpoint.port() };
+}
+
+void
+FrontServer::Start()
+{
+  Accept();
+}
+
+void
+FrontServer::Accept()
+{
+  acceptor_.async_accept(
+    context_, [this](const boost::system::error_code& aCode, auto aSocket) {
+      if (aCode == asio::error::operation_aborted) {
+        return;
+      }
+      if (aCode) {
+        return AcceptLater();
+      }
+      boost::system::error_code code;
+      const auto handle = aSocket.release(code);
+      WorkerSocket socket(context_.get_executor());
+      socket.assign(acceptor_.local_endpoint().protocol(), handle, code);
+      Serve(std::move(socket));
+      Accept();
+    });
+}
+
+void
+FrontServer::AcceptLater()
+{
+  timer_.expires_after(kAcceptPause);
+  timer_.async_wait([this](const boost::system::error_code& aCode) {
+    if (!aCode) {
+      Accept();
+    }
+  });
+}
+
+void
+FrontServer::Serve(WorkerSocket aSocket)
+{
+  if (count_ >= services_.limits_.connectionLimit_) {
+    return;
+  }
+  SetKeepAlive(aSocket.native_handle());
+  auto connection =
+    std::make_shared<FrontConnection>(std::move(aSocket), services_);
+  connections_.push_back(*connection);
+  ++count_;
+  asio::co_spawn(
+    context_,
+    [connection] { return connection->Run(); },
+    [this, connection](const std::exception_ptr& aException) {
+      --count_;
+      if (!aException) {
+        return;
+      }
+      try {
+        std::rethrow_exception(aException);
+      } catch (const std::exception& exception) {
+        WriteLog(LogLevel::Error,
+                 "a connection failed",
+                 { { "reason", exception.what() } });
+      }
+    });
+}
+
+std::size_t
+FrontServer::CountBusy() const
+{
+  std::size_t busy = 0;
+  for (const FrontConnection& connection : connections_) {
+    busy += connection.IsBusy() ? 1 : 0;
+  }
+  return busy;
+}
+
+void
+FrontServer::CloseIdle()
+{
+  for (FrontConnection& connection : connections_) {
+    connection.CloseIfIdle();
+  }
+}
+
+void
+FrontServer::Stop()
+{
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  timer_.cancel();
+  for (FrontConnection& connection : connections_) {
+    connection.Close();
+  }
+}
+
+} // namespace azurecross
--- /dev/null
+++ b/modules/azurecross_serving/state/ServingState.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "../log/DecisionLog.h"
+#include "../metrics/ServingMetrics.h"
+#include "ServingSettings.h"
+#include "StateSource.h"
+
+#include <azurecross_dispatch/azurecross_dispatch.h>
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace azurecross {
+
+/**
+ * What one daemon believes: the tables in force, the backend servers and their
+ * load, and how fresh the tables are. Soft state: all of it comes back from
+ * the store and the other daemons after a restart.
+ */
+class ServingState
+{
+public:
+  ServingState(const ServingSettings& aSettings,
+               DecisionLog& aLog,
+               ServingMetrics& aMetrics);
+
+  ServingState(const ServingState&) = delete;
+  ServingState& operator=(const ServingState&) = delete;
+
+  /** @returns the tables in force; null before the first ones. */
+  const ServingTablesPtr& GetTables() const { return tables_; }
+  LoadBoard& GetBoard() { return board_; }
+  RetryAllowance& GetRetries() { return retries_; }
+  const KeyFreshness& GetFreshness() const { return freshness_; }
+
+  /** @returns whether requests can be served: there are tables, and they are
+   * fresh enough for keys if keys are needed. */
+  bool IsServing(Time aBootNow) const;
+
+  /** Applies tables that are newer than those in force. */
+  void TakeTables(std::optional<ServingTables::Content> aContent, Time aNow);
+  /** Takes the proof that the tables in force are the newest.
+   * @param aSentAt boot time at which the proving read was sent. */
+  void ProveTables(Time aSentAt);
+
+  /** Takes a whole listing. What it lacks is gone, or unconfirmed after an
+   * outage of the store. */
+  void TakeListing(const std::vector<ServerEvent>& aServers,
+                   bool aIsAfterOutage,
+                   Time aNow);
+  void TakeServerEvents(const std::vector<ServerEvent>& aEvents,
+                        bool aIsAfterOutage,
+                        Time aNow);
+
+  /** Removes what stayed missing and forgets silent peers. */
+  void Tick(Time aNow, Time aBootNow);
+
+  /** Sets what is called when a backend server begins to leave. */
+  void SetLeavingHandler(std::function<void(const BackendServerId&)> aHandler)
+  {
+    onLeaving_ = std::move(aHandler);
+  }
+  /** Sets what is called when the load or the list of servers has changed. */
+  void SetLoadHandler(std::function<void()> aHandler)
+  {
+    onLoad_ = std::move(aHandler);
+  }
+  void NotifyLoad()
+  {
+    if (onLoad_) {
+      onLoad_();
+    }
+  }
+
+private:
+  std::optional<EngineTraits> FindEngine(const PoolName& aPool) const;
+  void TakeRecord(const ServerRecord& aRecord, Time aNow);
+  void TakeRemoval(const BackendServerId& aId, std::string_view aReason);
+  void Leave(const BackendServerId& aId);
+
+  DecisionLog& log_;
+  ServingMetrics& metrics_;
+  ServingTablesPtr tables_;
+  ServerDirectory directory_;
+  LoadBoard board_;
+  RetryAllowance retries_;
+  KeyFreshness freshness_;
+  std::function<void(const BackendServerId&)> onLeaving_;
+  std::function<void()> onLoad_;
+};
+
+} // namespace azurecross
--- /dev/null
+++ b/modules/azurecross_serving/state/StateSource.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <azurecross_dispatch/azurecross_dispatch.h>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace azurecross {
+
+/** The tables as the store holds them, at a revision of the store. */
+struct TablesReading
+{
+  /** Nothing while the operator has written none yet. */
+  std::optional<ServingTables::Content> content_;
+  std::uint64_t revision_ = 0;
+};
+
+/** A change of one registration. */
+struct ServerEvent
+{
+  BackendServerId id_;
+  /** Nothing when the registration is gone or can't be read. */
+  std::optional<ServerRecord> record_;
+};
+
+/** All registrations, or those that changed, at a revision of the store. */
+struct ServersReading
+{
+  std::vector<ServerEvent> servers_;
+  std::uint64_t revision_ = 0;
+};
+
+/** Another daemon of the same system. */
+struct MemberRecord
+{
+  /** Where it takes reports from its peers. */
+  SocketAddress peerAddress_;
+};
+
+/**
+ * The store that holds what must last: the operator's tables, the
+ * registrations of backend servers, and the list of live daemons.
+ *
+ * - `ReadTables` and `ListServers` return the newest state there is.
+ * - `WatchTables` and `WatchServers` return once something has changed after
+ *   the revision, or without changes after a while. `GenerationLost` says that
+ *   the changes are no longer known, so that the whole state must be read.
+ * - `Register` writes this daemon's own record under a lease, which `KeepAlive`
+ *   renews; `GenerationLost` says that the lease has ended.
+ * - `ListMembers` may be some seconds old.
+ */
+template<typename Source>
+concept StateSource = requires(Source& aSource,
+                               std::uint64_t aRevision,
+                               const MemberRecord& aMember)
+{
+  {
+    aSource.ReadTables()
+    } -> std::same_as<boost::asio::awaitable<AsyncResult<TablesReading>>>;
+  {
+    aSource.WatchTables(aRevision)
+    } -> std::same_as<boost::asio::awaitable<AsyncResult<TablesReading>>>;
+  {
+    aSource.ListServers()
+    } -> std::same_as<boost::asio::awaitable<AsyncResult<ServersReading>>>;
+  {
+    aSource.WatchServers(aRevision)
+    } -> std::same_as<boost::asio::awaitable<AsyncResult<ServersReading>>>;
+  {
+    aSource.Register(aMember)
+    } -> std::same_as<boost::asio::awaitable<AsyncResult<bool>>>;
+  {
+    aSource.KeepAlive()
+    } -> std::same_as<boost::asio::awaitable<AsyncResult<bool>>>;
+  {
+    aSource.ListMembers()
+    } -> std::same_as<
+      boost::asio::awaitable<AsyncResult<std::vector<MemberRecord>>>>;
+};
+
+} // namespace azurecross
--- /dev/null
+++ b/modules/azurecross_serving/state/StateSync.h
@@ -0,0 +1,259 @@
+#pragma once
+
+#include "../forward/Signal.h"
+#include "ServingState.h"
+#include "StateSource.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <functional>
+#include <vector>
+
+namespace azurecross {
+
+/**
+ * Keeps the state of one daemon in step with the store.
+ *
+ * Changes come through watches. A watch that says nothing proves nothing: its
+ * connection may have gone silent, and a store that has lost its history hears
+ * of changes late. So the tables are also read regularly, and that read is the
+ * proof that they are the newest.
+ */
+template<StateSource Source>
+class StateSync
+{
+public:
+  using MembersHandler = std::function<void(const std::vector<MemberRecord>&)>;
+
+  StateSync(boost::asio::io_context& aContext,
+            Source& aSource,
+            ServingState& aState,
+            DecisionLog& aLog,
+            ServingMetrics& aMetrics,
+            std::uint64_t aSeed)
+    : context_(aContext)
+    , source_(aSource)
+    , state_(aState)
+    , log_(aLog)
+    , metrics_(aMetrics)
+    , random_(aSeed)
+    , proofWanted_(aContext.get_executor())
+    , proved_(aContext.get_executor())
+  {
+  }
+
+  StateSync(const StateSync&) = delete;
+  StateSync& operator=(const StateSync&) = delete;
+
+  /** Starts to follow the store. @param aSelf this daemon's own record. */
+  void Start(MemberRecord aSelf, MembersHandler aOnMembers)
+  {
+    self_ = std::move(aSelf);
+    onMembers_ = std::move(aOnMembers);
+    Spawn(FollowTables());
+    Spawn(ProveTables());
+    Spawn(FollowServers());
+    Spawn(FollowMembers());
+  }
+
+  /** Asks for a proof now and waits for it.
+   * @returns whether one came in time. */
+  boost::asio::awaitable<bool> AwaitProof(Duration aLongest)
+  {
+    proofWanted_.Notify();
+    co_return co_await proved_.Wait(aLongest);
+  }
+
+private:
+  /** Age at which the tables are read again; well below the bound for removed
+   * keys, and below the one for changes that a watch missed. */
+  static constexpr Duration kProofInterval = std::chrono::milliseconds(1500);
+  static constexpr Duration kMemberInterval = std::chrono::seconds(3);
+  /** First pause after a failed call; grows with each further failure. */
+  static constexpr Duration kRetryPause = std::chrono::milliseconds(250);
+  static constexpr Duration kLongestRetryPause = std::chrono::seconds(1);
+  /** Calls that fail in a row before the store counts as lost. */
+  static constexpr unsigned kLostAfter = 2;
+  /** Gathers changes that follow each other into one call. */
+  static constexpr Duration kWatchPause = std::chrono::milliseconds(30);
+  /** For this long after the store's return a removal may be a lapse. */
+  static constexpr Duration kAfterOutage = std::chrono::seconds(2);
+
+  void Spawn(boost::asio::awaitable<void> aLoop)
+  {
+    boost::asio::co_spawn(context_, std::move(aLoop), boost::asio::detached);
+  }
+
+  boost::asio::awaitable<void> Sleep(Duration aTime)
+  {
+    boost::asio::steady_timer timer(context_, aTime);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+  }
+
+  /** Takes the outcome of a call; logs when the store is lost or regained. */
+  void Note(std::string_view aCall, bool aIsAnswered, std::string_view aReason)
+  {
+    metrics_.CountStoreCall(aCall, aIsAnswered);
+    const Time now = ReadMonotonicTime();
+    if (aIsAnswered) {
+      failures_ = 0;
+      if (isLost_) {
+        isLost_ = false;
+        regainedAt_ = now;
+        log_.Write(Decision::DependencyRegained,
+                   { { "dependency", "store" },
+                     { "call", aCall },
+                     { "lost_for_s", ToSeconds(now - lostAt_) } });
+      }
+      return;
+    }
+    if (++failures_ >= kLostAfter && !isLost_) {
+      isLost_ = true;
+      lostAt_ = now;
+      log_.Write(Decision::DependencyLost,
+                 { { "dependency", "store" },
+                   { "call", aCall },
+                   { "reason", aReason } });
+    }
+  }
+
+  bool IsAfterOutage() const
+  {
+    return isLost_ || ReadMonotonicTime() - regainedAt_ < kAfterOutage;
+  }
+
+  boost::asio::awaitable<void> PauseAfter(unsigned aFailures)
+  {
+    const Duration pause =
+      std::min(kRetryPause * aFailures, kLongestRetryPause);
+    co_await Sleep(random_.Jitter(pause, 0.5));
+  }
+
+  boost::asio::awaitable<void> FollowTables()
+  {
+    unsigned failures = 0;
+    std::uint64_t revision = 0;
+    for (;;) {
+      AsyncResult<TablesReading> reading = TablesReading();
+      if (revision == 0) {
+        reading = co_await source_.ReadTables();
+      } else {
+        reading = co_await source_.WatchTables(revision);
+      }
+      Note("watch_tables", reading.has_value(), FindReason(reading));
+      if (!reading) {
+        revision = 0;
+        co_await PauseAfter(++failures);
+        continue;
+      }
+      failures = 0;
+      revision = reading->revision_;
+      state_.TakeTables(std::move(reading->content_), ReadMonotonicTime());
+    }
+  }
+
+  boost::asio::awaitable<void> ProveTables()
+  {
+    unsigned failures = 0;
+    for (;;) {
+      const Time sentAt = ReadBootTime();
+      AsyncResult<TablesReading> reading = co_await source_.ReadTables();
+      Note("read_tables", reading.has_value(), FindReason(reading));
+      if (!reading) {
+        co_await PauseAfter(++failures);
+        continue;
+      }
+      failures = 0;
+      state_.TakeTables(std::move(reading->content_), ReadMonotonicTime());
+      state_.ProveTables(sentAt);
+      proved_.Notify();
+      co_await proofWanted_.Wait(kProofInterval);
+    }
+  }
+
+  boost::asio::awaitable<void> FollowServers()
+  {
+    unsigned failures = 0;
+    std::uint64_t revision = 0;
+    for (;;) {
+      const bool isListing = revision == 0;
+      AsyncResult<ServersReading> reading = ServersReading();
+      if (isListing) {
+        reading = co_await source_.ListServers();
+      } else {
+        reading = co_await source_.WatchServers(revision);
+      }
+      const Time now = ReadMonotonicTime();
+      Note("watch_servers", reading.has_value(), FindReason(reading));
+      if (!reading) {
+        revision = 0;
+        co_await PauseAfter(++failures);
+        continue;
+      }
+      failures = 0;
+      revision = reading->revision_;
+      if (isListing) {
+        state_.TakeListing(reading->servers_, IsAfterOutage(), now);
+      } else {
+        state_.TakeServerEvents(reading->servers_, IsAfterOutage(), now);
+      }
+      co_await Sleep(kWatchPause);
+    }
+  }
+
+  boost::asio::awaitable<void> FollowMembers()
+  {
+    bool isRegistered = false;
+    unsigned failures = 0;
+    for (;;) {
+      AsyncResult<bool> kept = true;
+      if (isRegistered) {
+        kept = co_await source_.KeepAlive();
+      } else {
+        kept = co_await source_.Register(self_);
+      }
+      Note("register", kept.has_value(), FindReason(kept));
+      isRegistered = kept.has_value();
+      if (!isRegistered) {
+        co_await PauseAfter(++failures);
+        continue;
+      }
+      failures = 0;
+      AsyncResult<std::vector<MemberRecord>> members =
+        co_await source_.ListMembers();
+      Note("list_members", members.has_value(), FindReason(members));
+      if (members) {
+        onMembers_(*members);
+      }
+      co_await Sleep(random_.Jitter(kMemberInterval, 0.2));
+    }
+  }
+
+  template<typename Value>
+  static std::string FindReason(const AsyncResult<Value>& aResult)
+  {
+    return aResult.has_error() ? aResult.error().message_ : std::string();
+  }
+
+  boost::asio::io_context& context_;
+  Source& source_;
+  ServingState& state_;
+  DecisionLog& log_;
+  ServingMetrics& metrics_;
+  Random random_;
+  Signal proofWanted_;
+  Signal proved_;
+  MemberRecord self_;
+  MembersHandler onMembers_;
+  unsigned failures_ = 0;
+  bool isLost_ = false;
+  Time lostAt_;
+  Time regainedAt_ = Time(-std::chrono::hours(1));
+};
+
+} // namespace azurecross
--- /dev/null
+++ b/modules/azurecross_serving/wire/WireTranslator.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include <azurecross_dispatch/azurecross_dispatch.h>
+#include <azurecross_gateway/azurecross_gateway.h>
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace azurecross {
+
+/** What a caller's request says of itself, besides method, path and body. */
+struct CallerDemand
+{
+  /** Identifies this attempt of the caller; backend servers echo it. */
+  std::string attemptId_;
+  /** How long the caller waits from now on; nothing if it did not say. */
+  std::optional<Duration> timeLeft_;
+  std::string apiKey_;
+  GenerationDemand generation_;
+};
+
+/** A copy of a generation's memory from which it can go on. */
+struct GenerationCopy
+{
+  /** The engine that takes the generation over. */
+  BackendServerId server_;
+  SocketAddress address_;
+  /** The engine that made the copy, and its name for it. */
+  SocketAddress origin_;
+  std::string handle_;
+};
+
+/** How a request is put to one backend server. */
+struct SendPlan
+{
+  BackendServerId server_;
+  SocketAddress address_;
+  /** How long the backend server may work on it. */
+  Duration timeLeft_{};
+  /** Set when the request carried a key. */
+  std::optional<CustomerId> customer_;
+  int priority_ = 0;
+  /** Set when a generation goes on from a copy of its memory. */
+  std::optional<GenerationCopy> copy_;
+  /** The last event that the caller has of a generation that goes on. */
+  std::string lastEventId_;
+  /** Whether the caller's own position in an earlier stream is passed on. */
+  bool keepsCallerPosition_ = false;
+};
+
+/** What the head of a backend server's answer says. */
+struct AnswerInfo
+{
+  /** Whether it names another request than the one that was sent. */
+  bool isOfOtherRequest_ = false;
+  /** Whether the server states that it did not run the request. */
+  bool isNotRun_ = false;
+  /** Whether the server is another one than the request was meant for. */
+  bool isOtherServer_ = false;
+  /** Whether the caller may take it for the answer: it names the request, has
+   * what proves its origin and is not encoded on the way. */
+  bool isGenuine_ = false;
+  bool isEventStream_ = false;
+  /** How long the server keeps the idle connection, if it said so. */
+  std::optional<Duration> idleTime_;
+};
+
+/** Asks an engine to copy a running generation's memory to another engine. */
+struct MoveCall
+{
+  std::string attemptId_;
+  SocketAddress target_;
+  /** Whether the generation stops, so that it can go on elsewhere. */
+  bool isLast_ = false;
+};
+
+/** How a copy of a generation's memory ended. */
+enum class MoveResult
+{
+  Copied,
+  /** The target has no room or can't be reached. */
+  NoRoom,
+  /** The generation does not run on that engine. */
+  NoSuchRun,
+  /** No usable answer. */
+  Unknown,
+};
+
+inline constexpr NameTable<MoveResult, 4> kMoveResultNames{
+  { { { MoveResult::Copied, "copied" },
+      { MoveResult::NoRoom, "no_room" },
+      { MoveResult::NoSuchRun, "no_such_run" },
+      { MoveResult::Unknown, "unknown" } } }
+};
+
+struct MoveAnswer
+{
+  MoveResult result_ = MoveResult::Unknown;
+  /** Names the copy at the engine that made it; empty if there is none. */
+  std::string handle_;
+};
+
+/**
+ * Translates between the product's types and the headers and calls that
+ * callers and backend servers use. Called once or twice for each request.
+ */
+class WireTranslator
+{
+public:
+  using Request =
+    boost::beast::http::request<boost::beast::http::string_body>;
+
+  virtual ~WireTranslator() = default;
+
+  /** @returns what the request says; a failure is `InvalidRequest`. */
+  virtual AsyncResult<CallerDemand> ReadRequest(
+    const Request& aRequest) const = 0;
+
+  /** @returns the head of the request for a backend server. */
+  virtual std::string BuildHead(const Request& aRequest,
+                                const SendPlan& aPlan) const = 0;
+
+  virtual AnswerInfo ReadAnswer(const BackendConnection::Head& aHead,
+                                std::string_view aAttemptId) const = 0;
+
+  virtual HttpRequest BuildMove(const MoveCall& aCall) const = 0;
+  virtual MoveAnswer ReadMove(const HttpResponse& aResponse) const = 0;
+  /** @returns the call that frees a copy, for the engine that made it. */
+  virtual HttpRequest BuildDrop(const std::string& aHandle) const = 0;
+};
+
+} // namespace azurecross
--- a/modules/azurecross_platform/etcd/EtcdFields.cpp
+++ b/modules/azurecross_store/etcd/EtcdFields.cpp
@@ -1,6 +1,5 @@
 #include "EtcdFields.h"
 
-#include <boost/beast/core/detail/base64.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/value.hpp>
@@ -12,33 +11,9 @@
 namespace {
 
 namespace json = boost::json;
-namespace base64 = boost::beast::detail::base64;
 
 } // namespace
 
-std::string
-EncodeBase64(std::string_view aBytes)
-{
-  std::string text(base64::encoded_size(aBytes.size()), '\0');
-  text.resize(base64::encode(text.data(), aBytes.data(), aBytes.size()));
-  return text;
-}
-
-Result<std::string>
-DecodeBase64(std::string_view aText)
-{
-  std::string bytes(base64::decoded_size(aText.size()), '\0');
-  const auto [written, read] =
-    base64::decode(bytes.data(), aText.data(), aText.size());
-  bytes.resize(written);
-  // The decoder stops at the first character outside the alphabet; encoding
-  // again also finds wrong padding.
-  if (EncodeBase64(bytes) != aText) {
-    return MakeFailure(MakeEtcdFormatError("a value is not base64"));
-  }
-  return bytes;
-}
-
 Error
 MakeEtcdFormatError(std::string aMessage)
 {
@@ -114,7 +89,11 @@
 EtcdFields::ReadBytes(std::string_view aName) const
 {
   BOOST_LEAF_AUTO(text, ReadText(aName));
-  return DecodeBase64(text);
+  auto bytes = DecodeBase64(text);
+  if (!bytes) {
+    return MakeFailure(MakeEtcdFormatError("a value is not base64"));
+  }
+  return std::move(*bytes);
 }
 
 Result<const json::object*>
--- a/modules/azurecross_platform/etcd/EtcdFields.h
+++ b/modules/azurecross_store/etcd/EtcdFields.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <azurecross_core/azurecross_core.h>
+#include <azurecross_http/azurecross_http.h>
 #include <azurecross_tables/azurecross_tables.h>
 
 #include <boost/json/object.hpp>
@@ -11,14 +12,6 @@
 
 namespace azurecross {
 
-/** @returns the bytes in base64 with padding. */
-std::string
-EncodeBase64(std::string_view aBytes);
-
-/** Decodes base64 with padding; refuses anything else. */
-Result<std::string>
-DecodeBase64(std::string_view aText);
-
 /**
  * Reads the fields of etcd's JSON gateway, which writes 64-bit numbers as
  * texts, bytes as base64 and leaves out fields with zero values. A field of
--- a/tests/platform_tests/TestsMain.cpp
+++ /dev/null
@@ -1,2 +0,0 @@
-#define BOOST_TEST_MODULE platform_tests
-#include <boost/test/unit_test.hpp>
--- a/tests/platform_tests/EtcdCodecTests.cpp
+++ b/tests/store_tests/EtcdCodecTests.cpp
@@ -1,7 +1,7 @@
-#include <azurecross_platform/azurecross_platform.h>
-#include <azurecross_platform/etcd/EtcdCodec.h>
-#include <azurecross_platform/etcd/EtcdFields.h>
-#include <azurecross_platform/etcd/WatchStream.h>
+#include <azurecross_store/azurecross_store.h>
+#include <azurecross_store/etcd/EtcdCodec.h>
+#include <azurecross_store/etcd/EtcdFields.h>
+#include <azurecross_store/etcd/WatchStream.h>
 #include <platform_standin/StandinCodec.h>
 
 #include <boost/test/unit_test.hpp>
--- a/tests/platform_tests/PlatformFixture.h
+++ b/tests/store_tests/PlatformFixture.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <azurecross_platform/azurecross_platform.h>
+#include <azurecross_store/azurecross_store.h>
 #include <platform_standin/PlatformStandin.h>
 
 #include <boost/asio/co_spawn.hpp>
