Answer operations requests that ask to close the connection

Cause: GCC 12 evaluates keepAlive_ after the awaited read when both stand in one loop condition, so a request with Connection: close was read and dropped. The load balancer asks for readiness in this way and never got an answer.

--- a/modules/azurecross_http/server/HttpServer.cpp
+++ b/modules/azurecross_http/server/HttpServer.cpp
@@ -159,7 +159,13 @@
 
   asio::awaitable<void> Run(const HttpServer::Handler& aHandler)
   {
-    while (open_ && keepAlive_ && co_await ReadRequest()) {
+    // GCC 12 reads `keepAlive_` after the awaited call when both stand in one
+    // condition, so the request that asks to close would get no answer.
+    while (open_ && keepAlive_) {
+      const bool hasRequest = co_await ReadRequest();
+      if (!hasRequest) {
+        break;
+      }
       answered_ = false;
       co_await aHandler(*this);
       if (!answered_) {
--- a/tests/http_tests/HttpTests.cpp
+++ b/tests/http_tests/HttpTests.cpp
@@ -103,6 +103,17 @@
 
 } // namespace
 
+// Guards against a peer that asks to close the connection getting no answer:
+// load balancers ask for readiness in this way.
+BOOST_FIXTURE_TEST_CASE(RequestThatClosesIsAnswered, Fixture)
+{
+  const auto response =
+    Send({ "GET", "/x?q=closing", { { "Connection", "close" } }, "" });
+  BOOST_REQUIRE(response.has_value());
+  BOOST_TEST(response->status_ == 201);
+  BOOST_TEST(response->body_ == "closing");
+}
+
 // Guards against lost bodies, queries and headers.
 BOOST_FIXTURE_TEST_CASE(RequestIsAnswered, Fixture)
 {
