Stop a moving generation only while its engine's link is free

Ruled out: taking turns by the daemons' reports (pauses up to 860 ms), and one stop time from the reported memory (up to 540 ms): both misjudge the time of copies to other zones.

Change: a copy is repeated until it comes back within 60 ms, then the generation is stopped. An earlier copy is used if its engine ends first.

--- a/modules/azurecross_dispatch/moves/MoveSchedule.cpp
+++ b/modules/azurecross_dispatch/moves/MoveSchedule.cpp
@@ -11,23 +11,20 @@
 constexpr double kNoticeSeconds = 1.2;
 /** Runs with fewer tokens to go are not worth a move. */
 constexpr double kFewestTokens = 16.0;
+/** A copy of next to nothing takes a few milliseconds on a free link; a whole
+ * one takes some 200 ms, so a longer time means that others are ahead. */
+constexpr Duration kFreeLinkTime = std::chrono::milliseconds(60);
 
 } // namespace
 
-Duration
-MoveSchedule::ComputeCopyTime(const EngineTraits& aEngine, double aTokens)
+bool
+MoveSchedule::IsLinkFree(Duration aCopyTime)
 {
-  if (aEngine.linkBitsPerSecond_ <= 0.0) {
-    return Duration::zero();
-  }
-  constexpr double kBitsPerByte = 8.0;
-  return FromSeconds(aTokens * static_cast<double>(aEngine.bytesPerToken_) *
-                     kBitsPerByte / aEngine.linkBitsPerSecond_);
+  return aCopyTime <= kFreeLinkTime;
 }
 
 std::vector<PlannedMove>
-MoveSchedule::Plan(const LoadBoard& aBoard,
-                   const BackendServerId& aLeaving) const
+MoveSchedule::Plan(const LoadBoard& aBoard, const BackendServerId& aLeaving)
 {
   const ServerLoad* server = aBoard.Find(aLeaving);
   std::vector<PlannedMove> moves;
@@ -39,7 +36,7 @@
     const bool endsInTime =
       remaining * server->secondsPerToken_ < kNoticeSeconds;
     if (remaining >= kFewestTokens && !endsInTime) {
-      moves.push_back({ run, Duration::zero(), remaining });
+      moves.push_back({ run, remaining });
     }
   }
   std::sort(moves.begin(),
@@ -47,15 +44,6 @@
             [](const PlannedMove& aLeft, const PlannedMove& aRight) {
               return aLeft.remainingTokens_ > aRight.remainingTokens_;
             });
-  Duration turn{};
-  for (const auto& [name, use] : aBoard.DescribePeerUse(aLeaving)) {
-    if (name < daemon_) {
-      turn += ComputeCopyTime(*server->engine_, use.memoryTokens_);
-    }
-  }
-  for (PlannedMove& move : moves) {
-    move.delay_ = turn;
-  }
   return moves;
 }
 
--- a/modules/azurecross_dispatch/moves/MoveSchedule.h
+++ b/modules/azurecross_dispatch/moves/MoveSchedule.h
@@ -4,48 +4,37 @@
 
 #include <azurecross_core/azurecross_core.h>
 
-#include <string>
 #include <vector>
 
 namespace azurecross {
 
-/** One generation that leaves its engine, and when its copy begins. */
+/** One generation that leaves its engine. */
 struct PlannedMove
 {
   RunNumber run_ = 0;
-  /** From now. */
-  Duration delay_{};
+  /** Output tokens that it is expected to still make. */
   double remainingTokens_ = 0.0;
 };
 
 /**
- * Plans which of this daemon's generations leave an engine that goes away, and
- * in which order.
+ * Plans which of this daemon's generations leave an engine that goes away.
  *
- * Copies queue on the engine's link, and a run that has stopped for its last
- * copy waits behind all others. So the daemons take turns: each starts once
- * those with smaller names have had the time that their memory takes, which
- * all of them know from each other's reports.
+ * Copies queue on the engine's link. A generation that has stopped for the last
+ * part of its copy waits behind the copies of all daemons, which its caller
+ * sees as a pause. So a generation is stopped only once a repeated copy, which
+ * carries next to nothing, has come back at once: the link is free then.
  */
 class MoveSchedule
 {
 public:
-  /** @param aDaemon this daemon's name in the reports. */
-  explicit MoveSchedule(std::string aDaemon)
-    : daemon_(std::move(aDaemon))
-  {
-  }
-
-  /** @returns the moves in order; runs that are expected to end in time are
-   * left where they are. */
-  std::vector<PlannedMove> Plan(const LoadBoard& aBoard,
-                                const BackendServerId& aLeaving) const;
-
-  /** @returns the time that a copy of this many tokens takes within a zone. */
-  static Duration ComputeCopyTime(const EngineTraits& aEngine, double aTokens);
-
-private:
-  std::string daemon_;
+  /** @returns the moves, those with the most to lose first; runs that are
+   * expected to end in time are left where they are. */
+  static std::vector<PlannedMove> Plan(const LoadBoard& aBoard,
+                                       const BackendServerId& aLeaving);
+
+  /** @returns whether a generation whose last copy took this long can be
+   * stopped now. */
+  static bool IsLinkFree(Duration aCopyTime);
 };
 
 } // namespace azurecross
--- a/modules/azurecross_dispatch/placement/LoadBoard.cpp
+++ b/modules/azurecross_dispatch/placement/LoadBoard.cpp
@@ -287,20 +287,6 @@
   return uses;
 }
 
-std::map<std::string, ServerUse>
-LoadBoard::DescribePeerUse(const BackendServerId& aServer) const
-{
-  std::map<std::string, ServerUse> result;
-  for (const auto& [name, peer] : peers_) {
-    for (const ServerUse& use : peer.uses_) {
-      if (use.server_ == aServer) {
-        result.emplace(name, use);
-      }
-    }
-  }
-  return result;
-}
-
 const ServerLoad*
 LoadBoard::Find(const BackendServerId& aServer) const
 {
--- a/modules/azurecross_dispatch/placement/LoadBoard.h
+++ b/modules/azurecross_dispatch/placement/LoadBoard.h
@@ -143,9 +143,6 @@
 
   /** @returns what this daemon uses, for the others. */
   std::vector<ServerUse> DescribeOwnUse() const;
-  /** @returns what each daemon uses of a server, by the daemon's name. */
-  std::map<std::string, ServerUse> DescribePeerUse(
-    const BackendServerId& aServer) const;
 
   const ServerLoad* Find(const BackendServerId& aServer) const;
   const std::map<BackendServerId, ServerLoad>& GetServers() const
--- a/modules/azurecross_dispatch/placement/ServerPlacement.cpp
+++ b/modules/azurecross_dispatch/placement/ServerPlacement.cpp
@@ -14,6 +14,8 @@
 constexpr double kUsableTime = 0.8;
 /** Costs are in units of one engine's whole memory. */
 constexpr double kOtherZoneCost = 0.15;
+/** A move to another zone takes twice as long, on a link that others need. */
+constexpr double kMoveToOtherZoneCost = 0.3;
 /** Cost of one second to the first event. */
 constexpr double kSecondCost = 0.5;
 /** Cost of 10 ms between tokens: slow engines hold a run for longer. */
@@ -40,11 +42,16 @@
 }
 
 double
-ServerPlacement::ComputePenalty(const ServerLoad& aServer, Time aNow) const
+ServerPlacement::ComputePenalty(const ServerLoad& aServer,
+                                const PlacementRequest& aRequest,
+                                Time aNow) const
 {
   double cost = kFailureCost * aServer.failureShare_;
-  if (aServer.record_.zone_ != zone_) {
-    cost += kOtherZoneCost;
+  const AvailabilityZone& preferred =
+    aRequest.preferredZone_.GetValue().empty() ? zone_
+                                               : aRequest.preferredZone_;
+  if (aServer.record_.zone_ != preferred) {
+    cost += aRequest.tokens_ > 0 ? kMoveToOtherZoneCost : kOtherZoneCost;
   }
   if (aNow < aServer.coldUntil_) {
     cost += kColdCost;
@@ -130,7 +137,7 @@
     if (!choice) {
       continue;
     }
-    choice->cost_ += ComputePenalty(server, aNow);
+    choice->cost_ += ComputePenalty(server, aRequest, aNow);
     if (best && choice->cost_ >= best->cost_) {
       continue;
     }
--- a/modules/azurecross_dispatch/placement/ServerPlacement.h
+++ b/modules/azurecross_dispatch/placement/ServerPlacement.h
@@ -22,6 +22,8 @@
   /** Time left until the answer or first event is late; negative if it is. */
   Duration timeToTarget_{};
   std::vector<BackendServerId> excluded_;
+  /** The zone to prefer; this daemon's own if it is empty. */
+  AvailabilityZone preferredZone_;
 };
 
 /** The chosen backend server and why. */
@@ -79,7 +81,9 @@
                                             const PlacementRequest& aRequest,
                                             Time aNow) const;
   std::optional<PlacementChoice> RateService(const ServerLoad& aServer) const;
-  double ComputePenalty(const ServerLoad& aServer, Time aNow) const;
+  double ComputePenalty(const ServerLoad& aServer,
+                        const PlacementRequest& aRequest,
+                        Time aNow) const;
 
   AvailabilityZone zone_;
 };
--- a/modules/azurecross_serving/daemon/ServingDaemon.h
+++ b/modules/azurecross_serving/daemon/ServingDaemon.h
@@ -60,7 +60,7 @@
                  nullptr,
                  std::nullopt }
     , peers_(context_, settings_.peerListen_, state_, log_)
-    , mover_(context_, services_, peers_.GetName())
+    , mover_(context_, services_)
     , sync_(context_,
             aSource,
             state_,
--- a/modules/azurecross_serving/forward/GenerationExchange.cpp
+++ b/modules/azurecross_serving/forward/GenerationExchange.cpp
@@ -129,8 +129,8 @@
 {
   // A stream without framing that ends while its engine stops it for a move
   // looks complete, but is not.
-  return generation_->stage_ != MoveStage::None &&
-         generation_->stage_ != MoveStage::Copying &&
+  return (generation_->stage_ == MoveStage::Stopping ||
+          generation_->stage_ == MoveStage::Stopped) &&
          call_->GetConnection().IsUnframed();
 }
 
@@ -253,6 +253,8 @@
   generation_->copy_.reset();
   generation_->copyHold_ = RunHold();
   generation_->stage_ = MoveStage::None;
+  generation_->isMoving_ = false;
+  ++generation_->moveNumber_;
   co_return isResumed;
 }
 
--- a/modules/azurecross_serving/moves/ActiveGeneration.h
+++ b/modules/azurecross_serving/moves/ActiveGeneration.h
@@ -18,15 +18,18 @@
   None,
   /** Its memory is copied while it runs. */
   Copying,
+  /** A copy is complete but for what has been generated since. */
+  Copied,
   /** It is being stopped for the last part of the copy. */
   Stopping,
   /** It has stopped and goes on from `copy_`. */
   Stopped,
 };
 
-inline constexpr NameTable<MoveStage, 4> kMoveStageNames{
+inline constexpr NameTable<MoveStage, 5> kMoveStageNames{
   { { { MoveStage::None, "none" },
       { MoveStage::Copying, "copying" },
+      { MoveStage::Copied, "copied" },
       { MoveStage::Stopping, "stopping" },
       { MoveStage::Stopped, "stopped" } } }
 };
@@ -51,6 +54,10 @@
   std::uint32_t tokens_ = 0;
 
   MoveStage stage_ = MoveStage::None;
+  /** Whether a move is in progress, which then drops a copy that is left. */
+  bool isMoving_ = false;
+  /** Counts the moves, so that one that was overtaken notices. */
+  unsigned moveNumber_ = 0;
   /** The newest copy of its memory on another engine. */
   std::optional<GenerationCopy> copy_;
   /** The place that is kept for it there. */
--- a/modules/azurecross_serving/moves/RunMover.cpp
+++ b/modules/azurecross_serving/moves/RunMover.cpp
@@ -15,6 +15,9 @@
  * answered by then is gone. */
 constexpr Duration kMoveTimeout = std::chrono::milliseconds(2500);
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+/** Copies of a running generation before the move is left to the engine's end:
+ * each but the first waits for the copies of other generations. */
+constexpr int kMostCopies = 12;
 
 HttpClientLimits
 MakeLimits()
@@ -28,11 +31,9 @@
 } // namespace
 
 RunMover::RunMover(asio::io_context& aContext,
-                   ForwardServices& aServices,
-                   std::string aDaemon)
+                   ForwardServices& aServices)
   : context_(aContext)
   , services_(aServices)
-  , schedule_(std::move(aDaemon))
   , client_(aContext.get_executor(), MakeLimits())
 {
 }
@@ -49,7 +50,7 @@
   aGeneration->isFinished_ = true;
   generations_.erase(aGeneration);
   // While a copy is being made, the coroutine that makes it drops it.
-  if (aGeneration->copy_ && aGeneration->stage_ == MoveStage::None) {
+  if (aGeneration->copy_ && !aGeneration->isMoving_) {
     asio::co_spawn(
       context_, DropCopy(*aGeneration->copy_), asio::detached);
   }
@@ -69,75 +70,95 @@
 void
 RunMover::LeaveServer(const BackendServerId& aServer)
 {
-  std::vector<PlannedMove> moves =
-    schedule_.Plan(services_.state_.GetBoard(), aServer);
-  const std::size_t runs =
-    services_.state_.GetBoard().FindRunsOn(aServer).size();
+  const LoadBoard& board = services_.state_.GetBoard();
+  const std::size_t runs = board.FindRunsOn(aServer).size();
   if (runs == 0) {
     return;
   }
-  services_.log_.Write(
-    Decision::MovePlanned,
-    { { "backend_server", aServer },
-      { "runs", runs },
-      { "moves", moves.size() },
-      { "delay_s", moves.empty() ? 0.0 : ToSeconds(moves.front().delay_) } });
-  if (!moves.empty()) {
-    asio::co_spawn(
-      context_, MoveAll(aServer, std::move(moves)), asio::detached);
-  }
-}
-
-asio::awaitable<void>
-RunMover::MoveAll(BackendServerId aServer, std::vector<PlannedMove> aMoves)
-{
-  asio::steady_timer timer(context_, aMoves.front().delay_);
-  co_await timer.async_wait(asio::use_awaitable);
-  for (const PlannedMove& move : aMoves) {
-    Generation generation = Find(move.run_);
-    if (generation && generation->server_ == aServer) {
-      co_await MoveOne(generation);
+  const std::vector<PlannedMove> moves = MoveSchedule::Plan(board, aServer);
+  services_.log_.Write(Decision::MovePlanned,
+                       { { "backend_server", aServer },
+                         { "runs", runs },
+                         { "moves", moves.size() } });
+  for (const PlannedMove& move : moves) {
+    const Generation generation = Find(move.run_);
+    if (generation && generation->stage_ == MoveStage::None) {
+      asio::co_spawn(context_, MoveOne(generation), asio::detached);
     }
   }
 }
 
-asio::awaitable<void>
-RunMover::MoveOne(Generation aGeneration)
+bool
+RunMover::FindPlace(ActiveGeneration& aGeneration)
 {
   const Time now = ReadMonotonicTime();
-  PlacementRequest request = aGeneration->request_;
-  request.tokens_ = std::max(aGeneration->tokens_, 1U);
-  request.excluded_.push_back(aGeneration->server_);
-  const auto choice = services_.dispatch_.GetPlacement().Choose(
-    services_.state_.GetBoard(), request, now);
+  LoadBoard& board = services_.state_.GetBoard();
+  PlacementRequest request = aGeneration.request_;
+  request.tokens_ = std::max(aGeneration.tokens_, 1U);
+  request.excluded_ = { aGeneration.server_ };
+  const ServerLoad* source = board.Find(aGeneration.server_);
+  if (source != nullptr) {
+    request.preferredZone_ = source->record_.zone_;
+  }
+  const auto choice =
+    services_.dispatch_.GetPlacement().Choose(board, request, now);
   if (!choice) {
-    LogEnd(*aGeneration, "place", "no room");
-    co_return;
+    LogEnd(aGeneration, "place", "no room");
+    return false;
   }
-  aGeneration->copyHold_ =
-    RunHold(services_.state_,
-            services_.state_.GetBoard().Start({ choice->server_,
+  aGeneration.copyHold_ = RunHold(services_.state_,
+                                  board.Start({ choice->server_,
                                                 request.route_,
                                                 request.customer_,
                                                 request.kind_,
                                                 request.demand_,
                                                 request.tokens_,
                                                 now }));
-  aGeneration->copy_.reset();
-  aGeneration->stage_ = MoveStage::Copying;
   GenerationCopy copy;
   copy.server_ = choice->server_;
   copy.address_ = choice->address_;
-  copy.origin_ = aGeneration->address_;
-  aGeneration->copy_ = copy;
-  const bool isCopied = co_await CopyRunning(aGeneration);
-  if (isCopied && !aGeneration->isFinished_) {
-    co_await StopAndCopyRest(aGeneration);
+  copy.origin_ = aGeneration.address_;
+  aGeneration.copy_ = copy;
+  return true;
+}
+
+asio::awaitable<void>
+RunMover::MoveOne(Generation aGeneration)
+{
+  aGeneration->copy_.reset();
+  if (!FindPlace(*aGeneration)) {
+    co_return;
+  }
+  aGeneration->stage_ = MoveStage::Copying;
+  const unsigned number = ++aGeneration->moveNumber_;
+  aGeneration->isMoving_ = true;
+  const ScopeGuard ended([&] {
+    if (aGeneration->moveNumber_ == number) {
+      aGeneration->isMoving_ = false;
+    }
+  });
+  for (int copies = 0; copies < kMostCopies; ++copies) {
+    const Time began = ReadMonotonicTime();
+    const bool isCopied = co_await CopyRunning(aGeneration);
+    aGeneration->changed_.Notify();
+    // Meanwhile it may have ended, or gone on from the copy after its engine
+    // was gone.
+    if (aGeneration->moveNumber_ != number) {
+      co_return;
+    }
+    if (!isCopied || aGeneration->isFinished_) {
+      break;
+    }
+    if (MoveSchedule::IsLinkFree(ReadMonotonicTime() - began)) {
+      co_await StopAndCopyRest(aGeneration);
+      break;
+    }
   }
   if (aGeneration->isFinished_ && aGeneration->copy_) {
     co_await DropCopy(*aGeneration->copy_);
   }
-  if (aGeneration->stage_ != MoveStage::Stopped) {
+  if (aGeneration->stage_ == MoveStage::Copying ||
+      aGeneration->stage_ == MoveStage::Stopping) {
     aGeneration->stage_ = MoveStage::None;
   }
   if (!aGeneration->copy_) {
@@ -152,13 +173,21 @@
   MoveCall call;
   call.attemptId_ = aGeneration->attemptId_;
   call.target_ = aGeneration->copy_->address_;
+  const unsigned number = aGeneration->moveNumber_;
   const MoveAnswer answer = co_await CallMove(aGeneration->address_, call);
   LogEnd(*aGeneration, "copy", kMoveResultNames.FindName(answer.result_));
+  if (aGeneration->moveNumber_ != number || !aGeneration->copy_) {
+    co_return false;
+  }
   if (answer.result_ != MoveResult::Copied) {
-    aGeneration->copy_.reset();
+    // An earlier copy stays usable.
+    if (aGeneration->copy_->handle_.empty()) {
+      aGeneration->copy_.reset();
+    }
     co_return false;
   }
   aGeneration->copy_->handle_ = answer.handle_;
+  aGeneration->stage_ = MoveStage::Copied;
   co_return true;
 }
 
@@ -172,6 +201,10 @@
   call.isLast_ = true;
   const MoveAnswer answer = co_await CallMove(aGeneration->address_, call);
   LogEnd(*aGeneration, "stop", kMoveResultNames.FindName(answer.result_));
+  if (!aGeneration->copy_ || aGeneration->stage_ != MoveStage::Stopping) {
+    // Its stream broke off and went on from the copy before this answer.
+    co_return;
+  }
   if (answer.result_ == MoveResult::NoSuchRun) {
     // It has ended by itself.
     co_return;
--- a/modules/azurecross_serving/moves/RunMover.h
+++ b/modules/azurecross_serving/moves/RunMover.h
@@ -23,8 +23,7 @@
 {
 public:
   RunMover(boost::asio::io_context& aContext,
-           ForwardServices& aServices,
-           std::string aDaemon);
+           ForwardServices& aServices);
 
   RunMover(const RunMover&) = delete;
   RunMover& operator=(const RunMover&) = delete;
@@ -40,9 +39,9 @@
 private:
   using Generation = std::shared_ptr<ActiveGeneration>;
 
-  boost::asio::awaitable<void> MoveAll(BackendServerId aServer,
-                                       std::vector<PlannedMove> aMoves);
   boost::asio::awaitable<void> MoveOne(Generation aGeneration);
+  /** @returns whether a place for the generation is found and kept. */
+  bool FindPlace(ActiveGeneration& aGeneration);
   /** @returns whether the first copy is complete. */
   boost::asio::awaitable<bool> CopyRunning(Generation aGeneration);
   boost::asio::awaitable<void> StopAndCopyRest(Generation aGeneration);
@@ -56,7 +55,6 @@
 
   boost::asio::io_context& context_;
   ForwardServices& services_;
-  MoveSchedule schedule_;
   HttpClient client_;
   std::set<Generation> generations_;
 };
--- a/modules/azurecross_serving/peers/LoadReport.cpp
+++ b/modules/azurecross_serving/peers/LoadReport.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/** One use is the array: server, runs, memory, pending prompt. */
+/** One use is the array: server, runs, expected memory, pending prompt. */
 constexpr std::size_t kUseFields = 4;
 
 std::optional<ServerUse>
