Move generations to a second engine when the first has no room

Cause: several daemons chose the same engine at once and those refused stayed behind; a generation that still read its prompt when its engine began to leave was never moved; after a zone cut each request tried four unreachable servers and was refused although its own zone had room.

Change: a move tries up to three engines; a generation that begins on a leaving engine is moved at its start; two unreachable servers of a zone within a second make the zone the last choice.

--- a/modules/azurecross_dispatch/placement/LoadBoard.cpp
+++ b/modules/azurecross_dispatch/placement/LoadBoard.cpp
@@ -23,6 +23,9 @@
 constexpr Duration kSuspectTime = std::chrono::milliseconds(500);
 constexpr Duration kLongestSuspectTime = std::chrono::seconds(4);
 constexpr std::uint32_t kMostDoublings = 3;
+/** Two servers of a zone that can't be reached within this time tell of a cut
+ * between the zones; the zone is left alone for as long. */
+constexpr Duration kZoneFailureTime = std::chrono::seconds(1);
 /** What another daemon said is used this long: five of its reports. */
 constexpr Duration kPeerLifetime = std::chrono::milliseconds(1500);
 /** Growth is told to the length predictor in steps of this many tokens. */
@@ -230,9 +233,31 @@
       std::min(aServer.failuresInRow_ - 1, kMostDoublings);
     aServer.suspectUntil_ =
       aNow + std::min(kSuspectTime * (1U << doublings), kLongestSuspectTime);
+    ObserveUnreachable(aServer.record_, aNow);
   }
 }
 
+void
+LoadBoard::ObserveUnreachable(const ServerRecord& aRecord, Time aNow)
+{
+  ZoneFailure& failure = zoneFailures_[aRecord.zone_];
+  const bool isOfAnother = failure.server_ != aRecord.id_ &&
+                           !failure.server_.GetValue().empty() &&
+                           aNow - failure.at_ < kZoneFailureTime;
+  if (isOfAnother) {
+    failure.suspectUntil_ = aNow + kZoneFailureTime;
+  }
+  failure.server_ = aRecord.id_;
+  failure.at_ = aNow;
+}
+
+bool
+LoadBoard::IsZoneSuspect(const AvailabilityZone& aZone, Time aNow) const
+{
+  const auto found = zoneFailures_.find(aZone);
+  return found != zoneFailures_.end() && aNow < found->second.suspectUntil_;
+}
+
 void
 LoadBoard::SetPeerUse(const std::string& aPeer,
                       std::vector<ServerUse> aUses,
--- a/modules/azurecross_dispatch/placement/LoadBoard.h
+++ b/modules/azurecross_dispatch/placement/LoadBoard.h
@@ -160,6 +160,9 @@
   const RunDescription* FindRun(RunNumber aRun) const;
   std::vector<RunNumber> FindRunsOn(const BackendServerId& aServer) const;
 
+  /** @returns whether servers of the zone can't be reached at present. */
+  bool IsZoneSuspect(const AvailabilityZone& aZone, Time aNow) const;
+
   /** @returns the prompt tokens that a server is thought to hold already. */
   std::uint32_t FindCachedTokens(const BackendServerId& aServer,
                                  const GenerationDemand& aDemand,
@@ -190,13 +193,23 @@
                        std::uint32_t aTokens) const;
   void ClearPending(Run& aRun, ServerLoad& aServer);
   void ObserveFailure(ServerLoad& aServer, RunEnd aEnd, Time aNow);
+  void ObserveUnreachable(const ServerRecord& aRecord, Time aNow);
   void RefreshOthers();
 
+  /** The last server of a zone that could not be reached. */
+  struct ZoneFailure
+  {
+    BackendServerId server_;
+    Time at_;
+    Time suspectUntil_;
+  };
+
   mutable LengthPredictor lengths_;
   PrefixIndex prefixes_;
   std::map<BackendServerId, ServerLoad> servers_;
   std::unordered_map<RunNumber, Run> runs_;
   std::map<std::string, Peer> peers_;
+  std::map<AvailabilityZone, ZoneFailure> zoneFailures_;
   RunNumber nextRun_ = 1;
   std::uint32_t nextIndex_ = 0;
 };
--- a/modules/azurecross_dispatch/placement/ServerPlacement.cpp
+++ b/modules/azurecross_dispatch/placement/ServerPlacement.cpp
@@ -42,7 +42,8 @@
 }
 
 double
-ServerPlacement::ComputePenalty(const ServerLoad& aServer,
+ServerPlacement::ComputePenalty(const LoadBoard& aBoard,
+                                const ServerLoad& aServer,
                                 const PlacementRequest& aRequest,
                                 Time aNow) const
 {
@@ -56,7 +57,9 @@
   if (aNow < aServer.coldUntil_) {
     cost += kColdCost;
   }
-  if (aNow < aServer.suspectUntil_ ||
+  const bool isCutOff = aServer.record_.zone_ != zone_ &&
+                        aBoard.IsZoneSuspect(aServer.record_.zone_, aNow);
+  if (isCutOff || aNow < aServer.suspectUntil_ ||
       aServer.failuresInRow_ >= kSuspectFailures) {
     cost += kSuspectCost;
   }
@@ -137,7 +140,7 @@
     if (!choice) {
       continue;
     }
-    choice->cost_ += ComputePenalty(server, aRequest, aNow);
+    choice->cost_ += ComputePenalty(aBoard, server, aRequest, aNow);
     if (best && choice->cost_ >= best->cost_) {
       continue;
     }
--- a/modules/azurecross_dispatch/placement/ServerPlacement.h
+++ b/modules/azurecross_dispatch/placement/ServerPlacement.h
@@ -81,7 +81,8 @@
                                             const PlacementRequest& aRequest,
                                             Time aNow) const;
   std::optional<PlacementChoice> RateService(const ServerLoad& aServer) const;
-  double ComputePenalty(const ServerLoad& aServer,
+  double ComputePenalty(const LoadBoard& aBoard,
+                        const ServerLoad& aServer,
                         const PlacementRequest& aRequest,
                         Time aNow) const;
 
--- a/modules/azurecross_serving/forward/ForwardPipeline.cpp
+++ b/modules/azurecross_serving/forward/ForwardPipeline.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/** Sends of one request, those that ran nothing included. */
-constexpr unsigned kMostSends = 4;
+/** Servers that are tried for one request, those out of reach included. */
+constexpr unsigned kMostSends = 8;
 
 } // namespace
 
--- a/modules/azurecross_serving/moves/RunMover.cpp
+++ b/modules/azurecross_serving/moves/RunMover.cpp
@@ -18,6 +18,8 @@
 /** Copies of a running generation before the move is left to the engine's end:
  * each but the first waits for the copies of other generations. */
 constexpr int kMostCopies = 12;
+/** Engines that are asked to take a generation before it stays. */
+constexpr int kMostPlaces = 3;
 
 HttpClientLimits
 MakeLimits()
@@ -42,6 +44,21 @@
 RunMover::Add(const Generation& aGeneration)
 {
   generations_.insert(aGeneration);
+  // Its engine may have begun to leave while it read the prompt.
+  const ServerLoad* server =
+    services_.state_.GetBoard().Find(aGeneration->server_);
+  if (server != nullptr &&
+      server->record_.state_ == ServerState::Draining) {
+    StartMove(aGeneration);
+  }
+}
+
+void
+RunMover::StartMove(const Generation& aGeneration)
+{
+  if (aGeneration->stage_ == MoveStage::None && !aGeneration->isMoving_) {
+    asio::co_spawn(context_, MoveOne(aGeneration), asio::detached);
+  }
 }
 
 void
@@ -82,20 +99,21 @@
                          { "moves", moves.size() } });
   for (const PlannedMove& move : moves) {
     const Generation generation = Find(move.run_);
-    if (generation && generation->stage_ == MoveStage::None) {
-      asio::co_spawn(context_, MoveOne(generation), asio::detached);
+    if (generation) {
+      StartMove(generation);
     }
   }
 }
 
 bool
-RunMover::FindPlace(ActiveGeneration& aGeneration)
+RunMover::FindPlace(ActiveGeneration& aGeneration,
+                    const std::vector<BackendServerId>& aExcluded)
 {
   const Time now = ReadMonotonicTime();
   LoadBoard& board = services_.state_.GetBoard();
   PlacementRequest request = aGeneration.request_;
   request.tokens_ = std::max(aGeneration.tokens_, 1U);
-  request.excluded_ = { aGeneration.server_ };
+  request.excluded_ = aExcluded;
   const ServerLoad* source = board.Find(aGeneration.server_);
   if (source != nullptr) {
     request.preferredZone_ = source->record_.zone_;
@@ -122,13 +140,31 @@
   return true;
 }
 
+asio::awaitable<bool>
+RunMover::MakeFirstCopy(Generation aGeneration)
+{
+  std::vector<BackendServerId> excluded = { aGeneration->server_ };
+  for (int places = 0; places < kMostPlaces; ++places) {
+    aGeneration->copy_.reset();
+    if (!FindPlace(*aGeneration, excluded)) {
+      co_return false;
+    }
+    const BackendServerId place = aGeneration->copy_->server_;
+    const MoveResult result = co_await CopyRunning(aGeneration);
+    if (result == MoveResult::Copied) {
+      co_return true;
+    }
+    if (result != MoveResult::NoRoom || aGeneration->isFinished_) {
+      co_return false;
+    }
+    excluded.push_back(place);
+  }
+  co_return false;
+}
+
 asio::awaitable<void>
 RunMover::MoveOne(Generation aGeneration)
 {
-  aGeneration->copy_.reset();
-  if (!FindPlace(*aGeneration)) {
-    co_return;
-  }
   aGeneration->stage_ = MoveStage::Copying;
   const unsigned number = ++aGeneration->moveNumber_;
   aGeneration->isMoving_ = true;
@@ -137,23 +173,30 @@
       aGeneration->isMoving_ = false;
     }
   });
-  for (int copies = 0; copies < kMostCopies; ++copies) {
-    const Time began = ReadMonotonicTime();
-    const bool isCopied = co_await CopyRunning(aGeneration);
-    aGeneration->changed_.Notify();
+  bool isCopied = co_await MakeFirstCopy(aGeneration);
+  aGeneration->changed_.Notify();
+  for (int copies = 1; isCopied && copies < kMostCopies; ++copies) {
     // Meanwhile it may have ended, or gone on from the copy after its engine
     // was gone.
     if (aGeneration->moveNumber_ != number) {
       co_return;
     }
-    if (!isCopied || aGeneration->isFinished_) {
+    if (aGeneration->isFinished_) {
       break;
     }
-    if (MoveSchedule::IsLinkFree(ReadMonotonicTime() - began)) {
+    const Time began = ReadMonotonicTime();
+    const MoveResult result = co_await CopyRunning(aGeneration);
+    isCopied = result == MoveResult::Copied &&
+               aGeneration->moveNumber_ == number;
+    if (isCopied && !aGeneration->isFinished_ &&
+        MoveSchedule::IsLinkFree(ReadMonotonicTime() - began)) {
       co_await StopAndCopyRest(aGeneration);
       break;
     }
   }
+  if (aGeneration->moveNumber_ != number) {
+    co_return;
+  }
   if (aGeneration->isFinished_ && aGeneration->copy_) {
     co_await DropCopy(*aGeneration->copy_);
   }
@@ -167,7 +210,7 @@
   aGeneration->changed_.Notify();
 }
 
-asio::awaitable<bool>
+asio::awaitable<MoveResult>
 RunMover::CopyRunning(Generation aGeneration)
 {
   MoveCall call;
@@ -177,18 +220,16 @@
   const MoveAnswer answer = co_await CallMove(aGeneration->address_, call);
   LogEnd(*aGeneration, "copy", kMoveResultNames.FindName(answer.result_));
   if (aGeneration->moveNumber_ != number || !aGeneration->copy_) {
-    co_return false;
+    co_return MoveResult::Unknown;
   }
-  if (answer.result_ != MoveResult::Copied) {
+  if (answer.result_ == MoveResult::Copied) {
+    aGeneration->copy_->handle_ = answer.handle_;
+    aGeneration->stage_ = MoveStage::Copied;
+  } else if (aGeneration->copy_->handle_.empty()) {
     // An earlier copy stays usable.
-    if (aGeneration->copy_->handle_.empty()) {
-      aGeneration->copy_.reset();
-    }
-    co_return false;
+    aGeneration->copy_.reset();
   }
-  aGeneration->copy_->handle_ = answer.handle_;
-  aGeneration->stage_ = MoveStage::Copied;
-  co_return true;
+  co_return answer.result_;
 }
 
 asio::awaitable<void>
--- a/modules/azurecross_serving/moves/RunMover.h
+++ b/modules/azurecross_serving/moves/RunMover.h
@@ -40,10 +40,15 @@
   using Generation = std::shared_ptr<ActiveGeneration>;
 
   boost::asio::awaitable<void> MoveOne(Generation aGeneration);
+  /** Starts the move of a generation that is not moving yet. */
+  void StartMove(const Generation& aGeneration);
+  /** Makes the first copy, at another engine if the first has no room.
+   * @returns whether there is one. */
+  boost::asio::awaitable<bool> MakeFirstCopy(Generation aGeneration);
   /** @returns whether a place for the generation is found and kept. */
-  bool FindPlace(ActiveGeneration& aGeneration);
-  /** @returns whether the first copy is complete. */
-  boost::asio::awaitable<bool> CopyRunning(Generation aGeneration);
+  bool FindPlace(ActiveGeneration& aGeneration,
+                 const std::vector<BackendServerId>& aExcluded);
+  boost::asio::awaitable<MoveResult> CopyRunning(Generation aGeneration);
   boost::asio::awaitable<void> StopAndCopyRest(Generation aGeneration);
   boost::asio::awaitable<MoveAnswer> CallMove(SocketAddress aEngine,
                                               MoveCall aCall);
