Ask engines whether they leave while the store is away

Change: daemons tell each other which servers leave; while none hears from the store, one daemon asks each engine in use every 500 ms.

--- a/modules/azurecross_dispatch/placement/LoadBoard.cpp
+++ b/modules/azurecross_dispatch/placement/LoadBoard.cpp
@@ -312,6 +312,20 @@
   return uses;
 }
 
+bool
+LoadBoard::IsFirstUser(const std::string& aDaemon,
+                       const BackendServerId& aServer) const
+{
+  return std::none_of(peers_.begin(), peers_.end(), [&](const auto& aPeer) {
+    return aPeer.first < aDaemon &&
+           std::any_of(aPeer.second.uses_.begin(),
+                       aPeer.second.uses_.end(),
+                       [&](const ServerUse& aUse) {
+                         return aUse.server_ == aServer && aUse.runs_ > 0;
+                       });
+  });
+}
+
 const ServerLoad*
 LoadBoard::Find(const BackendServerId& aServer) const
 {
--- a/modules/azurecross_dispatch/placement/LoadBoard.h
+++ b/modules/azurecross_dispatch/placement/LoadBoard.h
@@ -144,6 +144,11 @@
   /** @returns what this daemon uses, for the others. */
   std::vector<ServerUse> DescribeOwnUse() const;
 
+  /** @returns whether no daemon with a smaller name uses the server, so that
+   * one daemon of all does what is needed once. */
+  bool IsFirstUser(const std::string& aDaemon,
+                   const BackendServerId& aServer) const;
+
   const ServerLoad* Find(const BackendServerId& aServer) const;
   const std::map<BackendServerId, ServerLoad>& GetServers() const
   {
--- a/modules/azurecross_dispatch/servers/ServerDirectory.cpp
+++ b/modules/azurecross_dispatch/servers/ServerDirectory.cpp
@@ -24,6 +24,18 @@
   return beganDraining ? ServerChange::BeganDraining : ServerChange::Updated;
 }
 
+bool
+ServerDirectory::MarkDraining(const BackendServerId& aId)
+{
+  const auto found = servers_.find(aId);
+  if (found == servers_.end() ||
+      found->second.state_ == ServerState::Draining) {
+    return false;
+  }
+  found->second.state_ = ServerState::Draining;
+  return true;
+}
+
 ServerChange
 ServerDirectory::Remove(const BackendServerId& aId)
 {
--- a/modules/azurecross_dispatch/servers/ServerDirectory.h
+++ b/modules/azurecross_dispatch/servers/ServerDirectory.h
@@ -82,6 +82,10 @@
 
   ServerChange Update(const ServerRecord& aRecord);
 
+  /** Takes word of a server's leaving that did not come from the store.
+   * @returns whether it is news. */
+  bool MarkDraining(const BackendServerId& aId);
+
   /** Takes the removal of a registration in normal operation. */
   ServerChange Remove(const BackendServerId& aId);
 
--- a/modules/azurecross_serving/daemon/ServingDaemon.h
+++ b/modules/azurecross_serving/daemon/ServingDaemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../forward/ForwardServices.h"
+#include "../moves/LeavingProbe.h"
 #include "../moves/RunMover.h"
 #include "../peers/LoadExchange.h"
 #include "../server/FrontServer.h"
@@ -61,6 +62,7 @@
                  std::nullopt }
     , peers_(context_, settings_.peerListen_, state_, log_)
     , mover_(context_, services_)
+    , probe_(context_, services_, peers_)
     , sync_(context_,
             aSource,
             state_,
@@ -102,6 +104,7 @@
     ready_.Start();
     metricsServer_.Start();
     peers_.Start();
+    probe_.Start();
     sync_.Start({ peers_.GetAddress() },
                 [this](const std::vector<MemberRecord>& aMembers) {
                   peers_.SetMembers(aMembers);
@@ -259,6 +262,7 @@
   ForwardServices services_;
   LoadExchange peers_;
   RunMover mover_;
+  LeavingProbe probe_;
   StateSync<Source> sync_;
   FrontServer front_;
   OperationsServer ready_;
--- /dev/null
+++ b/modules/azurecross_serving/moves/LeavingProbe.cpp
@@ -0,0 +1,96 @@
+#include "LeavingProbe.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace azurecross {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/** Leaves a reclaimed engine at least a second for copies: the shortest notice
+ * is 1.5 s. */
+constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(400);
+
+HttpClientLimits
+MakeLimits()
+{
+  HttpClientLimits limits;
+  limits.connectTimeout_ = kProbeTimeout;
+  limits.answerTimeout_ = kProbeTimeout;
+  return limits;
+}
+
+} // namespace
+
+LeavingProbe::LeavingProbe(asio::io_context& aContext,
+                           ForwardServices& aServices,
+                           LoadExchange& aPeers)
+  : context_(aContext)
+  , services_(aServices)
+  , peers_(aPeers)
+  , client_(aContext.get_executor(), MakeLimits())
+{
+}
+
+void
+LeavingProbe::Start()
+{
+  asio::co_spawn(context_, Run(), asio::detached);
+}
+
+asio::awaitable<void>
+LeavingProbe::Run()
+{
+  asio::steady_timer timer(context_);
+  for (;;) {
+    timer.expires_after(kProbeInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+    for (const ServerRecord& engine : FindEngines()) {
+      asio::co_spawn(context_, Ask(engine), asio::detached);
+    }
+  }
+}
+
+std::vector<ServerRecord>
+LeavingProbe::FindEngines() const
+{
+  std::vector<ServerRecord> engines;
+  if (services_.state_.IsStoreReachable() ||
+      peers_.HasPeerWithStore(ReadMonotonicTime())) {
+    return engines;
+  }
+  const LoadBoard& board = services_.state_.GetBoard();
+  for (const auto& [id, server] : board.GetServers()) {
+    const bool canMove = server.engine_ && server.engine_->canMove_;
+    if (canMove && server.own_.runs_ > 0 &&
+        server.record_.state_ == ServerState::Ready &&
+        board.IsFirstUser(peers_.GetName(), id)) {
+      engines.push_back(server.record_);
+    }
+  }
+  return engines;
+}
+
+asio::awaitable<void>
+LeavingProbe::Ask(ServerRecord aEngine)
+{
+  HttpRequest request = services_.wire_.BuildStatus();
+  const AsyncResult<HttpResponse> response =
+    co_await client_.Send(aEngine.address_, std::move(request));
+  if (!response) {
+    co_return;
+  }
+  const auto status = services_.wire_.ReadStatus(*response);
+  if (status && status->isLeaving_) {
+    services_.state_.TakeLeavingNotice(
+      aEngine.id_, "said by itself", ReadMonotonicTime());
+    peers_.Report();
+  }
+}
+
+} // namespace azurecross
--- a/modules/azurecross_serving/peers/LoadExchange.cpp
+++ b/modules/azurecross_serving/peers/LoadExchange.cpp
@@ -9,6 +9,8 @@
 /** ServerPlacement tolerates loads of this age: fewer than one request arrives at a
  * daemon meanwhile. */
 constexpr Duration kReportInterval = std::chrono::milliseconds(200);
+/** A daemon that was heard of this recently passes on what the store says. */
+constexpr Duration kPeerStoreTime = std::chrono::seconds(1);
 /** Datagrams that one daemon sends in a second at most. */
 constexpr double kDatagramsPerSecond = 60.0;
 
@@ -94,7 +96,10 @@
     return;
   }
   const std::string text =
-    FormatLoadReport({ name_, state_.GetBoard().DescribeOwnUse() });
+    FormatLoadReport({ name_,
+                       state_.GetBoard().DescribeOwnUse(),
+                       state_.DescribeLeaving(),
+                       state_.IsStoreReachable() });
   for (const SocketAddress& member : members_) {
     boost::system::error_code code;
     const auto address = asio::ip::make_address(member.host_, code);
@@ -106,6 +111,26 @@
   }
 }
 
+bool
+LoadExchange::HasPeerWithStore(Time aNow) const
+{
+  return aNow - peerWithStoreAt_ < kPeerStoreTime;
+}
+
+void
+LoadExchange::TakeReport(LoadReport aReport)
+{
+  const Time now = ReadMonotonicTime();
+  if (aReport.hasStore_) {
+    peerWithStoreAt_ = now;
+  }
+  for (const BackendServerId& server : aReport.leaving_) {
+    state_.TakeLeavingNotice(server, "told by " + aReport.sender_, now);
+  }
+  state_.GetBoard().SetPeerUse(aReport.sender_, std::move(aReport.uses_), now);
+  state_.NotifyLoad();
+}
+
 void
 LoadExchange::Receive()
 {
@@ -121,10 +146,7 @@
         auto report =
           ParseLoadReport(std::string_view(buffer_.data(), aLength));
         if (report) {
-          state_.GetBoard().SetPeerUse(report->sender_,
-                                       std::move(report->uses_),
-                                       ReadMonotonicTime());
-          state_.NotifyLoad();
+          TakeReport(std::move(*report));
         }
       }
       Receive();
--- a/modules/azurecross_serving/peers/LoadExchange.h
+++ b/modules/azurecross_serving/peers/LoadExchange.h
@@ -35,14 +35,20 @@
   /** Takes the daemons that exist, this one included. */
   void SetMembers(const std::vector<MemberRecord>& aMembers);
 
+  /** Sends a report now, beside the regular ones. */
+  void Report();
+
+  /** @returns whether a daemon heard of lately hears from the store. */
+  bool HasPeerWithStore(Time aNow) const;
+
   /** @returns this daemon's name in the reports. */
   const std::string& GetName() const { return name_; }
   SocketAddress GetAddress() const;
 
 private:
   void ScheduleReport();
-  void Report();
   void Receive();
+  void TakeReport(LoadReport aReport);
   /** @returns the pause between reports: longer among many daemons, so that
    * the cost for one daemon stays bounded. */
   Duration FindInterval() const;
@@ -55,6 +61,8 @@
   boost::asio::ip::udp::socket socket_;
   boost::asio::steady_timer timer_;
   std::string name_;
+  /** When a daemon with a reachable store was last heard of. */
+  Time peerWithStoreAt_;
   std::set<SocketAddress> members_;
   std::array<char, kLargestReport> buffer_{};
   boost::asio::ip::udp::endpoint sender_;
--- a/modules/azurecross_serving/peers/LoadReport.cpp
+++ b/modules/azurecross_serving/peers/LoadReport.cpp
@@ -51,6 +51,12 @@
   json::object report;
   report["sender"] = aReport.sender_;
   report["uses"] = std::move(uses);
+  json::array leaving;
+  for (const BackendServerId& server : aReport.leaving_) {
+    leaving.emplace_back(server.GetValue());
+  }
+  report["leaving"] = std::move(leaving);
+  report["has_store"] = aReport.hasStore_;
   return json::serialize(report);
 }
 
@@ -71,6 +77,18 @@
   }
   LoadReport report;
   report.sender_ = std::string(sender->get_string());
+  const json::value* hasStore = object->if_contains("has_store");
+  report.hasStore_ =
+    hasStore == nullptr || !hasStore->is_bool() || hasStore->get_bool();
+  const json::value* leaving = object->if_contains("leaving");
+  if (leaving != nullptr && leaving->is_array()) {
+    for (const json::value& server : leaving->get_array()) {
+      if (!server.is_string()) {
+        return std::nullopt;
+      }
+      report.leaving_.emplace_back(std::string(server.get_string()));
+    }
+  }
   for (const json::value& entry : uses->get_array()) {
     auto use = ParseUse(entry);
     if (!use) {
--- a/modules/azurecross_serving/peers/LoadReport.h
+++ b/modules/azurecross_serving/peers/LoadReport.h
@@ -15,6 +15,10 @@
   /** The sender's peer address. */
   std::string sender_;
   std::vector<ServerUse> uses_;
+  /** Servers that began to leave lately. */
+  std::vector<BackendServerId> leaving_;
+  /** Whether the sender hears from the store. */
+  bool hasStore_ = true;
 };
 
 /** @returns the report as JSON. */
--- a/modules/azurecross_serving/state/ServingState.cpp
+++ b/modules/azurecross_serving/state/ServingState.cpp
@@ -7,6 +7,9 @@
 /** How long a registration that lapsed in an outage of the store may stay
  * missing; the platform restores living ones within two seconds. */
 constexpr Duration kConfirmTime = std::chrono::seconds(2);
+/** How long other daemons are told that a server leaves: several reports, and
+ * longer than an engine's notice. */
+constexpr Duration kLeavingTime = std::chrono::seconds(3);
 /** Taken off the bound for removed keys: clocks differ in speed and a request
  * spends time on its way. */
 constexpr Duration kKeyMargin = std::chrono::milliseconds(300);
@@ -90,12 +93,14 @@
                { "state", kServerStateNames.FindName(aRecord.state_) },
                { "slots", aRecord.slots_ } });
   if (aRecord.state_ == ServerState::Draining && !wasDraining) {
-    Leave(aRecord.id_);
+    Leave(aRecord.id_, aNow);
   }
 }
 
 void
-ServingState::TakeRemoval(const BackendServerId& aId, std::string_view aReason)
+ServingState::TakeRemoval(const BackendServerId& aId,
+                          std::string_view aReason,
+                          Time aNow)
 {
   const ServerRecord* known = directory_.Find(aId);
   const bool wasReady =
@@ -109,19 +114,48 @@
                { "reason", aReason } });
   // A server that never said that it drains still serves for a while.
   if (wasReady) {
-    Leave(aId);
+    Leave(aId, aNow);
   }
   board_.Remove(aId);
 }
 
 void
-ServingState::Leave(const BackendServerId& aId)
+ServingState::Leave(const BackendServerId& aId, Time aNow)
 {
+  leavingSince_[aId] = aNow;
   if (onLeaving_) {
     onLeaving_(aId);
   }
 }
 
+void
+ServingState::TakeLeavingNotice(const BackendServerId& aServer,
+                                std::string_view aSource,
+                                Time aNow)
+{
+  if (isStoreReachable_ || !directory_.MarkDraining(aServer)) {
+    return;
+  }
+  const ServerRecord& record = *directory_.Find(aServer);
+  board_.Update(record, FindEngine(record.pool_), aNow);
+  log_.Write(Decision::ServerChanged,
+             { { "backend_server", aServer },
+               { "change",
+                 kServerChangeNames.FindName(ServerChange::BeganDraining) },
+               { "reason", aSource } });
+  Leave(aServer, aNow);
+}
+
+std::vector<BackendServerId>
+ServingState::DescribeLeaving() const
+{
+  std::vector<BackendServerId> leaving;
+  for (const auto& [id, since] : leavingSince_) {
+    leaving.push_back(id);
+  }
+  return leaving;
+}
+
 void
 ServingState::TakeListing(const std::vector<ServerEvent>& aServers,
                           bool aIsAfterOutage,
@@ -138,7 +172,7 @@
     if (aIsAfterOutage) {
       directory_.SuspectRemoval(id, aNow);
     } else {
-      TakeRemoval(id, "not listed");
+      TakeRemoval(id, "not listed", aNow);
     }
   }
   NotifyLoad();
@@ -155,7 +189,7 @@
     } else if (aIsAfterOutage) {
       directory_.SuspectRemoval(event.id_, aNow);
     } else {
-      TakeRemoval(event.id_, "registration removed");
+      TakeRemoval(event.id_, "registration removed", aNow);
     }
   }
   NotifyLoad();
@@ -170,9 +204,12 @@
       { { "backend_server", id },
         { "change", kServerChangeNames.FindName(ServerChange::Removed) },
         { "reason", "still missing after an outage of the store" } });
-    Leave(id);
+    Leave(id, aNow);
     board_.Remove(id);
   }
+  std::erase_if(leavingSince_, [&](const auto& aLeaving) {
+    return aNow - aLeaving.second > kLeavingTime;
+  });
   const std::size_t peers = board_.ExpirePeers(aNow);
   retries_.SetDaemons(peers + 1);
   metrics_.SetMembers(peers);
--- a/modules/azurecross_serving/state/ServingState.h
+++ b/modules/azurecross_serving/state/ServingState.h
@@ -8,6 +8,7 @@
 #include <azurecross_dispatch/azurecross_dispatch.h>
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -53,6 +54,18 @@
                         bool aIsAfterOutage,
                         Time aNow);
 
+  /** Takes word of a leaving server from another daemon or the server itself,
+   * which counts only while the store does not answer. */
+  void TakeLeavingNotice(const BackendServerId& aServer,
+                         std::string_view aSource,
+                         Time aNow);
+  /** @returns the servers that began to leave lately, for other daemons. */
+  std::vector<BackendServerId> DescribeLeaving() const;
+
+  /** Whether this daemon hears from the store. */
+  void SetStoreReachable(bool aIsReachable) { isStoreReachable_ = aIsReachable; }
+  bool IsStoreReachable() const { return isStoreReachable_; }
+
   /** Removes what stayed missing and forgets silent peers. */
   void Tick(Time aNow, Time aBootNow);
 
@@ -76,8 +89,10 @@
 private:
   std::optional<EngineTraits> FindEngine(const PoolName& aPool) const;
   void TakeRecord(const ServerRecord& aRecord, Time aNow);
-  void TakeRemoval(const BackendServerId& aId, std::string_view aReason);
-  void Leave(const BackendServerId& aId);
+  void TakeRemoval(const BackendServerId& aId,
+                   std::string_view aReason,
+                   Time aNow);
+  void Leave(const BackendServerId& aId, Time aNow);
 
   DecisionLog& log_;
   ServingMetrics& metrics_;
@@ -86,6 +101,8 @@
   LoadBoard board_;
   RetryAllowance retries_;
   KeyFreshness freshness_;
+  std::map<BackendServerId, Time> leavingSince_;
+  bool isStoreReachable_ = true;
   std::function<void(const BackendServerId&)> onLeaving_;
   std::function<void()> onLoad_;
 };
--- a/modules/azurecross_serving/state/StateSync.h
+++ b/modules/azurecross_serving/state/StateSync.h
@@ -105,6 +105,7 @@
       if (isLost_) {
         isLost_ = false;
         regainedAt_ = now;
+        state_.SetStoreReachable(true);
         log_.Write(Decision::DependencyRegained,
                    { { "dependency", "store" },
                      { "call", aCall },
@@ -115,6 +116,7 @@
     if (++failures_ >= kLostAfter && !isLost_) {
       isLost_ = true;
       lostAt_ = now;
+      state_.SetStoreReachable(false);
       log_.Write(Decision::DependencyLost,
                  { { "dependency", "store" },
                    { "call", aCall },
--- a/modules/azurecross_serving/wire/WireTranslator.h
+++ b/modules/azurecross_serving/wire/WireTranslator.h
@@ -70,6 +70,15 @@
   std::optional<Duration> idleTime_;
 };
 
+/** What an engine says of itself. */
+struct EngineStatus
+{
+  /** Whether it takes no new work because it goes away. */
+  bool isLeaving_ = false;
+  /** How long it still serves, if it knows. */
+  std::optional<Duration> leavesIn_;
+};
+
 /** Asks an engine to copy a running generation's memory to another engine. */
 struct MoveCall
 {
@@ -128,6 +137,11 @@
   virtual AnswerInfo ReadAnswer(const BackendConnection::Head& aHead,
                                 std::string_view aAttemptId) const = 0;
 
+  virtual HttpRequest BuildStatus() const = 0;
+  /** @returns nothing when the answer can't be read. */
+  virtual std::optional<EngineStatus> ReadStatus(
+    const HttpResponse& aResponse) const = 0;
+
   virtual HttpRequest BuildMove(const MoveCall& aCall) const = 0;
   virtual MoveAnswer ReadMove(const HttpResponse& aResponse) const = 0;
   /** @returns the call that frees a copy, for the engine that made it. */
