Spread placements of many daemons by a random part of the cost

Cause: 60 daemons with loads up to a second old all chose the engine that looked best; short generations waited 890 ms at the median for their first event on the grown site. Ruled out: lack of capacity (prefill at 55% of what the engines read).

Change: the cost of a server gets a random part that grows with the number of daemons; reports go to the own zone, whose engines are preferred, up to five times a second.

--- a/modules/azurecross_dispatch/placement/LoadBoard.h
+++ b/modules/azurecross_dispatch/placement/LoadBoard.h
@@ -141,6 +141,9 @@
    * @returns how many daemons are left. */
   std::size_t ExpirePeers(Time aNow);
 
+  /** @returns how many other daemons have been heard of lately. */
+  std::size_t CountPeers() const { return peers_.size(); }
+
   /** @returns what this daemon uses, for the others. */
   std::vector<ServerUse> DescribeOwnUse() const;
 
--- a/modules/azurecross_dispatch/placement/ServerPlacement.cpp
+++ b/modules/azurecross_dispatch/placement/ServerPlacement.cpp
@@ -25,6 +25,11 @@
 /** Cost of a server that could not be reached lately, or has just started. */
 constexpr double kSuspectCost = 10.0;
 constexpr double kColdCost = 0.3;
+/** Random part of the cost for each other daemon, and at most. Ten daemons
+ * place about one prompt on each engine between two reports, which costs this
+ * much in waiting. */
+constexpr double kSpreadPerDaemon = 0.008;
+constexpr double kLargestSpread = 0.4;
 /** Failures in a row after which a server counts as suspect. */
 constexpr std::uint32_t kSuspectFailures = 4;
 
@@ -126,9 +131,12 @@
 
 std::optional<PlacementChoice>
 ServerPlacement::Choose(const LoadBoard& aBoard,
-                  const PlacementRequest& aRequest,
-                  Time aNow) const
+                        const PlacementRequest& aRequest,
+                        Time aNow)
 {
+  const double spread = std::min(
+    kLargestSpread,
+    kSpreadPerDaemon * static_cast<double>(aBoard.CountPeers()));
   std::optional<PlacementChoice> best;
   for (const auto& [id, server] : aBoard.GetServers()) {
     if (!IsUsable(server, aRequest)) {
@@ -140,7 +148,8 @@
     if (!choice) {
       continue;
     }
-    choice->cost_ += ComputePenalty(aBoard, server, aRequest, aNow);
+    choice->cost_ += ComputePenalty(aBoard, server, aRequest, aNow) +
+                     spread * random_.DrawUnit();
     if (best && choice->cost_ >= best->cost_) {
       continue;
     }
--- a/modules/azurecross_dispatch/placement/ServerPlacement.h
+++ b/modules/azurecross_dispatch/placement/ServerPlacement.h
@@ -56,19 +56,24 @@
  * holds is also what its loss breaks off. The own availability zone is
  * preferred as long as its engines are not much fuller, because a partition
  * between zones breaks streams that cross it.
+ *
+ * Many daemons decide on loads that are some hundred milliseconds old. Each adds
+ * a random part to the costs, the larger the more daemons there are, so that
+ * they do not all choose the server that looked best.
  */
 class ServerPlacement
 {
 public:
-  explicit ServerPlacement(AvailabilityZone aZone)
+  ServerPlacement(AvailabilityZone aZone, std::uint64_t aSeed)
     : zone_(std::move(aZone))
+    , random_(aSeed)
   {
   }
 
   /** @returns the best server that has room, or nothing. */
   std::optional<PlacementChoice> Choose(const LoadBoard& aBoard,
                                         const PlacementRequest& aRequest,
-                                        Time aNow) const;
+                                        Time aNow);
 
   /** @returns the use of the servers that take new work. */
   PoolUse Summarize(const LoadBoard& aBoard, const PoolName& aPool) const;
@@ -87,6 +92,7 @@
                         Time aNow) const;
 
   AvailabilityZone zone_;
+  Random random_;
 };
 
 } // namespace azurecross
--- a/modules/azurecross_dispatch/queue/Dispatcher.h
+++ b/modules/azurecross_dispatch/queue/Dispatcher.h
@@ -83,7 +83,7 @@
   void ObserveHold(const PoolName& aPool, Duration aHeld);
 
   std::size_t CountQueued() const { return queued_.size(); }
-  const ServerPlacement& GetPlacement() const { return placement_; }
+  ServerPlacement& GetPlacement() { return placement_; }
 
 private:
   /** Late requests have a priority behind all others. */
--- a/modules/azurecross_serving/daemon/ServingDaemon.h
+++ b/modules/azurecross_serving/daemon/ServingDaemon.h
@@ -60,7 +60,7 @@
                  },
                  nullptr,
                  std::nullopt }
-    , peers_(context_, settings_.peerListen_, state_, log_)
+    , peers_(context_, settings_.peerListen_, settings_.zone_, state_, log_)
     , mover_(context_, services_)
     , probe_(context_, services_, peers_)
     , sync_(context_,
@@ -105,7 +105,7 @@
     metricsServer_.Start();
     peers_.Start();
     probe_.Start();
-    sync_.Start({ peers_.GetAddress() },
+    sync_.Start({ peers_.GetAddress(), settings_.zone_ },
                 [this](const std::vector<MemberRecord>& aMembers) {
                   peers_.SetMembers(aMembers);
                 });
--- a/modules/azurecross_serving/dispatch/DispatchShell.cpp
+++ b/modules/azurecross_serving/dispatch/DispatchShell.cpp
@@ -13,7 +13,9 @@
                              std::uint64_t aSeed)
   : state_(aState)
   , metrics_(aMetrics)
-  , dispatcher_(aState.GetBoard(), ServerPlacement(std::move(aZone)), aSeed)
+  , dispatcher_(aState.GetBoard(),
+                ServerPlacement(std::move(aZone), aSeed + 1),
+                aSeed)
 {
 }
 
--- a/modules/azurecross_serving/dispatch/DispatchShell.h
+++ b/modules/azurecross_serving/dispatch/DispatchShell.h
@@ -98,7 +98,7 @@
   void Dispatch();
   void Tick();
 
-  const ServerPlacement& GetPlacement() const { return dispatcher_.GetPlacement(); }
+  ServerPlacement& GetPlacement() { return dispatcher_.GetPlacement(); }
   void ObserveHold(const PoolName& aPool, Duration aHeld)
   {
     dispatcher_.ObserveHold(aPool, aHeld);
--- a/modules/azurecross_serving/forward/Admission.cpp
+++ b/modules/azurecross_serving/forward/Admission.cpp
@@ -14,6 +14,10 @@
 constexpr std::chrono::milliseconds kStaleRetryAfter{ 300 };
 /** Tables read this recently decide that a route or key does not exist. */
 constexpr Duration kRecentTables = std::chrono::milliseconds(2000);
+/** Time of one output token on a busy engine of the usual speed. */
+constexpr double kTokenSeconds = 0.012;
+/** Plain calls that need longer than this are rare. */
+constexpr Duration kLongestCall = std::chrono::seconds(1);
 /** Priorities that engines know. */
 constexpr int kLowestPriority = 9;
 
@@ -134,11 +138,10 @@
   // it whole.
   const double left =
     ToSeconds(*services_.stopsAt_ - ReadMonotonicTime());
-  constexpr double kTokenSeconds = 0.012;
   const double needed =
     context_.IsGeneration()
       ? kTokenSeconds * context_.demand_.generation_.outputLimit_
-      : 0.0;
+      : ToSeconds(std::min(context_.route_->timeout_, kLongestCall));
   if (left > 0.0 && needed < left) {
     return std::nullopt;
   }
--- a/modules/azurecross_serving/peers/LoadExchange.cpp
+++ b/modules/azurecross_serving/peers/LoadExchange.cpp
@@ -1,5 +1,7 @@
 #include "LoadExchange.h"
 
+#include <algorithm>
+
 namespace azurecross {
 
 namespace asio = boost::asio;
@@ -11,20 +13,26 @@
 constexpr Duration kReportInterval = std::chrono::milliseconds(200);
 /** A daemon that was heard of this recently passes on what the store says. */
 constexpr Duration kPeerStoreTime = std::chrono::seconds(1);
-/** Datagrams that one daemon sends in a second at most. */
+/** Below the time for which a report is used. */
+constexpr Duration kLongestInterval = std::chrono::milliseconds(1200);
+/** Datagrams that one daemon sends in a second to its own zone, and as many to
+ * the others. */
 constexpr double kDatagramsPerSecond = 60.0;
 
 } // namespace
 
 LoadExchange::LoadExchange(asio::io_context& aContext,
                            const SocketAddress& aAddress,
+                           AvailabilityZone aZone,
                            ServingState& aState,
                            DecisionLog& aLog)
   : state_(aState)
   , log_(aLog)
   , socket_(aContext,
             { asio::ip::make_address(aAddress.host_), aAddress.port_ })
-  , timer_(aContext)
+  , ownZoneTimer_(aContext)
+  , otherZonesTimer_(aContext)
+  , zone_(std::move(aZone))
   , name_(GetAddress().Format())
 {
   socket_.non_blocking(true);
@@ -41,26 +49,27 @@
 LoadExchange::Start()
 {
   Receive();
-  ScheduleReport();
+  ScheduleReport(true);
+  ScheduleReport(false);
 }
 
 void
 LoadExchange::SetMembers(const std::vector<MemberRecord>& aMembers)
 {
   const SocketAddress self = GetAddress();
-  std::set<SocketAddress> members;
+  std::map<SocketAddress, AvailabilityZone> members;
   for (const MemberRecord& member : aMembers) {
     if (member.peerAddress_ != self) {
-      members.insert(member.peerAddress_);
+      members.emplace(member.peerAddress_, member.zone_);
     }
   }
-  for (const SocketAddress& address : members) {
+  for (const auto& [address, zone] : members) {
     if (!members_.contains(address)) {
       log_.Write(Decision::MemberChanged,
                  { { "member", address.Format() }, { "change", "joined" } });
     }
   }
-  for (const SocketAddress& address : members_) {
+  for (const auto& [address, zone] : members_) {
     if (!members.contains(address)) {
       log_.Write(Decision::MemberChanged,
                  { { "member", address.Format() }, { "change", "left" } });
@@ -69,28 +78,45 @@
   members_ = std::move(members);
 }
 
+std::size_t
+LoadExchange::CountMembers(bool aIsOwnZone) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(members_.begin(), members_.end(), [&](const auto& aMember) {
+      return (aMember.second == zone_) == aIsOwnZone;
+    }));
+}
+
 Duration
-LoadExchange::FindInterval() const
+LoadExchange::FindInterval(bool aIsOwnZone) const
 {
   const double seconds =
-    static_cast<double>(members_.size()) / kDatagramsPerSecond;
-  return std::max(kReportInterval, FromSeconds(seconds));
+    static_cast<double>(CountMembers(aIsOwnZone)) / kDatagramsPerSecond;
+  return std::clamp(FromSeconds(seconds), kReportInterval, kLongestInterval);
 }
 
 void
-LoadExchange::ScheduleReport()
+LoadExchange::ScheduleReport(bool aIsOwnZone)
 {
-  timer_.expires_after(FindInterval());
-  timer_.async_wait([this](const boost::system::error_code& aCode) {
+  auto& timer = aIsOwnZone ? ownZoneTimer_ : otherZonesTimer_;
+  timer.expires_after(FindInterval(aIsOwnZone));
+  timer.async_wait([this, aIsOwnZone](const boost::system::error_code& aCode) {
     if (!aCode) {
-      Report();
-      ScheduleReport();
+      SendTo(aIsOwnZone);
+      ScheduleReport(aIsOwnZone);
     }
   });
 }
 
 void
 LoadExchange::Report()
+{
+  SendTo(true);
+  SendTo(false);
+}
+
+void
+LoadExchange::SendTo(bool aIsOwnZone)
 {
   if (members_.empty()) {
     return;
@@ -100,7 +126,10 @@
                        state_.GetBoard().DescribeOwnUse(),
                        state_.DescribeLeaving(),
                        state_.IsStoreReachable() });
-  for (const SocketAddress& member : members_) {
+  for (const auto& [member, zone] : members_) {
+    if ((zone == zone_) != aIsOwnZone) {
+      continue;
+    }
     boost::system::error_code code;
     const auto address = asio::ip::make_address(member.host_, code);
     if (!code) {
--- a/modules/azurecross_serving/peers/LoadExchange.h
+++ b/modules/azurecross_serving/peers/LoadExchange.h
@@ -9,7 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
-#include <set>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -25,6 +25,7 @@
   /** Binds the address; throws `boost::system::system_error` if it can't. */
   LoadExchange(boost::asio::io_context& aContext,
                const SocketAddress& aAddress,
+               AvailabilityZone aZone,
                ServingState& aState,
                DecisionLog& aLog);
 
@@ -35,7 +36,7 @@
   /** Takes the daemons that exist, this one included. */
   void SetMembers(const std::vector<MemberRecord>& aMembers);
 
-  /** Sends a report now, beside the regular ones. */
+  /** Sends a report to all now, beside the regular ones. */
   void Report();
 
   /** @returns whether a daemon heard of lately hears from the store. */
@@ -46,12 +47,14 @@
   SocketAddress GetAddress() const;
 
 private:
-  void ScheduleReport();
+  void ScheduleReport(bool aIsOwnZone);
+  void SendTo(bool aIsOwnZone);
   void Receive();
   void TakeReport(LoadReport aReport);
   /** @returns the pause between reports: longer among many daemons, so that
    * the cost for one daemon stays bounded. */
-  Duration FindInterval() const;
+  Duration FindInterval(bool aIsOwnZone) const;
+  std::size_t CountMembers(bool aIsOwnZone) const;
 
   /** A report of a daemon that uses 200 servers fits. */
   static constexpr std::size_t kLargestReport = 16384;
@@ -59,11 +62,15 @@
   ServingState& state_;
   DecisionLog& log_;
   boost::asio::ip::udp::socket socket_;
-  boost::asio::steady_timer timer_;
+  /** For the daemons of the own zone, whose engines this one prefers, and for
+   * the others. */
+  boost::asio::steady_timer ownZoneTimer_;
+  boost::asio::steady_timer otherZonesTimer_;
+  AvailabilityZone zone_;
   std::string name_;
   /** When a daemon with a reachable store was last heard of. */
   Time peerWithStoreAt_;
-  std::set<SocketAddress> members_;
+  std::map<SocketAddress, AvailabilityZone> members_;
   std::array<char, kLargestReport> buffer_{};
   boost::asio::ip::udp::endpoint sender_;
 };
--- a/modules/azurecross_serving/state/StateSource.h
+++ b/modules/azurecross_serving/state/StateSource.h
@@ -41,6 +41,7 @@
 {
   /** Where it takes reports from its peers. */
   SocketAddress peerAddress_;
+  AvailabilityZone zone_;
 };
 
 /**
