Read the store through a few daemons for all

Change: two daemons, and one more for each sixteen, read from the store and feed the others, which fall back to the store at the first failure or old proof. A reader that the store turns away suspends its feed at once.

--- a/modules/azurecross_serving/daemon/ServingDaemon.h
+++ b/modules/azurecross_serving/daemon/ServingDaemon.h
@@ -4,6 +4,7 @@
 #include "../moves/LeavingProbe.h"
 #include "../moves/RunMover.h"
 #include "../peers/LoadExchange.h"
+#include "../peers/RelayedSource.h"
 #include "../server/FrontServer.h"
 #include "../state/StateSync.h"
 
@@ -63,8 +64,10 @@
     , peers_(context_, settings_.peerListen_, settings_.zone_, state_, log_)
     , mover_(context_, services_)
     , probe_(context_, services_, peers_)
+    , feed_(context_, settings_.peerListen_, random_.DrawBits())
+    , source_(context_.get_executor(), aSource, feed_, peers_.GetAddress())
     , sync_(context_,
-            aSource,
+            source_,
             state_,
             log_,
             servingMetrics_,
@@ -104,10 +107,12 @@
     ready_.Start();
     metricsServer_.Start();
     peers_.Start();
+    feed_.Start();
     probe_.Start();
     sync_.Start({ peers_.GetAddress(), settings_.zone_ },
                 [this](const std::vector<MemberRecord>& aMembers) {
                   peers_.SetMembers(aMembers);
+                  source_.SetMembers(aMembers);
                 });
     front_.Start();
     WaitForSignal();
@@ -263,7 +268,9 @@
   LoadExchange peers_;
   RunMover mover_;
   LeavingProbe probe_;
-  StateSync<Source> sync_;
+  StateFeed feed_;
+  RelayedSource<Source> source_;
+  StateSync<RelayedSource<Source>> sync_;
   FrontServer front_;
   OperationsServer ready_;
   OperationsServer metricsServer_;
--- /dev/null
+++ b/modules/azurecross_serving/peers/RelayChoice.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "../state/StateSource.h"
+
+#include <azurecross_core/azurecross_core.h>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace azurecross {
+
+/**
+ * Chooses which daemons read from the store for all, and which of them this
+ * daemon asks. All daemons with the same list of members choose the same
+ * readers. A reader that fails is left alone for a while; without a usable
+ * reader a daemon asks the store itself.
+ */
+class RelayChoice
+{
+public:
+  explicit RelayChoice(SocketAddress aSelf)
+    : self_(std::move(aSelf))
+  {
+  }
+
+  void SetMembers(const std::vector<MemberRecord>& aMembers);
+
+  /** @returns whether this daemon reads from the store. */
+  bool IsReader() const { return isReader_; }
+
+  /** @returns the reader to ask, or nothing to ask the store. */
+  std::optional<SocketAddress> FindReader(Time aNow) const;
+
+  /** Takes the failure of a reader, or that it does not hear from the store. */
+  void TakeFailure(const SocketAddress& aReader, Time aNow);
+
+private:
+  SocketAddress self_;
+  /** Readers in the order in which this daemon asks them. */
+  std::vector<SocketAddress> readers_;
+  std::map<SocketAddress, Time> failedAt_;
+  bool isReader_ = true;
+};
+
+} // namespace azurecross
--- /dev/null
+++ b/modules/azurecross_serving/peers/RelayedSource.h
@@ -0,0 +1,299 @@
+#pragma once
+
+#include "../state/StateSource.h"
+#include "RelayChoice.h"
+#include "StateFeed.h"
+
+#include <azurecross_http/azurecross_http.h>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace azurecross {
+
+/**
+ * The store as most daemons see it: through the few daemons that read from it
+ * for all, or directly while none of these can be used. What is read directly
+ * is passed on to others.
+ *
+ * @see StateSource
+ */
+template<StateSource Store>
+class RelayedSource
+{
+public:
+  RelayedSource(boost::asio::any_io_executor aExecutor,
+                Store& aStore,
+                StateFeed& aFeed,
+                SocketAddress aSelf)
+    : store_(aStore)
+    , feed_(aFeed)
+    , choice_(std::move(aSelf))
+    , client_(aExecutor, MakeLimits(kCallTimeout))
+    , watchClient_(aExecutor, MakeLimits(kWatchTime + kCallTimeout))
+  {
+  }
+
+  void SetMembers(const std::vector<MemberRecord>& aMembers)
+  {
+    choice_.SetMembers(aMembers);
+  }
+
+  boost::asio::awaitable<AsyncResult<TablesReading>> ReadTables()
+  {
+    const auto reader = choice_.FindReader(ReadMonotonicTime());
+    if (reader) {
+      std::optional<TablesReading> reading =
+        co_await AskTables(client_, *reader, Duration::zero());
+      if (reading) {
+        co_return std::move(*reading);
+      }
+    }
+    const Time sentAt = ReadBootTime();
+    AsyncResult<TablesReading> reading = co_await store_.ReadTables();
+    NoteStore(reading);
+    if (reading) {
+      KeepTables(*reading);
+      feed_.Prove(sentAt);
+      tablesFromStore_ = true;
+    }
+    co_return reading;
+  }
+
+  boost::asio::awaitable<AsyncResult<TablesReading>> WatchTables(
+    std::uint64_t aRevision)
+  {
+    const auto reader = choice_.FindReader(ReadMonotonicTime());
+    if (reader) {
+      std::optional<TablesReading> reading =
+        co_await AskTables(watchClient_, *reader, kWatchTime);
+      if (reading) {
+        co_return std::move(*reading);
+      }
+      co_return MakeLostError();
+    }
+    if (!tablesFromStore_) {
+      co_return MakeLostError();
+    }
+    AsyncResult<TablesReading> reading = co_await store_.WatchTables(aRevision);
+    NoteStore(reading);
+    if (reading) {
+      KeepTables(*reading);
+    }
+    co_return reading;
+  }
+
+  boost::asio::awaitable<AsyncResult<ServersReading>> ListServers()
+  {
+    const auto reader = choice_.FindReader(ReadMonotonicTime());
+    if (reader) {
+      serversEpoch_ = 0;
+      std::optional<ServersReading> reading =
+        co_await AskServers(client_, *reader, Duration::zero());
+      if (reading) {
+        co_return std::move(*reading);
+      }
+    }
+    AsyncResult<ServersReading> reading = co_await store_.ListServers();
+    NoteStore(reading);
+    if (reading) {
+      feed_.TakeServers(reading->servers_, true);
+      serversEpoch_ = 0;
+    }
+    co_return reading;
+  }
+
+  boost::asio::awaitable<AsyncResult<ServersReading>> WatchServers(
+    std::uint64_t aRevision)
+  {
+    const auto reader = choice_.FindReader(ReadMonotonicTime());
+    const bool isFed = serversEpoch_ != 0;
+    if (reader.has_value() != isFed || (reader && *reader != serversReader_)) {
+      // Numbers of the store and of each reader mean nothing to the others.
+      co_return MakeLostError();
+    }
+    if (reader) {
+      std::optional<ServersReading> reading =
+        co_await AskServers(watchClient_, *reader, kWatchTime);
+      if (reading) {
+        co_return std::move(*reading);
+      }
+      co_return MakeLostError();
+    }
+    AsyncResult<ServersReading> reading =
+      co_await store_.WatchServers(aRevision);
+    NoteStore(reading);
+    if (reading) {
+      feed_.TakeServers(reading->servers_, false);
+    }
+    co_return reading;
+  }
+
+  boost::asio::awaitable<AsyncResult<bool>> Register(MemberRecord aMember)
+  {
+    return store_.Register(std::move(aMember));
+  }
+  boost::asio::awaitable<AsyncResult<bool>> KeepAlive()
+  {
+    return store_.KeepAlive();
+  }
+  boost::asio::awaitable<AsyncResult<std::vector<MemberRecord>>> ListMembers(
+    bool aMayBeOld)
+  {
+    return store_.ListMembers(aMayBeOld);
+  }
+  AsyncResult<ServingTables::Content> ParseTables(
+    const std::string& aText) const
+  {
+    return store_.ParseTables(aText);
+  }
+  std::optional<ServerRecord> ParseServer(const std::string& aId,
+                                          const std::string& aText) const
+  {
+    return store_.ParseServer(aId, aText);
+  }
+
+private:
+  /** A daemon in reach answers in a few milliseconds. */
+  static constexpr Duration kCallTimeout = std::chrono::milliseconds(400);
+  static constexpr std::chrono::milliseconds kWatchTime{ 10000 };
+  /** A reader whose own proof is older than this does not hear from the store.
+   * With the interval of the readers' proofs and of those that ask them, a
+   * change that one reader misses is in force within two seconds. */
+  static constexpr Duration kOldestProof = std::chrono::milliseconds(1200);
+
+  static HttpClientLimits MakeLimits(Duration aAnswerTimeout)
+  {
+    HttpClientLimits limits;
+    limits.connectTimeout_ = kCallTimeout;
+    limits.answerTimeout_ = aAnswerTimeout;
+    return limits;
+  }
+
+  static Error MakeLostError()
+  {
+    return Error{ ErrorCode::GenerationLost,
+                  Verdict::NotRun,
+                  "the state must be read anew from another place",
+                  {} };
+  }
+
+  /** Stops feeding others after a call that the store did not answer. */
+  template<typename Reading>
+  void NoteStore(const AsyncResult<Reading>& aReading)
+  {
+    if (aReading.has_error() &&
+        aReading.error().code_ != ErrorCode::GenerationLost) {
+      feed_.Suspend();
+    }
+  }
+
+  void KeepTables(const TablesReading& aReading)
+  {
+    if (aReading.content_) {
+      feed_.TakeTables(aReading.content_->version_, aReading.text_);
+      knownVersion_ = std::max(knownVersion_, aReading.content_->version_);
+    }
+  }
+
+  /** @returns the answer's body, or nothing after a failure, which is noted. */
+  boost::asio::awaitable<std::optional<std::string>>
+  Ask(HttpClient& aClient, SocketAddress aReader, std::string aTarget)
+  {
+    HttpRequest request;
+    request.target_ = std::move(aTarget);
+    const AsyncResult<HttpResponse> response =
+      co_await aClient.Send(aReader, std::move(request));
+    constexpr unsigned kOk = 200;
+    if (!response || response->status_ != kOk) {
+      choice_.TakeFailure(aReader, ReadMonotonicTime());
+      co_return std::nullopt;
+    }
+    co_return response->body_;
+  }
+
+  boost::asio::awaitable<std::optional<TablesReading>>
+  AskTables(HttpClient& aClient, SocketAddress aReader, Duration aWait)
+  {
+    const std::optional<std::string> body = co_await Ask(
+      aClient,
+      aReader,
+      "/feed/tables?known=" + std::to_string(knownVersion_) +
+        "&wait=" + std::to_string(ToMilliseconds(aWait)));
+    const auto tables = body ? ParseFedTables(*body) : std::nullopt;
+    const bool isUsable =
+      tables && tables->age_ <= kOldestProof && tables->version_ >= knownVersion_;
+    if (!isUsable) {
+      choice_.TakeFailure(aReader, ReadMonotonicTime());
+      co_return std::nullopt;
+    }
+    TablesReading reading;
+    reading.revision_ = tables->version_;
+    reading.age_ = tables->age_;
+    if (!tables->text_.empty()) {
+      auto content = store_.ParseTables(tables->text_);
+      if (!content) {
+        choice_.TakeFailure(aReader, ReadMonotonicTime());
+        co_return std::nullopt;
+      }
+      reading.content_ = std::move(*content);
+      knownVersion_ = std::max(knownVersion_, tables->version_);
+    }
+    tablesFromStore_ = false;
+    co_return reading;
+  }
+
+  boost::asio::awaitable<std::optional<ServersReading>>
+  AskServers(HttpClient& aClient, SocketAddress aReader, Duration aWait)
+  {
+    const std::optional<std::string> body = co_await Ask(
+      aClient,
+      aReader,
+      "/feed/servers?epoch=" + std::to_string(serversEpoch_) +
+        "&known=" + std::to_string(serversKnown_) +
+        "&wait=" + std::to_string(ToMilliseconds(aWait)));
+    const auto servers = body ? ParseFedServers(*body) : std::nullopt;
+    if (!servers || servers->isWhole_ != (serversEpoch_ == 0)) {
+      choice_.TakeFailure(aReader, ReadMonotonicTime());
+      co_return std::nullopt;
+    }
+    ServersReading reading;
+    reading.revision_ = std::max<std::uint64_t>(servers->last_, 1);
+    for (const auto& [id, text] : servers->servers_) {
+      ServerEvent event;
+      event.id_ = BackendServerId(id);
+      event.text_ = text;
+      if (!text.empty()) {
+        event.record_ = store_.ParseServer(id, text);
+      }
+      reading.servers_.push_back(std::move(event));
+    }
+    serversEpoch_ = servers->epoch_;
+    serversKnown_ = servers->last_;
+    serversReader_ = aReader;
+    co_return reading;
+  }
+
+  static std::int64_t ToMilliseconds(Duration aTime)
+  {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+  }
+
+  Store& store_;
+  StateFeed& feed_;
+  RelayChoice choice_;
+  HttpClient client_;
+  HttpClient watchClient_;
+  std::uint64_t knownVersion_ = 0;
+  bool tablesFromStore_ = false;
+  /** 0 while the servers come from the store itself. */
+  std::uint64_t serversEpoch_ = 0;
+  std::uint64_t serversKnown_ = 0;
+  SocketAddress serversReader_;
+};
+
+} // namespace azurecross
--- a/modules/azurecross_serving/state/StateSource.h
+++ b/modules/azurecross_serving/state/StateSource.h
@@ -19,6 +19,11 @@
   /** Nothing while the operator has written none yet. */
   std::optional<ServingTables::Content> content_;
   std::uint64_t revision_ = 0;
+  /** The tables as the store holds them, for other daemons. */
+  std::string text_;
+  /** How old the reading was when it was asked for: it may have come through
+   * another daemon. */
+  Duration age_{};
 };
 
 /** A change of one registration. */
@@ -27,6 +32,8 @@
   BackendServerId id_;
   /** Nothing when the registration is gone or can't be read. */
   std::optional<ServerRecord> record_;
+  /** The registration as the store holds it, for other daemons. */
+  std::string text_;
 };
 
 /** All registrations, or those that changed, at a revision of the store. */
@@ -54,12 +61,14 @@
  *   the changes are no longer known, so that the whole state must be read.
  * - `Register` writes this daemon's own record under a lease, which `KeepAlive`
  *   renews; `GenerationLost` says that the lease has ended.
- * - `ListMembers` may be some seconds old.
+ * - `ListMembers` may be some seconds old if the caller allows it.
+ * - `ParseTables` and `ParseServer` read what another daemon passes on.
  */
 template<typename Source>
 concept StateSource = requires(Source& aSource,
                                std::uint64_t aRevision,
-                               const MemberRecord& aMember)
+                               const MemberRecord& aMember,
+                               const std::string& aText)
 {
   {
     aSource.ReadTables()
@@ -80,9 +89,15 @@
     aSource.KeepAlive()
     } -> std::same_as<boost::asio::awaitable<AsyncResult<bool>>>;
   {
-    aSource.ListMembers()
+    aSource.ListMembers(true)
     } -> std::same_as<
       boost::asio::awaitable<AsyncResult<std::vector<MemberRecord>>>>;
+  {
+    aSource.ParseTables(aText)
+    } -> std::same_as<AsyncResult<ServingTables::Content>>;
+  {
+    aSource.ParseServer(aText, aText)
+    } -> std::same_as<std::optional<ServerRecord>>;
 };
 
 } // namespace azurecross
--- a/modules/azurecross_serving/state/StateSync.h
+++ b/modules/azurecross_serving/state/StateSync.h
@@ -71,9 +71,15 @@
 
 private:
   /** Age at which the tables are read again; well below the bound for removed
-   * keys, and below the one for changes that a watch missed. */
-  static constexpr Duration kProofInterval = std::chrono::milliseconds(1500);
+   * keys, and below that of two seconds for changes that a watch missed. */
+  static constexpr Duration kProofInterval = std::chrono::milliseconds(750);
   static constexpr Duration kMemberInterval = std::chrono::seconds(3);
+  /** Daemons that start together have registered after this time; the first
+   * list is then complete. */
+  static constexpr Duration kJoinTime = std::chrono::milliseconds(600);
+  /** Keeps the calls of all daemons together bounded. */
+  static constexpr Duration kMemberIntervalPerDaemon =
+    std::chrono::milliseconds(50);
   /** First pause after a failed call; grows with each further failure. */
   static constexpr Duration kRetryPause = std::chrono::milliseconds(250);
   static constexpr Duration kLongestRetryPause = std::chrono::seconds(1);
@@ -147,10 +153,14 @@
       } else {
         reading = co_await source_.WatchTables(revision);
       }
-      Note("watch_tables", reading.has_value(), FindReason(reading));
+      Note("watch_tables", IsAnswered(reading), FindReason(reading));
       if (!reading) {
         revision = 0;
-        co_await PauseAfter(++failures);
+        if (!IsAnswered(reading)) {
+          co_await PauseAfter(++failures);
+        } else {
+          co_await Sleep(kWatchPause);
+        }
         continue;
       }
       failures = 0;
@@ -165,14 +175,14 @@
     for (;;) {
       const Time sentAt = ReadBootTime();
       AsyncResult<TablesReading> reading = co_await source_.ReadTables();
-      Note("read_tables", reading.has_value(), FindReason(reading));
+      Note("read_tables", IsAnswered(reading), FindReason(reading));
       if (!reading) {
         co_await PauseAfter(++failures);
         continue;
       }
       failures = 0;
       state_.TakeTables(std::move(reading->content_), ReadMonotonicTime());
-      state_.ProveTables(sentAt);
+      state_.ProveTables(sentAt - reading->age_);
       proved_.Notify();
       co_await proofWanted_.Wait(kProofInterval);
     }
@@ -191,10 +201,14 @@
         reading = co_await source_.WatchServers(revision);
       }
       const Time now = ReadMonotonicTime();
-      Note("watch_servers", reading.has_value(), FindReason(reading));
+      Note("watch_servers", IsAnswered(reading), FindReason(reading));
       if (!reading) {
         revision = 0;
-        co_await PauseAfter(++failures);
+        if (!IsAnswered(reading)) {
+          co_await PauseAfter(++failures);
+        } else {
+          co_await Sleep(kWatchPause);
+        }
         continue;
       }
       failures = 0;
@@ -211,6 +225,7 @@
   boost::asio::awaitable<void> FollowMembers()
   {
     bool isRegistered = false;
+    bool isFirst = true;
     unsigned failures = 0;
     for (;;) {
       AsyncResult<bool> kept = true;
@@ -226,16 +241,30 @@
         continue;
       }
       failures = 0;
+      if (isFirst) {
+        co_await Sleep(kJoinTime);
+      }
       AsyncResult<std::vector<MemberRecord>> members =
-        co_await source_.ListMembers();
+        co_await source_.ListMembers(!isFirst);
       Note("list_members", members.has_value(), FindReason(members));
       if (members) {
         onMembers_(*members);
+        isFirst = false;
       }
-      co_await Sleep(random_.Jitter(kMemberInterval, 0.2));
+      const auto count = members ? members->size() : 0;
+      co_await Sleep(random_.Jitter(
+        kMemberInterval + kMemberIntervalPerDaemon * count, 0.2));
     }
   }
 
+  /** @returns whether the source answered, be it that changes are lost. */
+  template<typename Value>
+  static bool IsAnswered(const AsyncResult<Value>& aResult)
+  {
+    return aResult.has_value() ||
+           aResult.error().code_ == ErrorCode::GenerationLost;
+  }
+
   template<typename Value>
   static std::string FindReason(const AsyncResult<Value>& aResult)
   {
