Do not resume a generation that ended while it was moved

Cause: an engine answered the call that stops a generation with 'no such run', because the generation had just ended; its stream had no framing, so its end looked like the stop, and the generation went on from its copy.

--- a/modules/azurecross_serving/forward/CallerAnswer.cpp
+++ b/modules/azurecross_serving/forward/AnswerSender.cpp
@@ -1,4 +1,4 @@
-#include "CallerAnswer.h"
+#include "AnswerSender.h"
 
 #include <array>
 #include <cstdio>
@@ -49,7 +49,7 @@
 
 } // namespace
 
-CallerAnswer::CallerAnswer(ForwardServices& aServices,
+AnswerSender::AnswerSender(ForwardServices& aServices,
                            ForwardContext& aContext,
                            CallerChannel& aCaller)
   : services_(aServices)
@@ -61,7 +61,7 @@
 }
 
 void
-CallerAnswer::AddConnection(AnswerHead& aHead) const
+AnswerSender::AddConnection(AnswerHead& aHead) const
 {
   if (!keepsAlive_ || services_.stopsAt_) {
     aHead.Add("Connection", "close");
@@ -69,7 +69,7 @@
 }
 
 asio::awaitable<bool>
-CallerAnswer::Write(std::string_view aFirst,
+AnswerSender::Write(std::string_view aFirst,
                     std::string_view aSecond,
                     std::string_view aThird)
 {
@@ -90,7 +90,7 @@
 }
 
 asio::awaitable<void>
-CallerAnswer::WriteError(const Error& aError)
+AnswerSender::WriteError(const Error& aError)
 {
   const unsigned status = FindForwardStatus(aError);
   context_.status_ = status;
@@ -111,7 +111,7 @@
 }
 
 std::string
-CallerAnswer::BuildHead(const BackendConnection::Head& aHead,
+AnswerSender::BuildHead(const BackendConnection::Head& aHead,
                         std::string_view aFramingName,
                         std::string_view aFramingValue) const
 {
@@ -134,7 +134,7 @@
 }
 
 asio::awaitable<void>
-CallerAnswer::WriteWhole(const BackendConnection::Head& aHead,
+AnswerSender::WriteWhole(const BackendConnection::Head& aHead,
                          std::string_view aBody)
 {
   context_.status_ = aHead.result_int();
@@ -145,7 +145,7 @@
 }
 
 void
-CallerAnswer::BeginStream(const BackendConnection::Head& aHead)
+AnswerSender::BeginStream(const BackendConnection::Head& aHead)
 {
   context_.status_ = aHead.result_int();
   if (!isChunked_) {
@@ -157,7 +157,7 @@
 }
 
 asio::awaitable<bool>
-CallerAnswer::WritePart(std::string_view aPart)
+AnswerSender::WritePart(std::string_view aPart)
 {
   std::string start = std::move(pendingHead_);
   pendingHead_.clear();
@@ -169,7 +169,7 @@
 }
 
 asio::awaitable<void>
-CallerAnswer::EndStream()
+AnswerSender::EndStream()
 {
   std::string end = std::move(pendingHead_);
   pendingHead_.clear();
--- a/modules/azurecross_serving/forward/CallerAnswer.h
+++ b/modules/azurecross_serving/forward/AnswerSender.h
@@ -13,10 +13,10 @@
 namespace azurecross {
 
 /** Writes the answer to one request: whole, as a stream, or a failure. */
-class CallerAnswer
+class AnswerSender
 {
 public:
-  CallerAnswer(ForwardServices& aServices,
+  AnswerSender(ForwardServices& aServices,
                ForwardContext& aContext,
                CallerChannel& aCaller);
 
--- a/modules/azurecross_serving/forward/CallExchange.cpp
+++ b/modules/azurecross_serving/forward/CallExchange.cpp
@@ -98,7 +98,7 @@
 FinishWholeAnswer(ForwardContext& aContext,
                   BackendCall& aCall,
                   RunHold& aHold,
-                  CallerAnswer& aAnswer,
+                  AnswerSender& aAnswer,
                   bool aMayRepeat,
                   Time aDeadline)
 {
--- a/modules/azurecross_serving/forward/CallExchange.h
+++ b/modules/azurecross_serving/forward/CallExchange.h
@@ -2,7 +2,7 @@
 
 #include "AttemptResult.h"
 #include "BackendCall.h"
-#include "CallerAnswer.h"
+#include "AnswerSender.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -15,7 +15,7 @@
 public:
   CallExchange(ForwardServices& aServices,
                ForwardContext& aContext,
-               CallerAnswer& aAnswer)
+               AnswerSender& aAnswer)
     : services_(aServices)
     , context_(aContext)
     , answer_(aAnswer)
@@ -30,7 +30,7 @@
 
   ForwardServices& services_;
   ForwardContext& context_;
-  CallerAnswer& answer_;
+  AnswerSender& answer_;
 };
 
 /** Sends the plan's request and reads its answer whole into a result. Shared by
@@ -39,7 +39,7 @@
 FinishWholeAnswer(ForwardContext& aContext,
                   BackendCall& aCall,
                   RunHold& aHold,
-                  CallerAnswer& aAnswer,
+                  AnswerSender& aAnswer,
                   bool aMayRepeat,
                   Time aDeadline);
 
--- a/modules/azurecross_serving/forward/ForwardPipeline.cpp
+++ b/modules/azurecross_serving/forward/ForwardPipeline.cpp
@@ -17,7 +17,7 @@
 
 ForwardPipeline::ForwardPipeline(ForwardServices& aServices,
                                  ForwardContext& aContext,
-                                 CallerAnswer& aAnswer)
+                                 AnswerSender& aAnswer)
   : services_(aServices)
   , context_(aContext)
   , answer_(aAnswer)
--- a/modules/azurecross_serving/forward/ForwardPipeline.h
+++ b/modules/azurecross_serving/forward/ForwardPipeline.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "AttemptResult.h"
-#include "CallerAnswer.h"
+#include "AnswerSender.h"
 #include "ForwardContext.h"
 #include "ForwardServices.h"
 
@@ -21,7 +21,7 @@
 public:
   ForwardPipeline(ForwardServices& aServices,
                   ForwardContext& aContext,
-                  CallerAnswer& aAnswer);
+                  AnswerSender& aAnswer);
 
   boost::asio::awaitable<void> Run();
 
@@ -47,7 +47,7 @@
 
   ForwardServices& services_;
   ForwardContext& context_;
-  CallerAnswer& answer_;
+  AnswerSender& answer_;
   Deadline timeout_;
   /** Backend servers that may have run the request. */
   unsigned runs_ = 0;
--- a/modules/azurecross_serving/forward/GenerationExchange.cpp
+++ b/modules/azurecross_serving/forward/GenerationExchange.cpp
@@ -26,7 +26,7 @@
 
 GenerationExchange::GenerationExchange(ForwardServices& aServices,
                                        ForwardContext& aContext,
-                                       CallerAnswer& aAnswer)
+                                       AnswerSender& aAnswer)
   : services_(aServices)
   , context_(aContext)
   , answer_(aAnswer)
@@ -106,7 +106,22 @@
       result = FailStream();
       co_return result;
     }
-    if (outcome == ReadOutcome::Ended && !IsUnframedEnd()) {
+    if (outcome == ReadOutcome::Ended && IsUnframedEnd()) {
+      // Only the answer to the call that stops it tells whether the engine
+      // stopped the generation or whether it is complete.
+      co_await AwaitMove();
+    }
+    if (outcome == ReadOutcome::Ended && IsUnframedEnd() &&
+        generation_->stage_ != MoveStage::Stopped) {
+      readError_ = Error{ ErrorCode::AnswerTruncated,
+                          Verdict::Ran,
+                          "a stream without framing ended during its move",
+                          {} };
+      result = FailStream();
+      co_return result;
+    }
+    const bool isComplete = outcome == ReadOutcome::Ended && !IsUnframedEnd();
+    if (isComplete) {
       result = co_await FinishStream();
       co_return result;
     }
@@ -130,7 +145,8 @@
   // A stream without framing that ends while its engine stops it for a move
   // looks complete, but is not.
   return (generation_->stage_ == MoveStage::Stopping ||
-          generation_->stage_ == MoveStage::Stopped) &&
+          generation_->stage_ == MoveStage::Stopped ||
+          generation_->stage_ == MoveStage::Unclear) &&
          call_->GetConnection().IsUnframed();
 }
 
@@ -221,10 +237,9 @@
   return result;
 }
 
-asio::awaitable<bool>
-GenerationExchange::Resume()
+asio::awaitable<void>
+GenerationExchange::AwaitMove()
 {
-  events_.DropPart();
   const Time giveUp = ReadMonotonicTime() + kMoveWait;
   while (generation_->stage_ == MoveStage::Copying ||
          generation_->stage_ == MoveStage::Stopping) {
@@ -234,6 +249,13 @@
     }
     co_await generation_->changed_.Wait(left);
   }
+}
+
+asio::awaitable<bool>
+GenerationExchange::Resume()
+{
+  events_.DropPart();
+  co_await AwaitMove();
   if (!generation_->copy_ || generation_->copy_->handle_.empty() ||
       context_.IsStopped() || ++resumes_ > kMostResumes) {
     services_.metrics_.CountResume(false);
--- a/modules/azurecross_serving/forward/GenerationExchange.h
+++ b/modules/azurecross_serving/forward/GenerationExchange.h
@@ -3,7 +3,7 @@
 #include "../moves/ActiveGeneration.h"
 #include "AttemptResult.h"
 #include "BackendCall.h"
-#include "CallerAnswer.h"
+#include "AnswerSender.h"
 #include "EventBuffer.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -22,7 +22,7 @@
 public:
   GenerationExchange(ForwardServices& aServices,
                      ForwardContext& aContext,
-                     CallerAnswer& aAnswer);
+                     AnswerSender& aAnswer);
   ~GenerationExchange();
 
   GenerationExchange(const GenerationExchange&) = delete;
@@ -49,6 +49,8 @@
   void CountEvents();
   boost::asio::awaitable<AttemptResult> FinishStream();
   AttemptResult FailStream();
+  /** Waits until a move in progress has come to an end. */
+  boost::asio::awaitable<void> AwaitMove();
   /** @returns whether the stream goes on from a copy. */
   boost::asio::awaitable<bool> Resume();
   boost::asio::awaitable<bool> ResumeAt(GenerationCopy aCopy);
@@ -57,7 +59,7 @@
 
   ForwardServices& services_;
   ForwardContext& context_;
-  CallerAnswer& answer_;
+  AnswerSender& answer_;
   std::shared_ptr<ActiveGeneration> generation_;
   std::unique_ptr<BackendCall> call_;
   EventBuffer events_;
--- a/modules/azurecross_serving/moves/ActiveGeneration.h
+++ b/modules/azurecross_serving/moves/ActiveGeneration.h
@@ -24,14 +24,20 @@
   Stopping,
   /** It has stopped and goes on from `copy_`. */
   Stopped,
+  /** It had ended by itself before it could be stopped. */
+  Ended,
+  /** The engine did not say whether it has stopped it. */
+  Unclear,
 };
 
-inline constexpr NameTable<MoveStage, 5> kMoveStageNames{
+inline constexpr NameTable<MoveStage, 7> kMoveStageNames{
   { { { MoveStage::None, "none" },
       { MoveStage::Copying, "copying" },
       { MoveStage::Copied, "copied" },
       { MoveStage::Stopping, "stopping" },
-      { MoveStage::Stopped, "stopped" } } }
+      { MoveStage::Stopped, "stopped" },
+      { MoveStage::Ended, "ended" },
+      { MoveStage::Unclear, "unclear" } } }
 };
 
 /**
--- a/modules/azurecross_serving/moves/RunMover.cpp
+++ b/modules/azurecross_serving/moves/RunMover.cpp
@@ -197,12 +197,18 @@
   if (aGeneration->moveNumber_ != number) {
     co_return;
   }
-  if (aGeneration->isFinished_ && aGeneration->copy_) {
-    co_await DropCopy(*aGeneration->copy_);
+  const bool isOver =
+    aGeneration->isFinished_ || aGeneration->stage_ == MoveStage::Ended;
+  if (isOver && aGeneration->copy_) {
+    const GenerationCopy copy = *aGeneration->copy_;
+    aGeneration->copy_.reset();
+    aGeneration->changed_.Notify();
+    co_await DropCopy(copy);
   }
-  if (aGeneration->stage_ == MoveStage::Copying ||
-      aGeneration->stage_ == MoveStage::Stopping) {
+  if (aGeneration->stage_ == MoveStage::Copying) {
     aGeneration->stage_ = MoveStage::None;
+  } else if (aGeneration->stage_ == MoveStage::Stopping) {
+    aGeneration->stage_ = MoveStage::Unclear;
   }
   if (!aGeneration->copy_) {
     aGeneration->copyHold_ = RunHold();
@@ -247,7 +253,7 @@
     co_return;
   }
   if (answer.result_ == MoveResult::NoSuchRun) {
-    // It has ended by itself.
+    aGeneration->stage_ = MoveStage::Ended;
     co_return;
   }
   if (answer.result_ == MoveResult::NoRoom && !answer.handle_.empty()) {
--- a/modules/azurecross_serving/server/FrontConnection.cpp
+++ b/modules/azurecross_serving/server/FrontConnection.cpp
@@ -1,6 +1,6 @@
 #include "FrontConnection.h"
 
-#include "../forward/CallerAnswer.h"
+#include "../forward/AnswerSender.h"
 #include "../forward/ForwardPipeline.h"
 
 namespace azurecross {
@@ -50,7 +50,7 @@
   context.arrival_ = ReadMonotonicTime();
   context.bootArrival_ = ReadBootTime();
   context.request_ = parser.release();
-  CallerAnswer answer(services_, context, *channel_);
+  AnswerSender answer(services_, context, *channel_);
   ForwardPipeline pipeline(services_, context, answer);
   leave_ = [&pipeline] { pipeline.TakeCallerLeft(); };
   channel_->StartWatch(leave_);
@@ -71,7 +71,7 @@
 FrontConnection::RefuseRequest(Error aError)
 {
   ForwardContext context;
-  CallerAnswer answer(services_, context, *channel_);
+  AnswerSender answer(services_, context, *channel_);
   answer.CloseAfterwards();
   co_await answer.WriteError(aError);
   services_.log_.Write(Decision::RequestRefused,
--- a/tests/gateway_tests/GatewayFixture.h
+++ b/tests/gateway_tests/GatewayFixture.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "FakeBackendServer.h"
+#include "test_support/FakeBackendServer.h"
 #include "FakeController.h"
-#include "TestCaller.h"
+#include "test_support/TestCaller.h"
 
 #include <memory>
 
--- /dev/null
+++ b/tests/serving_tests/ServingFixture.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "TestWire.h"
+#include "test_support/FakeBackendServer.h"
+#include "test_support/TestCaller.h"
+
+#include <azurecross_serving/azurecross_serving.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace azurecross {
+
+/** The forwarding path on a thread of its own, with tables of the test. */
+class ServingFixture
+{
+public:
+  ServingFixture();
+  ~ServingFixture();
+
+  ServingFixture(const ServingFixture&) = delete;
+  ServingFixture& operator=(const ServingFixture&) = delete;
+
+  /**
+   * Tables with the routes `/once/` (runs at most once), `/safe/` (may be
+   * repeated, two attempts) and `/stream/` (generations), all without a key
+   * unless there are customers.
+   */
+  static ServingTables::Content MakeTables(std::uint64_t aVersion = 1);
+
+  /** Runs a function on the path's thread and waits for it. */
+  void Run(std::function<void()> aFunction);
+
+  void SetTables(ServingTables::Content aTables);
+  void AddServer(const std::string& aId,
+                 const std::string& aPool,
+                 const FakeBackendServer& aServer);
+  void SetDraining(const std::string& aId,
+                   const std::string& aPool,
+                   const FakeBackendServer& aServer);
+
+  /** @returns the text of a request for this path. */
+  static std::string MakeRequest(const std::string& aPath,
+                                 const std::string& aHeaders = {});
+
+  /** Sends one request on a connection of its own. */
+  CallerAnswer Call(const std::string& aRequest);
+  TestCaller Connect() { return TestCaller(front_->GetAddress()); }
+
+  ServingState& GetState() { return state_; }
+  ForwardServices& GetServices() { return *services_; }
+
+private:
+  ServerRecord MakeRecord(const std::string& aId,
+                          const std::string& aPool,
+                          const FakeBackendServer& aServer) const;
+  void Tick();
+
+  boost::asio::io_context context_{ 1 };
+  ServingSettings settings_;
+  Metrics registry_;
+  DecisionLog log_;
+  ServingMetrics metrics_{ registry_ };
+  DeadlineList deadlines_;
+  BackendPool connections_;
+  GatewayLimits limits_;
+  Random random_{ 1 };
+  TestWire wire_;
+  ServingState state_;
+  DispatchShell dispatch_;
+  std::unique_ptr<ForwardServices> services_;
+  std::unique_ptr<RunMover> mover_;
+  std::unique_ptr<FrontServer> front_;
+  boost::asio::steady_timer timer_;
+  boost::asio::executor_work_guard<WorkerExecutor> guard_;
+  std::thread thread_;
+};
+
+} // namespace azurecross
--- /dev/null
+++ b/tests/serving_tests/TestWire.cpp
@@ -0,0 +1,109 @@
+#include "TestWire.h"
+
+namespace azurecross {
+
+namespace {
+
+template<typename Fields>
+std::string
+FindHeader(const Fields& aFields, const char* aName)
+{
+  return std::string(aFields[aName]);
+}
+
+} // namespace
+
+AsyncResult<CallerDemand>
+TestWire::ReadRequest(const Request& aRequest) const
+{
+  CallerDemand demand;
+  demand.attemptId_ = FindHeader(aRequest, "X-Request-Id");
+  if (demand.attemptId_.empty()) {
+    return Error{
+      ErrorCode::InvalidRequest, Verdict::NotRun, "no request id", {}
+    };
+  }
+  demand.apiKey_ = FindHeader(aRequest, "X-Key");
+  const std::string time = FindHeader(aRequest, "X-Time-Ms");
+  if (!time.empty()) {
+    demand.timeLeft_ = std::chrono::milliseconds(std::stoi(time));
+  }
+  demand.generation_.promptTokens_ = 100;
+  demand.generation_.outputLimit_ = 1000;
+  return demand;
+}
+
+std::string
+TestWire::BuildHead(const Request& aRequest, const SendPlan& aPlan) const
+{
+  std::string head = std::string(aRequest.method_string()) + " " +
+                     std::string(aRequest.target()) + " HTTP/1.1\r\n";
+  head += "X-Request-Id: " + FindHeader(aRequest, "X-Request-Id") + "\r\n";
+  head += "X-Server: " + aPlan.server_.GetValue() + "\r\n";
+  head += "X-Customer: " + aPlan.customer_.value_or(CustomerId()).GetValue() +
+          "\r\n";
+  if (aPlan.copy_) {
+    head += "X-Copy: " + aPlan.copy_->handle_ + "\r\n";
+    head += "Last-Event-Id: " + aPlan.lastEventId_ + "\r\n";
+  }
+  head += "Content-Length: " + std::to_string(aRequest.body().size());
+  return head + "\r\n\r\n";
+}
+
+AnswerInfo
+TestWire::ReadAnswer(const BackendConnection::Head& aHead,
+                     std::string_view aAttemptId) const
+{
+  AnswerInfo info;
+  const std::string id = FindHeader(aHead, "X-Request-Id");
+  info.isOfOtherRequest_ = !id.empty() && id != aAttemptId;
+  info.isNotRun_ = !FindHeader(aHead, "X-Not-Run").empty();
+  info.isOtherServer_ = aHead.result_int() == 421;
+  info.isGenuine_ = id == aAttemptId;
+  info.isEventStream_ =
+    FindHeader(aHead, "Content-Type") == "text/event-stream";
+  return info;
+}
+
+HttpRequest
+TestWire::BuildStatus() const
+{
+  return { "GET", "/status", {}, "" };
+}
+
+std::optional<EngineStatus>
+TestWire::ReadStatus(const HttpResponse& aResponse) const
+{
+  EngineStatus status;
+  status.isLeaving_ = aResponse.body_ == "leaving";
+  return status;
+}
+
+HttpRequest
+TestWire::BuildMove(const MoveCall& aCall) const
+{
+  return { "POST", aCall.isLast_ ? "/move/last" : "/move", {}, "" };
+}
+
+MoveAnswer
+TestWire::ReadMove(const HttpResponse& aResponse) const
+{
+  MoveAnswer answer;
+  if (aResponse.status_ == 200) {
+    answer.result_ = MoveResult::Copied;
+  } else if (aResponse.status_ == 503) {
+    answer.result_ = MoveResult::NoRoom;
+  } else if (aResponse.status_ == 404) {
+    answer.result_ = MoveResult::NoSuchRun;
+  }
+  answer.handle_ = aResponse.body_;
+  return answer;
+}
+
+HttpRequest
+TestWire::BuildDrop(const std::string& aHandle) const
+{
+  return { "DELETE", "/copy/" + aHandle, {}, "" };
+}
+
+} // namespace azurecross
