--- a/modules/azurecross_core/logging/Log.cpp
+++ b/modules/azurecross_core/logging/Log.cpp
@@ -49,11 +49,10 @@
     pollfd poller{ STDOUT_FILENO, POLLOUT, 0 };
     const std::string line = aLine + "\n";
     // A pipe that polls as writable takes PIPE_BUF bytes without blocking.
-    const bool isSent =
-      line.size() <= PIPE_BUF && poll(&poller, 1, 0) == 1 &&
-      (poller.revents & POLLOUT) != 0 &&
-      write(STDOUT_FILENO, line.data(), line.size()) ==
-        static_cast<ssize_t>(line.size());
+    const bool isSent = line.size() <= PIPE_BUF && poll(&poller, 1, 0) == 1 &&
+                        (poller.revents & POLLOUT) != 0 &&
+                        write(STDOUT_FILENO, line.data(), line.size()) ==
+                          static_cast<ssize_t>(line.size());
     if (!isSent) {
       gDroppedRecords.fetch_add(1, std::memory_order_relaxed);
     }
--- a/modules/azurecross_core/time/Time.h
+++ b/modules/azurecross_core/time/Time.h
@@ -35,7 +35,8 @@
 
 /**
  * @returns the time since boot, for shells. Unlike the monotonic time it goes
- * on while the VM is suspended, so it bounds the age of what was learned before.
+ * on while the VM is suspended, so it bounds the age of what was learned
+ * before.
  */
 inline Time
 ReadBootTime()
--- a/modules/azurecross_dispatch/limits/RetryAllowance.cpp
+++ b/modules/azurecross_dispatch/limits/RetryAllowance.cpp
@@ -39,9 +39,8 @@
   Usage& usage = usage_[aPool];
   Expire(usage, aNow);
   const double allowed =
-    kSpentPart *
-    (bounds_.ratio_ * static_cast<double>(usage.requests_.size()) +
-     bounds_.slack_ / static_cast<double>(daemons_));
+    kSpentPart * (bounds_.ratio_ * static_cast<double>(usage.requests_.size()) +
+                  bounds_.slack_ / static_cast<double>(daemons_));
   if (static_cast<double>(usage.retries_.size()) + 1.0 > allowed) {
     return false;
   }
--- a/modules/azurecross_dispatch/placement/LoadBoard.cpp
+++ b/modules/azurecross_dispatch/placement/LoadBoard.cpp
@@ -229,8 +229,7 @@
   Smooth(aServer.failureShare_, 1.0, kFailureWeight);
   ++aServer.failuresInRow_;
   if (aEnd == RunEnd::Unreachable) {
-    const auto doublings =
-      std::min(aServer.failuresInRow_ - 1, kMostDoublings);
+    const auto doublings = std::min(aServer.failuresInRow_ - 1, kMostDoublings);
     aServer.suspectUntil_ =
       aNow + std::min(kSuspectTime * (1U << doublings), kLongestSuspectTime);
     ObserveUnreachable(aServer.record_, aNow);
@@ -341,11 +340,11 @@
     return 0.0;
   }
   const Run& run = found->second;
-  return std::max(0.0,
-                  lengths_.PredictLength(run.lengthClass_,
-                                         run.tokens_,
-                                         run.description_.demand_.outputLimit_) -
-                    run.tokens_);
+  return std::max(
+    0.0,
+    lengths_.PredictLength(
+      run.lengthClass_, run.tokens_, run.description_.demand_.outputLimit_) -
+      run.tokens_);
 }
 
 const RunDescription*
--- a/modules/azurecross_dispatch/placement/ServerPlacement.cpp
+++ b/modules/azurecross_dispatch/placement/ServerPlacement.cpp
@@ -37,7 +37,7 @@
 
 bool
 ServerPlacement::IsUsable(const ServerLoad& aServer,
-                    const PlacementRequest& aRequest) const
+                          const PlacementRequest& aRequest) const
 {
   return aServer.record_.pool_ == aRequest.pool_ &&
          aServer.record_.state_ == ServerState::Ready &&
@@ -53,9 +53,9 @@
                                 Time aNow) const
 {
   double cost = kFailureCost * aServer.failureShare_;
-  const AvailabilityZone& preferred =
-    aRequest.preferredZone_.GetValue().empty() ? zone_
-                                               : aRequest.preferredZone_;
+  const AvailabilityZone& preferred = aRequest.preferredZone_.GetValue().empty()
+                                        ? zone_
+                                        : aRequest.preferredZone_;
   if (aServer.record_.zone_ != preferred) {
     cost += aRequest.tokens_ > 0 ? kMoveToOtherZoneCost : kOtherZoneCost;
   }
@@ -73,9 +73,9 @@
 
 std::optional<PlacementChoice>
 ServerPlacement::RateEngine(const LoadBoard& aBoard,
-                      const ServerLoad& aServer,
-                      const PlacementRequest& aRequest,
-                      Time aNow) const
+                            const ServerLoad& aServer,
+                            const PlacementRequest& aRequest,
+                            Time aNow) const
 {
   const EngineTraits& engine = *aServer.engine_;
   const std::uint32_t runs = aServer.GetRuns();
@@ -83,10 +83,9 @@
     return std::nullopt;
   }
   const double memory =
-    aServer.GetMemory() + aBoard.PredictMemory(aRequest.route_,
-                                               aRequest.customer_,
-                                               aRequest.demand_,
-                                               aRequest.tokens_);
+    aServer.GetMemory() +
+    aBoard.PredictMemory(
+      aRequest.route_, aRequest.customer_, aRequest.demand_, aRequest.tokens_);
   const double share =
     memory / (kUsableMemory * static_cast<double>(engine.memoryTokens_));
   // A request that fits nowhere still has to run on an empty engine.
@@ -122,8 +121,7 @@
     return std::nullopt;
   }
   PlacementChoice choice;
-  choice.loadShare_ =
-    static_cast<double>(runs + 1) / aServer.record_.slots_;
+  choice.loadShare_ = static_cast<double>(runs + 1) / aServer.record_.slots_;
   choice.expectedSeconds_ = aServer.secondsPerCall_;
   choice.cost_ = choice.loadShare_ + kSecondCost * aServer.secondsPerCall_;
   return choice;
@@ -134,17 +132,16 @@
                         const PlacementRequest& aRequest,
                         Time aNow)
 {
-  const double spread = std::min(
-    kLargestSpread,
-    kSpreadPerDaemon * static_cast<double>(aBoard.CountPeers()));
+  const double spread =
+    std::min(kLargestSpread,
+             kSpreadPerDaemon * static_cast<double>(aBoard.CountPeers()));
   std::optional<PlacementChoice> best;
   for (const auto& [id, server] : aBoard.GetServers()) {
     if (!IsUsable(server, aRequest)) {
       continue;
     }
-    auto choice = server.engine_
-                    ? RateEngine(aBoard, server, aRequest, aNow)
-                    : RateService(server);
+    auto choice = server.engine_ ? RateEngine(aBoard, server, aRequest, aNow)
+                                 : RateService(server);
     if (!choice) {
       continue;
     }
--- a/modules/azurecross_dispatch/placement/ServerPlacement.h
+++ b/modules/azurecross_dispatch/placement/ServerPlacement.h
@@ -57,9 +57,9 @@
  * preferred as long as its engines are not much fuller, because a partition
  * between zones breaks streams that cross it.
  *
- * Many daemons decide on loads that are some hundred milliseconds old. Each adds
- * a random part to the costs, the larger the more daemons there are, so that
- * they do not all choose the server that looked best.
+ * Many daemons decide on loads that are some hundred milliseconds old. Each
+ * adds a random part to the costs, the larger the more daemons there are, so
+ * that they do not all choose the server that looked best.
  */
 class ServerPlacement
 {
--- a/modules/azurecross_dispatch/queue/Dispatcher.cpp
+++ b/modules/azurecross_dispatch/queue/Dispatcher.cpp
@@ -32,8 +32,7 @@
 FindLatestStart(const DispatchTicket& aTicket)
 {
   const Duration whole = aTicket.end_ - aTicket.arrival_;
-  return aTicket.arrival_ +
-         FromSeconds(kLatestStartPart * ToSeconds(whole));
+  return aTicket.arrival_ + FromSeconds(kLatestStartPart * ToSeconds(whole));
 }
 
 } // namespace
@@ -61,13 +60,13 @@
   const double wait = EstimateWait(aTicket);
   const double left = ToSeconds(aTicket.end_ - aNow);
   if (wait > kUsableWait * left) {
-    aOut.refusals_.push_back(
-      { number,
-        HasServer(request.pool_) ? ErrorCode::DeadlineUnreachable
+    aOut.refusals_.push_back({ number,
+                               HasServer(request.pool_)
+                                 ? ErrorCode::DeadlineUnreachable
                                  : ErrorCode::NoBackendServer,
-        ComputeRetryAfter(wait, aTicket.end_ - aNow),
-        Duration::zero(),
-        queued_.size() });
+                               ComputeRetryAfter(wait, aTicket.end_ - aNow),
+                               Duration::zero(),
+                               queued_.size() });
     return;
   }
   const QueueKey key(request.pool_, aTicket.priority_);
@@ -143,9 +142,7 @@
 }
 
 bool
-Dispatcher::TryStart(FairQueue& aQueue,
-                     Time aNow,
-                     DispatchDecisions& aOut)
+Dispatcher::TryStart(FairQueue& aQueue, Time aNow, DispatchDecisions& aOut)
 {
   const auto number = aQueue.FindNext();
   if (!number) {
--- a/modules/azurecross_dispatch/queue/Dispatcher.h
+++ b/modules/azurecross_dispatch/queue/Dispatcher.h
@@ -70,7 +70,9 @@
 class Dispatcher
 {
 public:
-  Dispatcher(LoadBoard& aBoard, ServerPlacement aPlacement, std::uint64_t aSeed);
+  Dispatcher(LoadBoard& aBoard,
+             ServerPlacement aPlacement,
+             std::uint64_t aSeed);
 
   void Enqueue(DispatchTicket aTicket, Time aNow, DispatchDecisions& aOut);
   /** Takes out a request whose caller has left. */
--- a/modules/azurecross_dispatch/servers/ServerDirectory.h
+++ b/modules/azurecross_dispatch/servers/ServerDirectory.h
@@ -20,8 +20,7 @@
 };
 
 inline constexpr NameTable<ServerState, 2> kServerStateNames{
-  { { { ServerState::Ready, "ready" },
-      { ServerState::Draining, "draining" } } }
+  { { { ServerState::Ready, "ready" }, { ServerState::Draining, "draining" } } }
 };
 
 /** What one start of a backend server says of itself. */
--- a/modules/azurecross_gateway/azurecross_gateway.h
+++ b/modules/azurecross_gateway/azurecross_gateway.h
@@ -18,7 +18,6 @@
 #include "messages/ErrorReply.h"
 #include "relay/CallerChannel.h"
 
-
 #include "server/DeadlineList.h"
 #include "server/EntryServer.h"
 #include "server/OperationsServer.h"
--- a/modules/azurecross_gateway/backend/BackendPool.cpp
+++ b/modules/azurecross_gateway/backend/BackendPool.cpp
@@ -60,9 +60,8 @@
 BackendPool::Tick(Time aNow)
 {
   for (auto at = idle_.begin(); at != idle_.end();) {
-    std::erase_if(at->second, [&](const Idle& aIdle) {
-      return aNow >= aIdle.until_;
-    });
+    std::erase_if(at->second,
+                  [&](const Idle& aIdle) { return aNow >= aIdle.until_; });
     at = at->second.empty() ? idle_.erase(at) : std::next(at);
   }
 }
--- a/modules/azurecross_serving/dispatch/DispatchShell.cpp
+++ b/modules/azurecross_serving/dispatch/DispatchShell.cpp
@@ -9,7 +9,7 @@
 
 DispatchShell::DispatchShell(ServingState& aState,
                              AvailabilityZone aZone,
-                                          ServingMetrics& aMetrics,
+                             ServingMetrics& aMetrics,
                              std::uint64_t aSeed)
   : state_(aState)
   , metrics_(aMetrics)
--- a/modules/azurecross_serving/forward/Admission.cpp
+++ b/modules/azurecross_serving/forward/Admission.cpp
@@ -136,8 +136,7 @@
   }
   // What outlasts the planned stop would be cut off; another daemon can serve
   // it whole.
-  const double left =
-    ToSeconds(*services_.stopsAt_ - ReadMonotonicTime());
+  const double left = ToSeconds(*services_.stopsAt_ - ReadMonotonicTime());
   const double needed =
     context_.IsGeneration()
       ? kTokenSeconds * context_.demand_.generation_.outputLimit_
--- a/modules/azurecross_serving/forward/BackendCall.cpp
+++ b/modules/azurecross_serving/forward/BackendCall.cpp
@@ -45,8 +45,7 @@
   connection_ = std::make_unique<BackendConnection>(services_.executor_,
                                                     services_.deadlines_);
   services_.metrics_.CountBackendConnection(false);
-  const Time limit =
-    std::min(aDeadline, ReadMonotonicTime() + kConnectTimeout);
+  const Time limit = std::min(aDeadline, ReadMonotonicTime() + kConnectTimeout);
   co_return co_await connection_->Connect(aPlan.address_, limit);
 }
 
@@ -88,8 +87,7 @@
 asio::awaitable<std::optional<Error>>
 BackendCall::Exchange(const SendPlan& aPlan, Time aDeadline)
 {
-  const std::string head =
-    services_.wire_.BuildHead(context_.request_, aPlan);
+  const std::string head = services_.wire_.BuildHead(context_.request_, aPlan);
   std::optional<Error> error =
     co_await connection_->Send(head, context_.request_.body(), aDeadline);
   if (!error) {
@@ -149,9 +147,9 @@
   if (!connection_ || !connection_->IsReusable()) {
     return;
   }
-  const Duration idle =
-    info_.idleTime_ ? FromSeconds(kIdlePart * ToSeconds(*info_.idleTime_))
-                    : kUsualIdleTime;
+  const Duration idle = info_.idleTime_
+                          ? FromSeconds(kIdlePart * ToSeconds(*info_.idleTime_))
+                          : kUsualIdleTime;
   services_.connections_.Give(std::move(connection_), idle);
 }
 
--- a/modules/azurecross_serving/forward/CallExchange.h
+++ b/modules/azurecross_serving/forward/CallExchange.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "AnswerSender.h"
 #include "AttemptResult.h"
 #include "BackendCall.h"
-#include "AnswerSender.h"
 
 #include <boost/asio/awaitable.hpp>
 
--- a/modules/azurecross_serving/forward/ForwardPipeline.cpp
+++ b/modules/azurecross_serving/forward/ForwardPipeline.cpp
@@ -41,9 +41,9 @@
   context_.callerHasLeft_ = true;
   // A call that must not be repeated runs to its end: to break it off would
   // leave open whether it has run.
-  const bool isRunningOnce = context_.sends_ > 0 && context_.route_ &&
-                             context_.route_->kind_ ==
-                               CallKind::NonIdempotentCall;
+  const bool isRunningOnce =
+    context_.sends_ > 0 && context_.route_ &&
+    context_.route_->kind_ == CallKind::NonIdempotentCall;
   if (context_.cancel_ && !isRunningOnce) {
     context_.cancel_();
   }
@@ -123,9 +123,8 @@
   const TicketNumber number = ticket.number_;
   const ScopeGuard forget([this] { context_.cancel_ = nullptr; });
   context_.cancel_ = [this, number] { services_.dispatch_.Cancel(number); };
-  AsyncResult<StartedRun> started =
-    co_await services_.dispatch_.Acquire(services_.executor_,
-                                         std::move(ticket));
+  AsyncResult<StartedRun> started = co_await services_.dispatch_.Acquire(
+    services_.executor_, std::move(ticket));
   co_return started;
 }
 
@@ -168,13 +167,13 @@
   const bool isAllowed = services_.state_.GetRetries().TakeRetry(
     context_.pool_->name_, ReadMonotonicTime());
   services_.metrics_.CountRetry(isAllowed);
-  services_.log_.Write(Decision::RequestRetried,
-                       { { "request", context_.demand_.attemptId_ },
-                         { "backend_server", context_.server_ },
-                         { "outcome", isAllowed ? "allowed" : "over budget" },
-                         { "verdict",
-                           kVerdictNames.FindName(aResult.error_->verdict_) },
-                         { "reason", aResult.error_->message_ } });
+  services_.log_.Write(
+    Decision::RequestRetried,
+    { { "request", context_.demand_.attemptId_ },
+      { "backend_server", context_.server_ },
+      { "outcome", isAllowed ? "allowed" : "over budget" },
+      { "verdict", kVerdictNames.FindName(aResult.error_->verdict_) },
+      { "reason", aResult.error_->message_ } });
   return isAllowed;
 }
 
@@ -189,9 +188,8 @@
   if (!hasNotRun) {
     ++runs_;
   }
-  const bool isSafe =
-    hasNotRun ||
-    (context_.IsIdempotent() && runs_ < context_.route_->attemptLimit_);
+  const bool isSafe = hasNotRun || (context_.IsIdempotent() &&
+                                    runs_ < context_.route_->attemptLimit_);
   return isSafe && TakeRetry(aResult);
 }
 
@@ -256,8 +254,7 @@
   } else if (aFailure->verdict_ == Verdict::NotRun) {
     decision = Decision::RequestRefused;
   }
-  const auto proofAge =
-    services_.state_.GetFreshness().GetAge(ReadBootTime());
+  const auto proofAge = services_.state_.GetFreshness().GetAge(ReadBootTime());
   services_.log_.Write(
     decision,
     { { "request", context_.demand_.attemptId_ },
@@ -270,7 +267,8 @@
       { "load_share", loadShare_ },
       { "latency_s", ToSeconds(latency) },
       { "retry_after_s",
-        ToSeconds(aFailure->retryAfter_.value_or(std::chrono::milliseconds(0))) },
+        ToSeconds(
+          aFailure->retryAfter_.value_or(std::chrono::milliseconds(0))) },
       { "tables_version",
         context_.tables_ ? context_.tables_->GetVersion() : 0 },
       { "tables_proof_age_s", proofAge ? ToSeconds(*proofAge) : -1.0 } });
--- a/modules/azurecross_serving/forward/ForwardPipeline.h
+++ b/modules/azurecross_serving/forward/ForwardPipeline.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "AttemptResult.h"
 #include "AnswerSender.h"
+#include "AttemptResult.h"
 #include "ForwardContext.h"
 #include "ForwardServices.h"
 
--- a/modules/azurecross_serving/forward/GenerationExchange.h
+++ b/modules/azurecross_serving/forward/GenerationExchange.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "../moves/ActiveGeneration.h"
+#include "AnswerSender.h"
 #include "AttemptResult.h"
 #include "BackendCall.h"
-#include "AnswerSender.h"
 #include "EventBuffer.h"
 
 #include <boost/asio/awaitable.hpp>
--- a/modules/azurecross_serving/log/DecisionLog.cpp
+++ b/modules/azurecross_serving/log/DecisionLog.cpp
@@ -34,8 +34,7 @@
     return;
   }
   ++written;
-  WriteLog(
-    FindLevel(aDecision), kDecisionNames.FindName(aDecision), aFields);
+  WriteLog(FindLevel(aDecision), kDecisionNames.FindName(aDecision), aFields);
 }
 
 void
--- a/modules/azurecross_serving/metrics/ServingMetrics.cpp
+++ b/modules/azurecross_serving/metrics/ServingMetrics.cpp
@@ -9,9 +9,9 @@
   0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 2.5, 4.0, 8.0, 16.0, 40.0
 };
 /** Around the pauses at which readers notice a stall. */
-const prometheus::Histogram::BucketBoundaries kGapBounds = { 0.02,  0.037, 0.05,
-                                                             0.075, 0.1,   0.18,
-                                                             0.3,   0.5,   1.0 };
+const prometheus::Histogram::BucketBoundaries kGapBounds = {
+  0.02, 0.037, 0.05, 0.075, 0.1, 0.18, 0.3, 0.5, 1.0
+};
 
 } // namespace
 
@@ -74,9 +74,10 @@
 ServingMetrics::CountFailure(ErrorCode aReason)
 {
   metrics_
-    .GetCounter("azurecross_forward_failures_total",
-                "Requests that ended in a failure of this daemon's own",
-                { { "reason", std::string(kErrorCodeNames.FindName(aReason)) } })
+    .GetCounter(
+      "azurecross_forward_failures_total",
+      "Requests that ended in a failure of this daemon's own",
+      { { "reason", std::string(kErrorCodeNames.FindName(aReason)) } })
     .Increment();
 }
 
--- a/modules/azurecross_serving/moves/RunMover.cpp
+++ b/modules/azurecross_serving/moves/RunMover.cpp
@@ -32,8 +32,7 @@
 
 } // namespace
 
-RunMover::RunMover(asio::io_context& aContext,
-                   ForwardServices& aServices)
+RunMover::RunMover(asio::io_context& aContext, ForwardServices& aServices)
   : context_(aContext)
   , services_(aServices)
   , client_(aContext.get_executor(), MakeLimits())
@@ -47,8 +46,7 @@
   // Its engine may have begun to leave while it read the prompt.
   const ServerLoad* server =
     services_.state_.GetBoard().Find(aGeneration->server_);
-  if (server != nullptr &&
-      server->record_.state_ == ServerState::Draining) {
+  if (server != nullptr && server->record_.state_ == ServerState::Draining) {
     StartMove(aGeneration);
   }
 }
@@ -68,8 +66,7 @@
   generations_.erase(aGeneration);
   // While a copy is being made, the coroutine that makes it drops it.
   if (aGeneration->copy_ && !aGeneration->isMoving_) {
-    asio::co_spawn(
-      context_, DropCopy(*aGeneration->copy_), asio::detached);
+    asio::co_spawn(context_, DropCopy(*aGeneration->copy_), asio::detached);
   }
 }
 
@@ -186,8 +183,8 @@
     }
     const Time began = ReadMonotonicTime();
     const MoveResult result = co_await CopyRunning(aGeneration);
-    isCopied = result == MoveResult::Copied &&
-               aGeneration->moveNumber_ == number;
+    isCopied =
+      result == MoveResult::Copied && aGeneration->moveNumber_ == number;
     if (isCopied && !aGeneration->isFinished_ &&
         MoveSchedule::IsLinkFree(ReadMonotonicTime() - began)) {
       co_await StopAndCopyRest(aGeneration);
@@ -307,8 +304,7 @@
       { "step", aStep },
       { "outcome", aOutcome },
       { "from", aGeneration.server_ },
-      { "to",
-        aGeneration.copy_ ? aGeneration.copy_->server_.GetValue() : "" },
+      { "to", aGeneration.copy_ ? aGeneration.copy_->server_.GetValue() : "" },
       { "tokens", aGeneration.tokens_ } });
 }
 
--- a/modules/azurecross_serving/moves/RunMover.h
+++ b/modules/azurecross_serving/moves/RunMover.h
@@ -22,8 +22,7 @@
 class RunMover
 {
 public:
-  RunMover(boost::asio::io_context& aContext,
-           ForwardServices& aServices);
+  RunMover(boost::asio::io_context& aContext, ForwardServices& aServices);
 
   RunMover(const RunMover&) = delete;
   RunMover& operator=(const RunMover&) = delete;
--- a/modules/azurecross_serving/peers/LoadExchange.cpp
+++ b/modules/azurecross_serving/peers/LoadExchange.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/** ServerPlacement tolerates loads of this age: fewer than one request arrives at a
- * daemon meanwhile. */
+/** ServerPlacement tolerates loads of this age: fewer than one request arrives
+ * at a daemon meanwhile. */
 constexpr Duration kReportInterval = std::chrono::milliseconds(200);
 /** A daemon that was heard of this recently passes on what the store says. */
 constexpr Duration kPeerStoreTime = std::chrono::seconds(1);
@@ -134,8 +134,7 @@
     const auto address = asio::ip::make_address(member.host_, code);
     if (!code) {
       // A report that can't be sent now is made up for by the next one.
-      socket_.send_to(
-        asio::buffer(text), { address, member.port_ }, 0, code);
+      socket_.send_to(asio::buffer(text), { address, member.port_ }, 0, code);
     }
   }
 }
--- a/modules/azurecross_serving/peers/RelayChoice.cpp
+++ b/modules/azurecross_serving/peers/RelayChoice.cpp
@@ -36,6 +36,7 @@
 RelayChoice::SetMembers(const std::vector<MemberRecord>& aMembers)
 {
   std::vector<SocketAddress> members;
+  members.reserve(aMembers.size());
   for (const MemberRecord& member : aMembers) {
     members.push_back(member.peerAddress_);
   }
--- a/modules/azurecross_serving/peers/RelayedSource.h
+++ b/modules/azurecross_serving/peers/RelayedSource.h
@@ -201,8 +201,9 @@
   }
 
   /** @returns the answer's body, or nothing after a failure, which is noted. */
-  boost::asio::awaitable<std::optional<std::string>>
-  Ask(HttpClient& aClient, SocketAddress aReader, std::string aTarget)
+  boost::asio::awaitable<std::optional<std::string>> Ask(HttpClient& aClient,
+                                                         SocketAddress aReader,
+                                                         std::string aTarget)
   {
     HttpRequest request;
     request.target_ = std::move(aTarget);
@@ -219,14 +220,14 @@
   boost::asio::awaitable<std::optional<TablesReading>>
   AskTables(HttpClient& aClient, SocketAddress aReader, Duration aWait)
   {
-    const std::optional<std::string> body = co_await Ask(
-      aClient,
-      aReader,
-      "/feed/tables?known=" + std::to_string(knownVersion_) +
-        "&wait=" + std::to_string(ToMilliseconds(aWait)));
+    const std::optional<std::string> body =
+      co_await Ask(aClient,
+                   aReader,
+                   "/feed/tables?known=" + std::to_string(knownVersion_) +
+                     "&wait=" + std::to_string(ToMilliseconds(aWait)));
     const auto tables = body ? ParseFedTables(*body) : std::nullopt;
-    const bool isUsable =
-      tables && tables->age_ <= kOldestProof && tables->version_ >= knownVersion_;
+    const bool isUsable = tables && tables->age_ <= kOldestProof &&
+                          tables->version_ >= knownVersion_;
     if (!isUsable) {
       choice_.TakeFailure(aReader, ReadMonotonicTime());
       co_return std::nullopt;
@@ -250,12 +251,12 @@
   boost::asio::awaitable<std::optional<ServersReading>>
   AskServers(HttpClient& aClient, SocketAddress aReader, Duration aWait)
   {
-    const std::optional<std::string> body = co_await Ask(
-      aClient,
-      aReader,
-      "/feed/servers?epoch=" + std::to_string(serversEpoch_) +
-        "&known=" + std::to_string(serversKnown_) +
-        "&wait=" + std::to_string(ToMilliseconds(aWait)));
+    const std::optional<std::string> body =
+      co_await Ask(aClient,
+                   aReader,
+                   "/feed/servers?epoch=" + std::to_string(serversEpoch_) +
+                     "&known=" + std::to_string(serversKnown_) +
+                     "&wait=" + std::to_string(ToMilliseconds(aWait)));
     const auto servers = body ? ParseFedServers(*body) : std::nullopt;
     if (!servers || servers->isWhole_ != (serversEpoch_ == 0)) {
       choice_.TakeFailure(aReader, ReadMonotonicTime());
--- a/modules/azurecross_serving/peers/StateFeed.cpp
+++ b/modules/azurecross_serving/peers/StateFeed.cpp
@@ -143,9 +143,9 @@
   // JSON numbers are exact up to 53 bits.
   : epoch_(aEpoch >> 12U)
   , changed_(aContext.get_executor())
-  , server_(aContext.get_executor(),
-            aAddress,
-            [this](HttpExchange& aExchange) { return Serve(aExchange); })
+  , server_(aContext.get_executor(), aAddress, [this](HttpExchange& aExchange) {
+    return Serve(aExchange);
+  })
 {
 }
 
@@ -201,8 +201,8 @@
     hasServers_ = true;
   }
   if (servers_.size() > kMostEntries) {
-    std::erase_if(servers_,
-                  [](const auto& aEntry) { return aEntry.second.text_.empty(); });
+    std::erase_if(
+      servers_, [](const auto& aEntry) { return aEntry.second.text_.empty(); });
   }
   if (hasChanged) {
     changed_.Notify();
@@ -229,8 +229,8 @@
   servers.last_ = change_;
   servers.isWhole_ = aEpoch != epoch_;
   for (const auto& [id, entry] : servers_) {
-    const bool isNews = servers.isWhole_ ? !entry.text_.empty()
-                                         : entry.change_ > aKnown;
+    const bool isNews =
+      servers.isWhole_ ? !entry.text_.empty() : entry.change_ > aKnown;
     if (isNews) {
       servers.servers_.emplace_back(id, entry.text_);
     }
--- a/modules/azurecross_serving/state/ServingState.cpp
+++ b/modules/azurecross_serving/state/ServingState.cpp
@@ -103,8 +103,7 @@
                           Time aNow)
 {
   const ServerRecord* known = directory_.Find(aId);
-  const bool wasReady =
-    known != nullptr && known->state_ == ServerState::Ready;
+  const bool wasReady = known != nullptr && known->state_ == ServerState::Ready;
   if (directory_.Remove(aId) == ServerChange::None) {
     return;
   }
@@ -138,11 +137,11 @@
   }
   const ServerRecord& record = *directory_.Find(aServer);
   board_.Update(record, FindEngine(record.pool_), aNow);
-  log_.Write(Decision::ServerChanged,
-             { { "backend_server", aServer },
-               { "change",
-                 kServerChangeNames.FindName(ServerChange::BeganDraining) },
-               { "reason", aSource } });
+  log_.Write(
+    Decision::ServerChanged,
+    { { "backend_server", aServer },
+      { "change", kServerChangeNames.FindName(ServerChange::BeganDraining) },
+      { "reason", aSource } });
   Leave(aServer, aNow);
 }
 
--- a/modules/azurecross_serving/state/ServingState.h
+++ b/modules/azurecross_serving/state/ServingState.h
@@ -63,7 +63,10 @@
   std::vector<BackendServerId> DescribeLeaving() const;
 
   /** Whether this daemon hears from the store. */
-  void SetStoreReachable(bool aIsReachable) { isStoreReachable_ = aIsReachable; }
+  void SetStoreReachable(bool aIsReachable)
+  {
+    isStoreReachable_ = aIsReachable;
+  }
   bool IsStoreReachable() const { return isStoreReachable_; }
 
   /** Removes what stayed missing and forgets silent peers. */
--- a/modules/azurecross_serving/wire/WireTranslator.h
+++ b/modules/azurecross_serving/wire/WireTranslator.h
@@ -121,8 +121,7 @@
 class WireTranslator
 {
 public:
-  using Request =
-    boost::beast::http::request<boost::beast::http::string_body>;
+  using Request = boost::beast::http::request<boost::beast::http::string_body>;
 
   virtual ~WireTranslator() = default;
 
--- /dev/null
+++ b/tests/dispatch_tests/TablesTests.cpp
@@ -0,0 +1,62 @@
+#include "TestPool.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+namespace azurecross {
+
+namespace {
+
+ServingRoute
+MakeRoute(const std::string& aName, const std::string& aPrefix)
+{
+  ServingRoute route;
+  route.name_ = RouteName(aName);
+  route.host_ = "h";
+  route.prefix_ = aPrefix;
+  return route;
+}
+
+} // namespace
+
+// Guards against a request that takes a shorter prefix or another host's route.
+BOOST_AUTO_TEST_CASE(LongestPrefixOfTheHostWins)
+{
+  ServingTables::Content content;
+  content.routes_ = { MakeRoute("short", "/a/"), MakeRoute("long", "/a/b/") };
+  const ServingTables tables(std::move(content));
+  BOOST_TEST(tables.FindRoute("h", "/a/b/c")->name_.GetValue() == "long");
+  BOOST_TEST(tables.FindRoute("h", "/a/bc")->name_.GetValue() == "short");
+  BOOST_TEST(tables.FindRoute("h", "/b/") == nullptr);
+  BOOST_TEST(tables.FindRoute("other", "/a/b/c") == nullptr);
+}
+
+// Guards against keys that go to another customer or live on.
+BOOST_AUTO_TEST_CASE(KeyBelongsToItsCustomer)
+{
+  ServingTables::Content content;
+  content.customers_ = { { CustomerId("x"), { "k1", "k2" }, {} },
+                         { CustomerId("y"), { "k3" }, 1 } };
+  const ServingTables tables(std::move(content));
+  BOOST_TEST(tables.FindCustomer("k2")->name_.GetValue() == "x");
+  BOOST_TEST(tables.FindCustomer("k3")->priority_.value() == 1);
+  BOOST_TEST(tables.FindCustomer("k4") == nullptr);
+}
+
+// Guards against a split route whose pools get other shares than its weights.
+BOOST_AUTO_TEST_CASE(PoolsGetTheirShares)
+{
+  ServingRoute route = MakeRoute("split", "/a/");
+  route.pools_ = { { PoolName("p"), 90.0 }, { PoolName("q"), 10.0 } };
+  std::map<std::string, int> counts;
+  Random random(3);
+  constexpr int kDraws = 10000;
+  for (int draw = 0; draw < kDraws; ++draw) {
+    ++counts[ChoosePool(route, random.DrawUnit()).GetValue()];
+  }
+  BOOST_TEST(counts["q"] > 900);
+  BOOST_TEST(counts["q"] < 1100);
+}
+
+} // namespace azurecross
--- a/tests/gateway_tests/GatewayFixture.h
+++ b/tests/gateway_tests/GatewayFixture.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "test_support/FakeBackendServer.h"
 #include "FakeController.h"
+#include "test_support/FakeBackendServer.h"
 #include "test_support/TestCaller.h"
 
 #include <memory>
--- a/tests/serving_tests/ServingFixture.cpp
+++ b/tests/serving_tests/ServingFixture.cpp
@@ -53,20 +53,20 @@
   , timer_(context_)
   , guard_(context_.get_executor())
 {
-  services_ = std::make_unique<ForwardServices>(ForwardServices{
-    context_.get_executor(),
-    wire_,
-    state_,
-    dispatch_,
-    log_,
-    metrics_,
-    deadlines_,
-    connections_,
-    limits_,
-    random_,
-    [](Duration) -> asio::awaitable<bool> { co_return false; },
-    nullptr,
-    std::nullopt });
+  services_ = std::make_unique<ForwardServices>(
+    ForwardServices{ context_.get_executor(),
+                     wire_,
+                     state_,
+                     dispatch_,
+                     log_,
+                     metrics_,
+                     deadlines_,
+                     connections_,
+                     limits_,
+                     random_,
+                     [](Duration) -> asio::awaitable<bool> { co_return false; },
+                     nullptr,
+                     std::nullopt });
   mover_ = std::make_unique<RunMover>(context_, *services_);
   services_->mover_ = mover_.get();
   state_.SetLeavingHandler(
--- a/tests/serving_tests/TestWire.cpp
+++ b/tests/serving_tests/TestWire.cpp
@@ -40,8 +40,8 @@
                      std::string(aRequest.target()) + " HTTP/1.1\r\n";
   head += "X-Request-Id: " + FindHeader(aRequest, "X-Request-Id") + "\r\n";
   head += "X-Server: " + aPlan.server_.GetValue() + "\r\n";
-  head += "X-Customer: " + aPlan.customer_.value_or(CustomerId()).GetValue() +
-          "\r\n";
+  head +=
+    "X-Customer: " + aPlan.customer_.value_or(CustomerId()).GetValue() + "\r\n";
   if (aPlan.copy_) {
     head += "X-Copy: " + aPlan.copy_->handle_ + "\r\n";
     head += "Last-Event-Id: " + aPlan.lastEventId_ + "\r\n";
