Refuse at once what has failed at all servers, and test the path with sockets

Cause: a call rejected by the only server waited half of its time for another one before it was refused (RejectedCallHasNotRun waited 750 ms). Change: a request whose servers are all excluded is refused at once with a Retry-After.

--- a/modules/azurecross_dispatch/placement/ServerPlacement.cpp
+++ b/modules/azurecross_dispatch/placement/ServerPlacement.cpp
@@ -158,24 +158,4 @@
   return best;
 }
 
-PoolUse
-ServerPlacement::Summarize(const LoadBoard& aBoard, const PoolName& aPool) const
-{
-  PoolUse use;
-  for (const auto& [id, server] : aBoard.GetServers()) {
-    if (server.record_.pool_ != aPool ||
-        server.record_.state_ != ServerState::Ready) {
-      continue;
-    }
-    ++use.servers_;
-    use.runs_ += server.GetRuns();
-    use.slots_ +=
-      server.engine_ ? server.engine_->slots_ : server.record_.slots_;
-    use.memoryTokens_ += server.GetMemory();
-    use.memoryCapacity_ +=
-      server.engine_ ? static_cast<double>(server.engine_->memoryTokens_) : 0.0;
-  }
-  return use;
-}
-
 } // namespace azurecross
--- a/modules/azurecross_dispatch/placement/ServerPlacement.h
+++ b/modules/azurecross_dispatch/placement/ServerPlacement.h
@@ -39,16 +39,6 @@
   std::uint32_t runs_ = 0;
 };
 
-/** How much of a pool is in use. */
-struct PoolUse
-{
-  std::size_t servers_ = 0;
-  double memoryTokens_ = 0.0;
-  double memoryCapacity_ = 0.0;
-  std::uint32_t runs_ = 0;
-  std::uint32_t slots_ = 0;
-};
-
 /**
  * Chooses the backend server of a request.
  *
@@ -75,9 +65,6 @@
                                         const PlacementRequest& aRequest,
                                         Time aNow);
 
-  /** @returns the use of the servers that take new work. */
-  PoolUse Summarize(const LoadBoard& aBoard, const PoolName& aPool) const;
-
 private:
   bool IsUsable(const ServerLoad& aServer,
                 const PlacementRequest& aRequest) const;
--- a/modules/azurecross_dispatch/queue/Dispatcher.cpp
+++ b/modules/azurecross_dispatch/queue/Dispatcher.cpp
@@ -47,9 +47,17 @@
 }
 
 bool
-Dispatcher::HasServer(const PoolName& aPool) const
+Dispatcher::HasServer(const PlacementRequest& aRequest) const
 {
-  return placement_.Summarize(board_, aPool).servers_ > 0;
+  const auto& servers = board_.GetServers();
+  return std::any_of(servers.begin(), servers.end(), [&](const auto& aServer) {
+    const ServerRecord& record = aServer.second.record_;
+    return record.pool_ == aRequest.pool_ &&
+           record.state_ == ServerState::Ready &&
+           std::find(aRequest.excluded_.begin(),
+                     aRequest.excluded_.end(),
+                     record.id_) == aRequest.excluded_.end();
+  });
 }
 
 void
@@ -59,9 +67,13 @@
   const PlacementRequest& request = aTicket.request_;
   const double wait = EstimateWait(aTicket);
   const double left = ToSeconds(aTicket.end_ - aNow);
-  if (wait > kUsableWait * left) {
+  // A request that has failed at all servers gains nothing by waiting; one that
+  // finds no server at all may be early after a start.
+  const bool hasFailedEverywhere =
+    !request.excluded_.empty() && !HasServer(request);
+  if (hasFailedEverywhere || wait > kUsableWait * left) {
     aOut.refusals_.push_back({ number,
-                               HasServer(request.pool_)
+                               HasServer(request)
                                  ? ErrorCode::DeadlineUnreachable
                                  : ErrorCode::NoBackendServer,
                                ComputeRetryAfter(wait, aTicket.end_ - aNow),
@@ -208,7 +220,7 @@
 Dispatcher::Refuse(TicketNumber aTicket, Time aNow, DispatchDecisions& aOut)
 {
   const DispatchTicket& ticket = queued_.at(aTicket).ticket_;
-  const ErrorCode reason = HasServer(ticket.request_.pool_)
+  const ErrorCode reason = HasServer(ticket.request_)
                              ? ErrorCode::DeadlineUnreachable
                              : ErrorCode::NoBackendServer;
   aOut.refusals_.push_back(
--- a/modules/azurecross_dispatch/queue/Dispatcher.h
+++ b/modules/azurecross_dispatch/queue/Dispatcher.h
@@ -103,7 +103,8 @@
   Duration ComputeRetryAfter(double aWaitSeconds, Duration aTimeLeft);
   void Remove(TicketNumber aTicket);
   void MoveToLate(Queued& aQueued);
-  bool HasServer(const PoolName& aPool) const;
+  /** @returns whether a server that takes new work is not excluded. */
+  bool HasServer(const PlacementRequest& aRequest) const;
 
   LoadBoard& board_;
   ServerPlacement placement_;
--- a/modules/azurecross_serving/peers/StateFeed.h
+++ b/modules/azurecross_serving/peers/StateFeed.h
@@ -67,6 +67,7 @@
   StateFeed& operator=(const StateFeed&) = delete;
 
   void Start() { server_.Start(); }
+  SocketAddress GetAddress() const { return server_.GetAddress(); }
 
   void TakeTables(std::uint64_t aVersion, const std::string& aText);
   /** @param aSentAt boot time at which the proving read was sent. */
--- a/tests/dispatch_tests/DispatcherTests.cpp
+++ b/tests/dispatch_tests/DispatcherTests.cpp
@@ -43,8 +43,7 @@
   for (int engine = 0; engine < aEngines; ++engine) {
     AddEngine(board, "e" + std::to_string(engine));
   }
-  Dispatcher dispatcher(
-    board, ServerPlacement(AvailabilityZone("a"), 1), 7);
+  Dispatcher dispatcher(board, ServerPlacement(AvailabilityZone("a"), 1), 7);
   PlayedLoad played;
   std::multimap<Time, RunNumber> ends;
   std::map<TicketNumber, Time> arrivals;
@@ -105,8 +104,7 @@
 BOOST_AUTO_TEST_CASE(BurstIsServedOrRefused)
 {
   const PlayedLoad played = PlayLongGenerations(24.0, 5.0, 4);
-  BOOST_TEST(played.onTime_ + played.late_ + played.refused_ ==
-             played.asked_);
+  BOOST_TEST(played.onTime_ + played.late_ + played.refused_ == played.asked_);
   BOOST_TEST(played.onTime_ >= played.asked_ / 2);
   BOOST_TEST(played.longestRefusedWait_ <= 20.0);
 }
@@ -116,8 +114,7 @@
 {
   LoadBoard board;
   board.Update(MakeService("s1"), std::nullopt, kStart);
-  Dispatcher dispatcher(
-    board, ServerPlacement(AvailabilityZone("a"), 1), 7);
+  Dispatcher dispatcher(board, ServerPlacement(AvailabilityZone("a"), 1), 7);
   DispatchDecisions out;
   for (TicketNumber number = 1; number <= 2; ++number) {
     dispatcher.Enqueue(MakeTicket(number, MakeCall(), 2, At(0)), At(0), out);
@@ -137,8 +134,7 @@
 {
   LoadBoard board;
   board.Update(MakeService("s1"), std::nullopt, kStart);
-  Dispatcher dispatcher(
-    board, ServerPlacement(AvailabilityZone("a"), 1), 7);
+  Dispatcher dispatcher(board, ServerPlacement(AvailabilityZone("a"), 1), 7);
   DispatchDecisions out;
   TicketNumber number = 1;
   for (; number <= 12; ++number) {
@@ -165,8 +161,7 @@
 BOOST_AUTO_TEST_CASE(CancelledRequestIsNotStarted)
 {
   LoadBoard board;
-  Dispatcher dispatcher(
-    board, ServerPlacement(AvailabilityZone("a"), 1), 7);
+  Dispatcher dispatcher(board, ServerPlacement(AvailabilityZone("a"), 1), 7);
   DispatchDecisions out;
   dispatcher.Enqueue(MakeTicket(1, MakeCall(), 2, At(0)), At(0), out);
   BOOST_TEST(dispatcher.CountQueued() == 1U);
--- /dev/null
+++ b/tests/platform_tests/DocumentTests.cpp
@@ -0,0 +1,140 @@
+#include <platform/azurecross_platform.h>
+
+#include <boost/test/unit_test.hpp>
+
+namespace azurecross::platform {
+
+namespace {
+
+constexpr const char* kDocument = R"({"version":7,
+"routes":[
+ {"name":"r1","host":"h.example","prefix":"/a/","kind":"streaming",
+  "timeoutMs":6000,"goalMs":1500,"priority":0,"service":"p1","maxAttempts":1,
+  "public":false,"resumable":false,"gapTargetMs":180},
+ {"name":"r2","host":"h.example","prefix":"/b/","kind":"idempotent",
+  "timeoutMs":800,"goalMs":300,"priority":2,"maxAttempts":2,"public":true,
+  "trafficSplit":[{"service":"p1","weight":90},{"service":"p2","weight":10}]}],
+"services":[
+ {"name":"p1","maxConns":272,"engine":{"slots":24,"kvCapacity":34371,
+  "kvTokenBytes":35136,"linkMbps":5100.0,"moves":true,"backups":false,
+  "stride":4}},
+ {"name":"p2","maxConns":100}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
+ "headerTimeoutMs":3000,"idleTimeoutMs":15000},
+"tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1}]})";
+
+constexpr const char* kNodeFile = R"(node = "front-1"
+ip = "10.1.0.19"
+zone = "shubra"
+portRange = [7200,7215]
+[listen]
+front = "10.1.0.19:8740"
+ready = "10.1.0.19:8749"
+[limits]
+maxFds = 4100
+[bounds]
+graceS = 6
+revokeMs = 4000
+retryRatio = 0.1
+retrySlack = 30
+budgetWindowS = 5
+[provider]
+address = "10.200.1.7:8742"
+ttlMinMs = 1000
+)";
+
+} // namespace
+
+// Guards against fields of the operator's document that are lost or mistaken.
+BOOST_AUTO_TEST_CASE(DocumentIsRead)
+{
+  const auto content = ReadOperatorDocument(kDocument);
+  BOOST_REQUIRE(content.has_value());
+  BOOST_TEST(content->version_ == 7U);
+  const ServingRoute& stream = content->routes_[0];
+  BOOST_CHECK(stream.kind_ == CallKind::Generation);
+  BOOST_CHECK(stream.latencyTarget_ == std::chrono::milliseconds(1500));
+  BOOST_CHECK(stream.gapTarget_ == std::chrono::milliseconds(180));
+  BOOST_TEST(stream.pools_.size() == 1U);
+  const ServingRoute& split = content->routes_[1];
+  BOOST_CHECK(split.kind_ == CallKind::IdempotentCall);
+  BOOST_TEST(split.isPublic_);
+  BOOST_TEST(split.attemptLimit_ == 2U);
+  BOOST_TEST(split.pools_[0].weight_ == 90.0);
+  const EngineTraits& engine = *content->pools_[0].engine_;
+  BOOST_TEST(engine.slots_ == 24U);
+  BOOST_TEST(engine.memoryTokens_ == 34371U);
+  BOOST_TEST(engine.linkBitsPerSecond_ == 5.1e9);
+  BOOST_TEST(engine.tokensPerEvent_ == 4U);
+  BOOST_TEST(engine.canMove_);
+  BOOST_TEST(!engine.canBackUp_);
+  BOOST_TEST(!content->pools_[1].engine_.has_value());
+  BOOST_TEST(content->customers_[0].apiKeys_.size() == 2U);
+  BOOST_TEST(content->customers_[0].priority_.value() == 1);
+  BOOST_CHECK(content->limits_.idleTimeout_ == std::chrono::seconds(15));
+}
+
+// Guards against a document that is taken in part.
+BOOST_AUTO_TEST_CASE(BrokenDocumentIsRefused)
+{
+  for (const char* text : { "",
+                            "[]",
+                            R"({"routes":[]})",
+                            R"({"version":1,"routes":[{"name":"x"}]})",
+                            R"({"version":1,"services":[3]})" }) {
+    const auto content = ReadOperatorDocument(text);
+    BOOST_TEST(content.has_error());
+  }
+}
+
+// Guards against entries of other writers that name a server to use.
+BOOST_AUTO_TEST_CASE(RegistrationIsRead)
+{
+  const auto record = ReadRegistration(
+    "i-1",
+    R"({"service":"p1","address":"10.128.0.9:8080","zone":"shubra",)"
+    R"("slots":24,"state":"draining","coldLeftMs":500,"sequence":4,"born":9})");
+  BOOST_REQUIRE(record.has_value());
+  BOOST_TEST(record->pool_.GetValue() == "p1");
+  BOOST_TEST(record->address_.port_ == 8080);
+  BOOST_CHECK(record->state_ == ServerState::Draining);
+  BOOST_CHECK(record->coldLeft_ == std::chrono::milliseconds(500));
+  BOOST_TEST(record->startedUnixMs_ == 9);
+  for (const char* text :
+       { "",
+         "\xff\xfe",
+         "{}",
+         R"({"service":3,"address":"10.0.0.1:1","slots":1,"state":"ready"})",
+         R"({"service":"p","address":"x","slots":1,"state":"ready"})",
+         R"({"service":"p","address":"10.0.0.1:1","slots":1,"state":"odd"})",
+         R"({"service":"p","address":"10.0.0.1:1","slots":0,)"
+         R"("state":"ready"})" }) {
+    BOOST_TEST(!ReadRegistration("i-1", text).has_value());
+  }
+}
+
+// Guards against settings that are ignored, and a start with a broken file.
+BOOST_AUTO_TEST_CASE(NodeFileIsRead)
+{
+  const auto settings = ReadNodeFile(kNodeFile);
+  BOOST_REQUIRE(settings.has_value());
+  const ServingSettings& serving = settings->serving_;
+  BOOST_TEST(serving.zone_.GetValue() == "shubra");
+  BOOST_TEST(serving.listen_.Format() == "10.1.0.19:8740");
+  BOOST_TEST(serving.peerListen_.Format() == "10.1.0.19:7200");
+  BOOST_TEST(serving.descriptorLimit_ == 3900U);
+  BOOST_CHECK(serving.keyRemovalBound_ == std::chrono::seconds(4));
+  BOOST_CHECK(serving.stopGrace_ == std::chrono::seconds(6));
+  BOOST_TEST(serving.retryBounds_.slack_ == 30.0);
+  BOOST_TEST(settings->store_.address_.port_ == 8742);
+  BOOST_TEST(ReadNodeFile("zone = 3").has_error());
+  BOOST_TEST(ReadNodeFile("= broken").has_error());
+  std::string text = kNodeFile;
+  text.replace(text.find("10.200.1.7:8742"), 15, "nowhere");
+  const auto broken = ReadNodeFile(text);
+  BOOST_REQUIRE(broken.has_error());
+  BOOST_TEST(broken.error().message_.find("provider.address") !=
+             std::string::npos);
+}
+
+} // namespace azurecross::platform
--- /dev/null
+++ b/tests/serving_tests/FeedTests.cpp
@@ -0,0 +1,255 @@
+#include "ServingFixture.h"
+
+#include "azurecross_serving/peers/RelayChoice.h"
+#include "azurecross_serving/peers/RelayedSource.h"
+#include "azurecross_serving/peers/StateFeed.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+
+namespace azurecross {
+
+namespace {
+
+namespace asio = boost::asio;
+
+/** A store of the test; the text of the tables is their version. */
+struct FakeStore
+{
+  asio::awaitable<AsyncResult<TablesReading>> ReadTables()
+  {
+    ++reads_;
+    if (isDown_) {
+      co_return MakeError();
+    }
+    TablesReading reading;
+    reading.content_ = ServingFixture::MakeTables(version_);
+    reading.text_ = std::to_string(version_);
+    reading.revision_ = version_;
+    co_return reading;
+  }
+  asio::awaitable<AsyncResult<TablesReading>> WatchTables(std::uint64_t)
+  {
+    co_return MakeError();
+  }
+  asio::awaitable<AsyncResult<ServersReading>> ListServers()
+  {
+    ++reads_;
+    if (isDown_) {
+      co_return MakeError();
+    }
+    ServerRecord record;
+    record.id_ = BackendServerId("e1");
+    ServersReading reading;
+    reading.servers_ = { { record.id_, record, "text" } };
+    reading.revision_ = 7;
+    co_return reading;
+  }
+  asio::awaitable<AsyncResult<ServersReading>> WatchServers(std::uint64_t)
+  {
+    co_return MakeError();
+  }
+  asio::awaitable<AsyncResult<bool>> Register(MemberRecord) { co_return true; }
+  asio::awaitable<AsyncResult<bool>> KeepAlive() { co_return true; }
+  asio::awaitable<AsyncResult<std::vector<MemberRecord>>> ListMembers(bool)
+  {
+    co_return std::vector<MemberRecord>();
+  }
+  AsyncResult<ServingTables::Content> ParseTables(
+    const std::string& aText) const
+  {
+    return ServingFixture::MakeTables(std::stoull(aText));
+  }
+  std::optional<ServerRecord> ParseServer(const std::string& aId,
+                                          const std::string&) const
+  {
+    ServerRecord record;
+    record.id_ = BackendServerId(aId);
+    return record;
+  }
+
+  static Error MakeError()
+  {
+    return Error{ ErrorCode::StoreUnavailable, Verdict::NotRun, "down", {} };
+  }
+
+  std::atomic<int> reads_ = 0;
+  std::atomic<bool> isDown_ = false;
+  std::uint64_t version_ = 1;
+};
+
+std::vector<MemberRecord>
+MakeMembers(int aCount)
+{
+  std::vector<MemberRecord> members;
+  for (int member = 0; member < aCount; ++member) {
+    members.push_back({ { "127.0.0." + std::to_string(member + 1), 7200 },
+                        AvailabilityZone("a") });
+  }
+  return members;
+}
+
+/** Two daemons that read and one that is fed by them. */
+struct FeedFixture
+{
+  struct Daemon
+  {
+    Daemon(asio::io_context& aContext, const std::string& aHost)
+      : feed_(aContext, { aHost, 0 }, 1234567)
+      , address_(FindAddress(aHost))
+      , source_(aContext.get_executor(), store_, feed_, address_)
+    {
+    }
+
+    SocketAddress FindAddress(const std::string& aHost) const
+    {
+      return { aHost, feed_.GetAddress().port_ };
+    }
+
+    FakeStore store_;
+    StateFeed feed_;
+    SocketAddress address_;
+    RelayedSource<FakeStore> source_;
+  };
+
+  FeedFixture()
+  {
+    for (int index = 1; index <= 3; ++index) {
+      daemons_.push_back(
+        std::make_unique<Daemon>(context_, "127.0.0." + std::to_string(index)));
+      members_.push_back({ daemons_.back()->address_, AvailabilityZone("a") });
+    }
+    for (const auto& daemon : daemons_) {
+      daemon->feed_.Start();
+      daemon->source_.SetMembers(members_);
+      RelayChoice choice(daemon->address_);
+      choice.SetMembers(members_);
+      (choice.IsReader() ? readers_ : fed_).push_back(daemon.get());
+    }
+    thread_ = std::thread([this] { context_.run(); });
+  }
+
+  ~FeedFixture()
+  {
+    guard_.reset();
+    context_.stop();
+    thread_.join();
+  }
+
+  AsyncResult<TablesReading> Read(Daemon& aDaemon)
+  {
+    return asio::co_spawn(
+             context_, aDaemon.source_.ReadTables(), asio::use_future)
+      .get();
+  }
+  AsyncResult<ServersReading> List(Daemon& aDaemon)
+  {
+    return asio::co_spawn(
+             context_, aDaemon.source_.ListServers(), asio::use_future)
+      .get();
+  }
+
+  asio::io_context context_{ 1 };
+  asio::executor_work_guard<asio::io_context::executor_type> guard_{
+    context_.get_executor()
+  };
+  std::vector<std::unique_ptr<Daemon>> daemons_;
+  std::vector<MemberRecord> members_;
+  std::vector<Daemon*> readers_;
+  std::vector<Daemon*> fed_;
+  std::thread thread_;
+};
+
+} // namespace
+
+// Guards against calls to the store that grow with the number of daemons.
+BOOST_AUTO_TEST_CASE(FewDaemonsRead)
+{
+  for (const auto& [daemons, readers] :
+       std::map<int, int>{ { 1, 1 }, { 2, 2 }, { 7, 2 }, { 64, 4 } }) {
+    const auto members = MakeMembers(daemons);
+    int count = 0;
+    for (const MemberRecord& member : members) {
+      RelayChoice choice(member.peerAddress_);
+      choice.SetMembers(members);
+      count += choice.IsReader() ? 1 : 0;
+      BOOST_TEST(choice.IsReader() != choice.FindReader(Time()).has_value());
+    }
+    BOOST_TEST(count == readers);
+  }
+}
+
+// Guards against a daemon that has nobody to ask when its readers fail.
+BOOST_AUTO_TEST_CASE(FailedReadersAreLeftAlone)
+{
+  const auto members = MakeMembers(7);
+  for (const MemberRecord& member : members) {
+    RelayChoice choice(member.peerAddress_);
+    choice.SetMembers(members);
+    if (choice.IsReader()) {
+      continue;
+    }
+    const Time now(std::chrono::seconds(100));
+    const auto first = choice.FindReader(now);
+    choice.TakeFailure(*first, now);
+    const auto second = choice.FindReader(now);
+    BOOST_REQUIRE(second.has_value());
+    BOOST_TEST((*second != *first));
+    choice.TakeFailure(*second, now);
+    BOOST_TEST(!choice.FindReader(now).has_value());
+    BOOST_TEST(choice.FindReader(now + std::chrono::seconds(3)).has_value());
+  }
+}
+
+// Guards against fed daemons that read the store as well, and against a proof
+// that looks younger than the reader's own.
+BOOST_FIXTURE_TEST_CASE(FedDaemonAsksAReader, FeedFixture)
+{
+  BOOST_REQUIRE(readers_.size() == 2);
+  for (Daemon* reader : readers_) {
+    BOOST_TEST(Read(*reader).has_value());
+    BOOST_TEST(List(*reader).has_value());
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  const auto reading = Read(*fed_[0]);
+  BOOST_REQUIRE(reading.has_value());
+  BOOST_TEST(reading->content_->version_ == 1U);
+  BOOST_TEST((reading->age_ >= std::chrono::milliseconds(20)));
+  const auto servers = List(*fed_[0]);
+  BOOST_REQUIRE(servers.has_value());
+  BOOST_TEST(servers->servers_.size() == 1U);
+  BOOST_TEST(fed_[0]->store_.reads_ == 0);
+}
+
+// Guards against daemons that stay blind with their readers: readers that the
+// store turns away stop feeding, and the fed daemon asks the store itself.
+BOOST_FIXTURE_TEST_CASE(ReaderWithoutStoreFeedsNobody, FeedFixture)
+{
+  for (Daemon* reader : readers_) {
+    BOOST_TEST(Read(*reader).has_value());
+    reader->store_.isDown_ = true;
+    BOOST_TEST(!Read(*reader).has_value());
+  }
+  const auto reading = Read(*fed_[0]);
+  BOOST_TEST(reading.has_value());
+  BOOST_TEST(fed_[0]->store_.reads_ == 1);
+}
+
+// Guards against answers of other daemons that can't be read.
+BOOST_AUTO_TEST_CASE(FedStateIsChecked)
+{
+  for (const char* text : { "", "{}", "{\"version\":1}", "[1]" }) {
+    BOOST_TEST(!ParseFedTables(text).has_value());
+    BOOST_TEST(!ParseFedServers(text).has_value());
+  }
+  const auto tables =
+    ParseFedTables(FormatFedTables({ 3, std::chrono::microseconds(70), "t" }));
+  BOOST_REQUIRE(tables.has_value());
+  BOOST_TEST(tables->version_ == 3U);
+  BOOST_TEST((tables->age_ == std::chrono::microseconds(70)));
+}
+
+} // namespace azurecross
--- /dev/null
+++ b/tests/serving_tests/StateTests.cpp
@@ -0,0 +1,99 @@
+#include "ServingFixture.h"
+
+#include "azurecross_serving/peers/LoadReport.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace azurecross {
+
+namespace {
+
+/** The state of one daemon without its network. */
+struct StateFixture
+{
+  Metrics registry_;
+  DecisionLog log_;
+  ServingMetrics metrics_{ registry_ };
+  ServingSettings settings_;
+  ServingState state_{ settings_, log_, metrics_ };
+  std::vector<std::string> leaving_;
+
+  StateFixture()
+  {
+    state_.SetLeavingHandler([this](const BackendServerId& aServer) {
+      leaving_.push_back(aServer.GetValue());
+    });
+  }
+
+  static ServerEvent MakeEvent(const std::string& aId, ServerState aState)
+  {
+    ServerRecord record;
+    record.id_ = BackendServerId(aId);
+    record.pool_ = PoolName("engines");
+    record.state_ = aState;
+    return { record.id_, record, "" };
+  }
+};
+
+constexpr Time kNow = Time(std::chrono::seconds(100));
+
+} // namespace
+
+// Guards against word of a leaving server that is missed or acted on twice.
+BOOST_FIXTURE_TEST_CASE(LeavingIsReportedOnce, StateFixture)
+{
+  state_.TakeServerEvents({ MakeEvent("e1", ServerState::Ready) }, false, kNow);
+  state_.TakeServerEvents(
+    { MakeEvent("e1", ServerState::Draining) }, false, kNow);
+  state_.TakeServerEvents(
+    { { BackendServerId("e1"), std::nullopt, "" } }, false, kNow);
+  BOOST_TEST(leaving_ == std::vector<std::string>{ "e1" },
+             boost::test_tools::per_element());
+  BOOST_TEST(state_.DescribeLeaving().size() == 1U);
+}
+
+// Guards against other daemons' word while the store itself answers.
+BOOST_FIXTURE_TEST_CASE(NoticesCountOnlyWithoutTheStore, StateFixture)
+{
+  state_.TakeServerEvents({ MakeEvent("e1", ServerState::Ready) }, false, kNow);
+  state_.TakeLeavingNotice(BackendServerId("e1"), "d2", kNow);
+  BOOST_TEST(leaving_.empty());
+  state_.SetStoreReachable(false);
+  state_.TakeLeavingNotice(BackendServerId("e1"), "d2", kNow);
+  BOOST_TEST(leaving_.size() == 1U);
+}
+
+// Guards against servers that count as gone when their registrations lapsed in
+// an outage of the store.
+BOOST_FIXTURE_TEST_CASE(ListingAfterAnOutageRemovesNothingAtOnce, StateFixture)
+{
+  state_.TakeServerEvents({ MakeEvent("e1", ServerState::Ready) }, false, kNow);
+  state_.TakeListing({}, true, kNow);
+  BOOST_TEST(state_.GetBoard().Find(BackendServerId("e1")) != nullptr);
+  state_.Tick(kNow + std::chrono::milliseconds(2100), kNow);
+  BOOST_TEST(state_.GetBoard().Find(BackendServerId("e1")) == nullptr);
+}
+
+// Guards against reports that lose a field on their way, and against garbage.
+BOOST_AUTO_TEST_CASE(LoadReportSurvivesItsWay)
+{
+  LoadReport report;
+  report.sender_ = "10.0.0.1:7200";
+  report.uses_ = { { BackendServerId("e1"), 2, 7000.0, 300.0 } };
+  report.leaving_ = { BackendServerId("e2") };
+  report.hasStore_ = false;
+  const auto read = ParseLoadReport(FormatLoadReport(report));
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(read->sender_ == report.sender_);
+  BOOST_TEST(read->uses_[0].runs_ == 2U);
+  BOOST_TEST(read->uses_[0].memoryTokens_ == 7000.0);
+  BOOST_TEST(read->uses_[0].pendingPrompt_ == 300.0);
+  BOOST_TEST(read->leaving_.size() == 1U);
+  BOOST_TEST(!read->hasStore_);
+  for (const char* text :
+       { "", "{}", "[]", "{\"sender\":\"a\",\"uses\":[[1,2]]}", "\xff" }) {
+    BOOST_TEST(!ParseLoadReport(text).has_value());
+  }
+}
+
+} // namespace azurecross
