--- a/modules/azurecross_serving/forward/Admission.cpp
+++ b/modules/azurecross_serving/forward/Admission.cpp
@@ -12,6 +12,8 @@
 /** Pause for callers that are turned away while the tables are old: other
  * daemons may reach the store. */
 constexpr std::chrono::milliseconds kStaleRetryAfter{ 300 };
+/** Pause while no way to the store is known: its outages last seconds. */
+constexpr std::chrono::milliseconds kLostStoreRetryAfter{ 2000 };
 /** Tables read this recently decide that a route or key does not exist. */
 constexpr Duration kRecentTables = std::chrono::milliseconds(2000);
 /** Time of one output token on a busy engine of the usual speed. */
@@ -100,10 +102,19 @@
     co_return std::nullopt;
   }
   if (!services_.state_.GetFreshness().IsFresh(context_.bootArrival_)) {
-    co_await services_.awaitProof_(kProofWait);
+    // While the store is known not to answer, waiting would be in vain.
+    const bool isStoreReachable = services_.state_.IsStoreReachable();
+    if (isStoreReachable) {
+      co_await services_.awaitProof_(kProofWait);
+    }
     if (!services_.state_.GetFreshness().IsFresh(context_.bootArrival_)) {
-      co_return MakeStaleError(ErrorCode::StoreUnavailable,
-                               "keys can't be checked against fresh tables");
+      Error error =
+        MakeStaleError(ErrorCode::StoreUnavailable,
+                       "keys can't be checked against fresh tables");
+      if (!isStoreReachable) {
+        error.retryAfter_ = kLostStoreRetryAfter;
+      }
+      co_return error;
     }
     // The proving read may have brought newer tables.
     context_.tables_ = services_.state_.GetTables();
--- a/tests/serving_tests/AdmissionTests.cpp
+++ b/tests/serving_tests/AdmissionTests.cpp
@@ -81,6 +81,22 @@
   BOOST_TEST(answer.FindHeader("X-Azurecross-Verdict") == "not_run");
 }
 
+// Guards against callers held, or sent back too soon, while the store is away.
+BOOST_FIXTURE_TEST_CASE(LostStoreRefusesAtOnce, ServingFixture)
+{
+  FakeBackendServer server(MakeEcho());
+  AddServer("s1", "desk", server);
+  Run([this] {
+    GetState().TakeTables(MakeKeyedTables(1, { "k1" }), ReadMonotonicTime());
+    GetState().SetStoreReachable(false);
+  });
+  const Time began = ReadMonotonicTime();
+  const CallerAnswer answer = Call(MakeRequest("/safe/x", "X-Key: k1\r\n"));
+  BOOST_TEST(answer.status_ == 503U);
+  BOOST_TEST(answer.FindHeader("Retry-After") == "2.000");
+  BOOST_TEST(ToSeconds(ReadMonotonicTime() - began) < 0.2);
+}
+
 // Guards against an older version of the tables that comes into force again.
 BOOST_FIXTURE_TEST_CASE(TablesNeverGoBack, ServingFixture)
 {
