--- a/tests/platform_tests/DocumentTests.cpp
+++ b/tests/platform_tests/DocumentTests.cpp
@@ -100,15 +100,15 @@
   BOOST_CHECK(record->state_ == ServerState::Draining);
   BOOST_CHECK(record->coldLeft_ == std::chrono::milliseconds(500));
   BOOST_TEST(record->startedUnixMs_ == 9);
-  for (const char* text :
-       { "",
-         "\xff\xfe",
-         "{}",
-         R"({"service":3,"address":"10.0.0.1:1","slots":1,"state":"ready"})",
-         R"({"service":"p","address":"x","slots":1,"state":"ready"})",
-         R"({"service":"p","address":"10.0.0.1:1","slots":1,"state":"odd"})",
-         R"({"service":"p","address":"10.0.0.1:1","slots":0,)"
-         R"("state":"ready"})" }) {
+  for (
+    const char* text :
+    { "",
+      "\xff\xfe",
+      "{}",
+      R"({"service":3,"address":"10.0.0.1:1","slots":1,"state":"ready"})",
+      R"({"service":"p","address":"x","slots":1,"state":"ready"})",
+      R"({"service":"p","address":"10.0.0.1:1","slots":1,"state":"odd"})",
+      R"({"service":"p","address":"10.0.0.1:1","slots":0,"state":"ready"})" }) {
     BOOST_TEST(!ReadRegistration("i-1", text).has_value());
   }
 }
--- a/tests/serving_tests/FeedTests.cpp
+++ b/tests/serving_tests/FeedTests.cpp
@@ -85,6 +85,7 @@
 MakeMembers(int aCount)
 {
   std::vector<MemberRecord> members;
+  members.reserve(static_cast<std::size_t>(aCount));
   for (int member = 0; member < aCount; ++member) {
     members.push_back({ { "127.0.0." + std::to_string(member + 1), 7200 },
                         AvailabilityZone("a") });
