Leave time for the prompt before a planned stop

Change: the time needed includes the route's latency target. PlannedStopLeavesTimeForThePrompt failed before and passes now; serving_tests pass under release.

--- a/modules/azurecross_serving/forward/Admission.cpp
+++ b/modules/azurecross_serving/forward/Admission.cpp
@@ -150,7 +150,8 @@
   const double left = ToSeconds(*services_.stopsAt_ - ReadMonotonicTime());
   const double needed =
     context_.IsGeneration()
-      ? kTokenSeconds * context_.demand_.generation_.outputLimit_
+      ? ToSeconds(context_.route_->latencyTarget_) +
+          kTokenSeconds * context_.demand_.generation_.outputLimit_
       : ToSeconds(std::min(context_.route_->timeout_, kLongestCall));
   if (left > 0.0 && needed < left) {
     return std::nullopt;
--- a/tests/serving_tests/AdmissionTests.cpp
+++ b/tests/serving_tests/AdmissionTests.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
+
 namespace azurecross {
 
 namespace {
@@ -81,6 +83,24 @@
   BOOST_TEST(answer.FindHeader("X-Azurecross-Verdict") == "not_run");
 }
 
+// Guards against a short generation whose prompt would still be read when the
+// planned stop cuts it off.
+BOOST_FIXTURE_TEST_CASE(PlannedStopLeavesTimeForThePrompt, ServingFixture)
+{
+  std::atomic<int> requests = 0;
+  FakeBackendServer server([&](FakeConnection& aConnection) {
+    requests += aConnection.ReadRequest().empty() ? 0 : 1;
+  });
+  SetTables(MakeTables());
+  AddServer("e1", "engines", server);
+  Run([this] {
+    GetServices().stopsAt_ =
+      ReadMonotonicTime() + std::chrono::milliseconds(400);
+  });
+  BOOST_TEST(Call(MakeRequest("/stream/x", "X-Output: 4\r\n")).status_ == 503U);
+  BOOST_TEST(requests == 0);
+}
+
 // Guards against callers held, or sent back too soon, while the store is away.
 BOOST_FIXTURE_TEST_CASE(LostStoreRefusesAtOnce, ServingFixture)
 {
--- a/tests/serving_tests/TestWire.cpp
+++ b/tests/serving_tests/TestWire.cpp
@@ -29,7 +29,8 @@
     demand.timeLeft_ = std::chrono::milliseconds(std::stoi(time));
   }
   demand.generation_.promptTokens_ = 100;
-  demand.generation_.outputLimit_ = 1000;
+  const std::string output = FindHeader(aRequest, "X-Output");
+  demand.generation_.outputLimit_ = output.empty() ? 1000 : std::stoul(output);
   return demand;
 }
 
