Pace the calls to a store without tables or answers, and end silent watches

Change: a daemon pauses while there are no tables; while the store is lost only the proof asks, the other loops wait for its return; daemons that are no readers ask the store itself at most every 50 ms times their number (3 s at most) and hear of its return from the readers at once; a daemon that says that it hears from the store stands in for readers; a lease is kept through an outage.

--- a/modules/azurecross_serving/peers/LoadExchange.cpp
+++ b/modules/azurecross_serving/peers/LoadExchange.cpp
@@ -186,6 +186,10 @@
   const Time now = ReadMonotonicTime();
   if (aReport.hasStore_) {
     peerWithStoreAt_ = now;
+    const auto address = ParseSocketAddress(aReport.sender_);
+    if (address && onStorePeer_ && !state_.IsStoreReachable()) {
+      onStorePeer_(*address);
+    }
   }
   for (const BackendServerId& server : aReport.leaving_) {
     state_.TakeLeavingNotice(server, "told by " + aReport.sender_, now);
--- a/modules/azurecross_serving/peers/LoadExchange.h
+++ b/modules/azurecross_serving/peers/LoadExchange.h
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -42,6 +43,13 @@
   /** Sends a report soon after a placement, as far as the budget goes. */
   void ReportPlacement();
 
+  /** Sets what is called with a daemon that hears from the store while this one
+   * does not. */
+  void SetStorePeerHandler(std::function<void(const SocketAddress&)> aHandler)
+  {
+    onStorePeer_ = std::move(aHandler);
+  }
+
   /** @returns whether a daemon heard of lately hears from the store. */
   bool HasPeerWithStore(Time aNow) const;
 
@@ -73,6 +81,7 @@
   boost::asio::steady_timer placementTimer_;
   bool isPlacementPending_ = false;
   ReportBudget budget_;
+  std::function<void(const SocketAddress&)> onStorePeer_;
   AvailabilityZone zone_;
   std::string name_;
   /** When a daemon with a reachable store was last heard of. */
--- a/modules/azurecross_serving/peers/RelayChoice.cpp
+++ b/modules/azurecross_serving/peers/RelayChoice.cpp
@@ -10,8 +10,15 @@
  * each sixteen daemons, so that none feeds more than about twenty. */
 constexpr std::size_t kFewestReaders = 2;
 constexpr std::size_t kDaemonsPerReader = 16;
-/** A reader that failed is asked again after this time. */
+/** A reader that failed is asked again after this time, unless it says before
+ * that it hears from the store. */
 constexpr Duration kFailureTime = std::chrono::seconds(3);
+/** A daemon's word that it hears from the store holds this long. */
+constexpr Duration kStorePeerTime = std::chrono::seconds(2);
+/** While the store does not answer, all daemons that are no readers together
+ * ask it twenty times a second. */
+constexpr Duration kStorePausePerDaemon = std::chrono::milliseconds(50);
+constexpr Duration kLongestStorePause = std::chrono::seconds(3);
 
 std::uint64_t
 HashMember(const SocketAddress& aMember, std::uint64_t aSeed)
@@ -35,6 +42,7 @@
 void
 RelayChoice::SetMembers(const std::vector<MemberRecord>& aMembers)
 {
+  members_ = aMembers.size();
   std::vector<SocketAddress> members;
   members.reserve(aMembers.size());
   for (const MemberRecord& member : aMembers) {
@@ -57,13 +65,38 @@
   if (isReader_) {
     return std::nullopt;
   }
-  for (const SocketAddress& reader : readers_) {
-    const auto failed = failedAt_.find(reader);
-    if (failed == failedAt_.end() || aNow - failed->second >= kFailureTime) {
-      return reader;
-    }
+  const auto isUsable = [&](const SocketAddress& aReader) {
+    const auto failed = failedAt_.find(aReader);
+    return failed == failedAt_.end() || aNow - failed->second >= kFailureTime;
+  };
+  const auto reader = std::find_if(readers_.begin(), readers_.end(), isUsable);
+  if (reader != readers_.end()) {
+    return *reader;
   }
-  return std::nullopt;
+  const bool hasStorePeer = storePeer_ && isUsable(*storePeer_) &&
+                            aNow - storePeerHeardAt_ < kStorePeerTime;
+  return hasStorePeer ? storePeer_ : std::nullopt;
+}
+
+void
+RelayChoice::TakeStorePeer(const SocketAddress& aPeer, Time aNow)
+{
+  if (std::find(readers_.begin(), readers_.end(), aPeer) != readers_.end()) {
+    failedAt_.erase(aPeer);
+    return;
+  }
+  storePeer_ = aPeer;
+  storePeerHeardAt_ = aNow;
+}
+
+Duration
+RelayChoice::FindStorePause() const
+{
+  if (isReader_) {
+    return Duration::zero();
+  }
+  return std::min<Duration>(kStorePausePerDaemon * static_cast<int>(members_),
+                            kLongestStorePause);
 }
 
 void
--- a/modules/azurecross_serving/peers/RelayChoice.h
+++ b/modules/azurecross_serving/peers/RelayChoice.h
@@ -14,7 +14,8 @@
  * Chooses which daemons read from the store for all, and which of them this
  * daemon asks. All daemons with the same list of members choose the same
  * readers. A reader that fails is left alone for a while; without a usable
- * reader a daemon asks the store itself.
+ * reader a daemon asks another one that says that it hears from the store, and
+ * without such a one the store itself.
  */
 class RelayChoice
 {
@@ -35,12 +36,24 @@
   /** Takes the failure of a reader, or that it does not hear from the store. */
   void TakeFailure(const SocketAddress& aReader, Time aNow);
 
+  /** Takes word of another daemon that it hears from the store. It is asked
+   * even if it is no reader, when no reader can be used. */
+  void TakeStorePeer(const SocketAddress& aPeer, Time aNow);
+
+  /** @returns the time between this daemon's own attempts at a store that does
+   * not answer: readers find its return for all. */
+  Duration FindStorePause() const;
+
 private:
   SocketAddress self_;
   /** Readers in the order in which this daemon asks them. */
   std::vector<SocketAddress> readers_;
   std::map<SocketAddress, Time> failedAt_;
   bool isReader_ = true;
+  std::size_t members_ = 0;
+  /** The last daemon, no reader, that said that it hears from the store. */
+  std::optional<SocketAddress> storePeer_;
+  Time storePeerHeardAt_;
 };
 
 } // namespace azurecross
--- a/modules/azurecross_serving/peers/RelayedSource.h
+++ b/modules/azurecross_serving/peers/RelayedSource.h
@@ -6,8 +6,11 @@
 
 #include <azurecross_http/azurecross_http.h>
 
-#include <boost/asio/any_io_executor.hpp>
+#include "../forward/Signal.h"
+
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 
 #include <optional>
 #include <string>
@@ -26,11 +29,12 @@
 class RelayedSource
 {
 public:
-  RelayedSource(boost::asio::any_io_executor aExecutor,
+  RelayedSource(const WorkerExecutor& aExecutor,
                 Store& aStore,
                 StateFeed& aFeed,
                 SocketAddress aSelf)
-    : store_(aStore)
+    : executor_(aExecutor)
+    , store_(aStore)
     , feed_(aFeed)
     , choice_(std::move(aSelf))
     , client_(aExecutor, MakeLimits(kCallTimeout))
@@ -43,19 +47,35 @@
     choice_.SetMembers(aMembers);
   }
 
+  /** Takes word of another daemon that it hears from the store. */
+  void TakeStorePeer(const SocketAddress& aPeer)
+  {
+    choice_.TakeStorePeer(aPeer, ReadMonotonicTime());
+  }
+
+  /** @returns whether this daemon reads from the store for others. */
+  bool IsReader() const { return choice_.IsReader(); }
+
   boost::asio::awaitable<AsyncResult<TablesReading>> ReadTables()
   {
-    const auto reader = choice_.FindReader(ReadMonotonicTime());
-    if (reader) {
+    // Ends because each reader that fails is left alone afterwards.
+    auto reader = choice_.FindReader(ReadMonotonicTime());
+    while (reader) {
       std::optional<TablesReading> reading =
         co_await AskTables(client_, *reader, Duration::zero());
       if (reading) {
         co_return std::move(*reading);
       }
+      reader = choice_.FindReader(ReadMonotonicTime());
+    }
+    if (ReadMonotonicTime() < nextStoreRead_) {
+      co_return MakeUnaskedError();
     }
     const Time sentAt = ReadBootTime();
     AsyncResult<TablesReading> reading = co_await store_.ReadTables();
     NoteStore(reading);
+    nextStoreRead_ =
+      reading ? Time() : ReadMonotonicTime() + choice_.FindStorePause();
     if (reading) {
       KeepTables(*reading);
       feed_.Prove(sentAt);
@@ -79,7 +99,8 @@
     if (!tablesFromStore_) {
       co_return MakeLostError();
     }
-    AsyncResult<TablesReading> reading = co_await store_.WatchTables(aRevision);
+    AsyncResult<TablesReading> reading =
+      co_await AwaitWatch<TablesReading>(store_.WatchTables(aRevision));
     NoteStore(reading);
     if (reading) {
       KeepTables(*reading);
@@ -117,15 +138,10 @@
       co_return MakeLostError();
     }
     if (reader) {
-      std::optional<ServersReading> reading =
-        co_await AskServers(watchClient_, *reader, kWatchTime);
-      if (reading) {
-        co_return std::move(*reading);
-      }
-      co_return MakeLostError();
+      co_return co_await AwaitWatch<ServersReading>(WatchReader(*reader));
     }
     AsyncResult<ServersReading> reading =
-      co_await store_.WatchServers(aRevision);
+      co_await AwaitWatch<ServersReading>(store_.WatchServers(aRevision));
     NoteStore(reading);
     if (reading) {
       feed_.TakeServers(reading->servers_, false);
@@ -160,7 +176,10 @@
 private:
   /** A daemon in reach answers in a few milliseconds. */
   static constexpr Duration kCallTimeout = std::chrono::milliseconds(400);
-  static constexpr std::chrono::milliseconds kWatchTime{ 10000 };
+  /** Bounds how long a watch whose connection has gone silent hides changes. */
+  static constexpr std::chrono::milliseconds kWatchTime{ 2000 };
+  /** A watch in progress checks this often whether it has been given up. */
+  static constexpr Duration kWatchCheck = std::chrono::milliseconds(100);
   /** A reader whose own proof is older than this does not hear from the store.
    * With the interval of the readers' proofs and of those that ask them, a
    * change that one reader misses is in force within two seconds. */
@@ -182,6 +201,15 @@
                   {} };
   }
 
+  static Error MakeUnaskedError()
+  {
+    return Error{ ErrorCode::StoreUnavailable,
+                  Verdict::NotRun,
+                  "no reader has fresh tables, and the store did not answer "
+                  "a short while ago",
+                  {} };
+  }
+
   /** Stops feeding others after a call that the store did not answer. */
   template<typename Reading>
   void NoteStore(const AsyncResult<Reading>& aReading)
@@ -189,9 +217,63 @@
     if (aReading.has_error() &&
         aReading.error().code_ != ErrorCode::GenerationLost) {
       feed_.Suspend();
+      ++watchesEnded_;
     }
   }
 
+  void NoteFailure(const SocketAddress& aReader)
+  {
+    choice_.TakeFailure(aReader, ReadMonotonicTime());
+    ++watchesEnded_;
+  }
+
+  boost::asio::awaitable<AsyncResult<ServersReading>> WatchReader(
+    SocketAddress aReader)
+  {
+    std::optional<ServersReading> reading =
+      co_await AskServers(watchClient_, aReader, kWatchTime);
+    if (reading) {
+      co_return std::move(*reading);
+    }
+    co_return MakeLostError();
+  }
+
+  /**
+   * Waits for a watch, but not beyond word that its place no longer answers or
+   * that there is a better one: a watch on a connection that has gone silent
+   * would hide changes until it times out.
+   */
+  template<typename Reading>
+  boost::asio::awaitable<AsyncResult<Reading>> AwaitWatch(
+    boost::asio::awaitable<AsyncResult<Reading>> aWatch)
+  {
+    struct Pending
+    {
+      explicit Pending(const WorkerExecutor& aExecutor)
+        : done_(aExecutor)
+      {
+      }
+      Signal done_;
+      std::optional<AsyncResult<Reading>> result_;
+    };
+    auto pending = std::make_shared<Pending>(executor_);
+    boost::asio::co_spawn(executor_,
+                          std::move(aWatch),
+                          [pending](const std::exception_ptr& aException,
+                                    AsyncResult<Reading> aResult) {
+                            pending->result_ =
+                              aException ? AsyncResult<Reading>(MakeLostError())
+                                         : std::move(aResult);
+                            pending->done_.Notify();
+                          });
+    const std::uint64_t ended = watchesEnded_;
+    while (!pending->result_ && watchesEnded_ == ended) {
+      co_await pending->done_.Wait(kWatchCheck);
+    }
+    co_return pending->result_ ? std::move(*pending->result_)
+                               : AsyncResult<Reading>(MakeLostError());
+  }
+
   void KeepTables(const TablesReading& aReading)
   {
     if (aReading.content_) {
@@ -211,7 +293,7 @@
       co_await aClient.Send(aReader, std::move(request));
     constexpr unsigned kOk = 200;
     if (!response || response->status_ != kOk) {
-      choice_.TakeFailure(aReader, ReadMonotonicTime());
+      NoteFailure(aReader);
       co_return std::nullopt;
     }
     co_return response->body_;
@@ -229,7 +311,7 @@
     const bool isUsable = tables && tables->age_ <= kOldestProof &&
                           tables->version_ >= knownVersion_;
     if (!isUsable) {
-      choice_.TakeFailure(aReader, ReadMonotonicTime());
+      NoteFailure(aReader);
       co_return std::nullopt;
     }
     TablesReading reading;
@@ -238,28 +320,37 @@
     if (!tables->text_.empty()) {
       auto content = store_.ParseTables(tables->text_);
       if (!content) {
-        choice_.TakeFailure(aReader, ReadMonotonicTime());
+        NoteFailure(aReader);
         co_return std::nullopt;
       }
       reading.content_ = std::move(*content);
       knownVersion_ = std::max(knownVersion_, tables->version_);
     }
     tablesFromStore_ = false;
+    if (serversEpoch_ == 0 || serversReader_ != aReader) {
+      // The servers are watched at the store or at a lesser choice.
+      ++watchesEnded_;
+    }
     co_return reading;
   }
 
   boost::asio::awaitable<std::optional<ServersReading>>
   AskServers(HttpClient& aClient, SocketAddress aReader, Duration aWait)
   {
+    const std::uint64_t ended = watchesEnded_;
     const std::optional<std::string> body =
       co_await Ask(aClient,
                    aReader,
                    "/feed/servers?epoch=" + std::to_string(serversEpoch_) +
                      "&known=" + std::to_string(serversKnown_) +
                      "&wait=" + std::to_string(ToMilliseconds(aWait)));
+    if (aWait > Duration::zero() && ended != watchesEnded_) {
+      // This watch has been given up; another place is read by now.
+      co_return std::nullopt;
+    }
     const auto servers = body ? ParseFedServers(*body) : std::nullopt;
     if (!servers || servers->isWhole_ != (serversEpoch_ == 0)) {
-      choice_.TakeFailure(aReader, ReadMonotonicTime());
+      NoteFailure(aReader);
       co_return std::nullopt;
     }
     ServersReading reading;
@@ -284,6 +375,7 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
   }
 
+  WorkerExecutor executor_;
   Store& store_;
   StateFeed& feed_;
   RelayChoice choice_;
@@ -291,10 +383,14 @@
   HttpClient watchClient_;
   std::uint64_t knownVersion_ = 0;
   bool tablesFromStore_ = false;
+  /** The store is not asked for tables before this time. */
+  Time nextStoreRead_;
   /** 0 while the servers come from the store itself. */
   std::uint64_t serversEpoch_ = 0;
   std::uint64_t serversKnown_ = 0;
   SocketAddress serversReader_;
+  /** Counts the events after which watches in progress are given up. */
+  std::uint64_t watchesEnded_ = 0;
 };
 
 } // namespace azurecross
--- a/modules/azurecross_serving/state/ServingState.h
+++ b/modules/azurecross_serving/state/ServingState.h
@@ -66,12 +66,20 @@
   void SetStoreReachable(bool aIsReachable)
   {
     isStoreReachable_ = aIsReachable;
+    if (aIsReachable && onStoreReturn_) {
+      onStoreReturn_();
+    }
   }
   bool IsStoreReachable() const { return isStoreReachable_; }
 
   /** Removes what stayed missing and forgets silent peers. */
   void Tick(Time aNow, Time aBootNow);
 
+  /** Sets what is called when this daemon hears from the store again. */
+  void SetStoreReturnHandler(std::function<void()> aHandler)
+  {
+    onStoreReturn_ = std::move(aHandler);
+  }
   /** Sets what is called when a backend server begins to leave. */
   void SetLeavingHandler(std::function<void(const BackendServerId&)> aHandler)
   {
@@ -123,6 +131,7 @@
   bool isStoreReachable_ = true;
   std::function<void(const BackendServerId&)> onLeaving_;
   std::function<void()> onLoad_;
+  std::function<void()> onStoreReturn_;
   std::function<void()> onPlaced_;
 };
 
--- a/modules/azurecross_serving/state/StateSync.h
+++ b/modules/azurecross_serving/state/StateSync.h
@@ -44,6 +44,8 @@
     , random_(aSeed)
     , proofWanted_(aContext.get_executor())
     , proved_(aContext.get_executor())
+    , regained_(aContext.get_executor())
+    , membersKnown_(aContext.get_executor())
   {
   }
 
@@ -61,6 +63,9 @@
     Spawn(FollowMembers());
   }
 
+  /** Reads the tables again at once, after word that the store answers. */
+  void Retry() { proofWanted_.Notify(); }
+
   /** Asks for a proof now and waits for it.
    * @returns whether one came in time. */
   boost::asio::awaitable<bool> AwaitProof(Duration aLongest)
@@ -82,7 +87,17 @@
     std::chrono::milliseconds(50);
   /** First pause after a failed call; grows with each further failure. */
   static constexpr Duration kRetryPause = std::chrono::milliseconds(250);
-  static constexpr Duration kLongestRetryPause = std::chrono::seconds(1);
+  static constexpr Duration kLongestRetryPause = std::chrono::milliseconds(500);
+  /** Longest pause between attempts to register, which help nobody while the
+   * store turns this daemon away: its peers know it from their last list. */
+  static constexpr Duration kLongestMemberPause = std::chrono::seconds(4);
+  /** Pause while the operator has written no tables yet. */
+  static constexpr Duration kNoTablesPause = std::chrono::milliseconds(500);
+  /** While the store is lost, only the proof asks for it; other calls wait for
+   * its return, and try by themselves after this time. */
+  static constexpr Duration kLostWait = std::chrono::seconds(5);
+  /** Watches start when the daemon knows whether it reads for others. */
+  static constexpr Duration kLongestJoinWait = std::chrono::milliseconds(1500);
   /** Calls that fail in a row before the store counts as lost. */
   static constexpr unsigned kLostAfter = 2;
   /** Gathers changes that follow each other into one call. */
@@ -116,6 +131,7 @@
                    { { "dependency", "store" },
                      { "call", aCall },
                      { "lost_for_s", ToSeconds(now - lostAt_) } });
+        regained_.Notify();
       }
       return;
     }
@@ -135,11 +151,36 @@
     return isLost_ || ReadMonotonicTime() - regainedAt_ < kAfterOutage;
   }
 
+  Duration FindPause(unsigned aFailures, Duration aLongest)
+  {
+    return random_.Jitter(std::min(kRetryPause * aFailures, aLongest), 0.5);
+  }
+
+  /** Pauses after a failed call; while the store is lost, until it is back. */
   boost::asio::awaitable<void> PauseAfter(unsigned aFailures)
   {
-    const Duration pause =
-      std::min(kRetryPause * aFailures, kLongestRetryPause);
-    co_await Sleep(random_.Jitter(pause, 0.5));
+    if (!isLost_) {
+      co_await Sleep(FindPause(aFailures, kLongestRetryPause));
+    }
+    co_await AwaitReturn();
+  }
+
+  /** Waits while the store is lost. */
+  boost::asio::awaitable<void> AwaitReturn()
+  {
+    const Time giveUp = ReadMonotonicTime() + kLostWait;
+    while (isLost_ && ReadMonotonicTime() < giveUp) {
+      co_await regained_.Wait(giveUp - ReadMonotonicTime());
+    }
+  }
+
+  /** Waits until the daemon knows the others after its start. */
+  boost::asio::awaitable<void> AwaitMembers()
+  {
+    const Time giveUp = ReadMonotonicTime() + kLongestJoinWait;
+    while (!areMembersKnown_ && ReadMonotonicTime() < giveUp) {
+      co_await membersKnown_.Wait(giveUp - ReadMonotonicTime());
+    }
   }
 
   boost::asio::awaitable<void> FollowTables()
@@ -164,8 +205,14 @@
         continue;
       }
       failures = 0;
+      const bool isMissing =
+        revision == 0 && !reading->content_ && !state_.GetTables();
       revision = reading->revision_;
       state_.TakeTables(std::move(reading->content_), ReadMonotonicTime());
+      if (isMissing) {
+        co_await Sleep(kNoTablesPause);
+      }
+      co_await AwaitMembers();
     }
   }
 
@@ -177,7 +224,7 @@
       AsyncResult<TablesReading> reading = co_await source_.ReadTables();
       Note("read_tables", IsAnswered(reading), FindReason(reading));
       if (!reading) {
-        co_await PauseAfter(++failures);
+        co_await proofWanted_.Wait(FindPause(++failures, kLongestRetryPause));
         continue;
       }
       failures = 0;
@@ -219,6 +266,7 @@
         state_.TakeServerEvents(reading->servers_, IsAfterOutage(), now);
       }
       co_await Sleep(kWatchPause);
+      co_await AwaitMembers();
     }
   }
 
@@ -234,12 +282,16 @@
       } else {
         kept = co_await source_.Register(self_);
       }
-      Note("register", kept.has_value(), FindReason(kept));
-      isRegistered = kept.has_value();
-      if (!isRegistered) {
-        co_await PauseAfter(++failures);
+      Note("register", IsAnswered(kept), FindReason(kept));
+      if (!kept) {
+        // A lease outlasts most outages, so only word of its end ends it.
+        isRegistered =
+          isRegistered && kept.error().code_ != ErrorCode::GenerationLost;
+        co_await AwaitReturn();
+        co_await Sleep(FindPause(++failures, kLongestMemberPause));
         continue;
       }
+      isRegistered = true;
       failures = 0;
       if (isFirst) {
         co_await Sleep(kJoinTime);
@@ -250,6 +302,8 @@
       if (members) {
         onMembers_(*members);
         isFirst = false;
+        areMembersKnown_ = true;
+        membersKnown_.Notify();
       }
       const auto count = members ? members->size() : 0;
       co_await Sleep(random_.Jitter(
@@ -279,6 +333,9 @@
   Random random_;
   Signal proofWanted_;
   Signal proved_;
+  Signal regained_;
+  Signal membersKnown_;
+  bool areMembersKnown_ = false;
   MemberRecord self_;
   MembersHandler onMembers_;
   unsigned failures_ = 0;
--- a/tests/serving_tests/FeedTests.cpp
+++ b/tests/serving_tests/FeedTests.cpp
@@ -48,8 +48,12 @@
     reading.revision_ = 7;
     co_return reading;
   }
+  /** Says nothing, like a connection that has gone silent. */
   asio::awaitable<AsyncResult<ServersReading>> WatchServers(std::uint64_t)
   {
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    timer.expires_after(std::chrono::seconds(5));
+    co_await timer.async_wait(asio::use_awaitable);
     co_return MakeError();
   }
   asio::awaitable<AsyncResult<bool>> Register(MemberRecord) { co_return true; }
@@ -239,6 +243,62 @@
   BOOST_TEST(fed_[0]->store_.reads_ == 1);
 }
 
+// Guards against a daemon that the store turns away together with its readers
+// while another one hears from the store.
+BOOST_FIXTURE_TEST_CASE(DaemonWithStoreIsAskedInPlaceOfReaders, FeedFixture)
+{
+  Daemon helper(context_, "127.0.0.9");
+  helper.feed_.Start();
+  BOOST_TEST(Read(helper).has_value());
+  for (Daemon* daemon : { readers_[0], readers_[1], fed_[0] }) {
+    daemon->store_.isDown_ = true;
+    BOOST_TEST(!Read(*daemon).has_value());
+  }
+  const int reads = fed_[0]->store_.reads_;
+  fed_[0]->source_.TakeStorePeer(helper.address_);
+  BOOST_TEST(Read(*fed_[0]).has_value());
+  BOOST_TEST(fed_[0]->store_.reads_ == reads);
+}
+
+// Guards against a daemon that waits for its readers' pause after they have
+// said that they hear from the store again.
+BOOST_AUTO_TEST_CASE(ReaderThatReturnsIsAskedAtOnce)
+{
+  const auto members = MakeMembers(7);
+  const Time now(std::chrono::seconds(100));
+  for (const MemberRecord& member : members) {
+    RelayChoice choice(member.peerAddress_);
+    choice.SetMembers(members);
+    if (choice.IsReader()) {
+      BOOST_TEST((choice.FindStorePause() == Duration::zero()));
+      continue;
+    }
+    BOOST_TEST((choice.FindStorePause() > Duration::zero()));
+    const auto reader = choice.FindReader(now);
+    choice.TakeFailure(*reader, now);
+    BOOST_TEST((choice.FindReader(now) != reader));
+    choice.TakeStorePeer(*reader, now);
+    BOOST_TEST((choice.FindReader(now) == reader));
+  }
+}
+
+// Guards against a watch whose connection has gone silent and hides that a
+// server leaves: three daemons sent work to one 3.3 s after its notice.
+BOOST_FIXTURE_TEST_CASE(SilentWatchEndsWhenTheStoreFails, FeedFixture)
+{
+  Daemon& reader = *readers_[0];
+  BOOST_TEST(List(reader).has_value());
+  auto watch =
+    asio::co_spawn(context_, reader.source_.WatchServers(7), asio::use_future);
+  BOOST_TEST((watch.wait_for(std::chrono::milliseconds(300)) ==
+              std::future_status::timeout));
+  reader.store_.isDown_ = true;
+  BOOST_TEST(!Read(reader).has_value());
+  BOOST_REQUIRE(
+    (watch.wait_for(std::chrono::seconds(1)) == std::future_status::ready));
+  BOOST_TEST((watch.get().error().code_ == ErrorCode::GenerationLost));
+}
+
 // Guards against answers of other daemons that can't be read.
 BOOST_AUTO_TEST_CASE(FedStateIsChecked)
 {
