Share what is learned of servers, keep streams through partitions, reserve memory for brief runs

Changes: daemons tell each other decayed means of speeds and failures (ServerLearning) with their regular reports, to other zones with each third; connections of generations bear 12 s of silence; a failed proof is repeated after 50 ms, and a change of what a daemon knows of the store is told at once; a run that is expected to end within a second may use 0.97 of an engine's memory, others 0.88 (0.92 for all before).

--- a/modules/azurecross_dispatch/moves/MoveSchedule.cpp
+++ b/modules/azurecross_dispatch/moves/MoveSchedule.cpp
@@ -34,7 +34,7 @@
   for (const RunNumber run : aBoard.FindRunsOn(aLeaving)) {
     const double remaining = aBoard.PredictRemaining(run);
     const bool endsInTime =
-      remaining * server->secondsPerToken_ < kNoticeSeconds;
+      remaining * server->GetSecondsPerToken() < kNoticeSeconds;
     if (remaining >= kFewestTokens && !endsInTime) {
       moves.push_back({ run, remaining });
     }
--- a/modules/azurecross_dispatch/placement/LoadBoard.cpp
+++ b/modules/azurecross_dispatch/placement/LoadBoard.cpp
@@ -12,9 +12,13 @@
 constexpr double kAssumedSecondsPerToken = 0.01;
 /** Time of a plain call before anything is known. */
 constexpr double kAssumedSecondsPerCall = 0.06;
-/** Weight of one observation in a smoothed value. */
-constexpr double kSpeedWeight = 0.15;
-constexpr double kFailureWeight = 0.1;
+/** Observations that these assumptions count as much as. */
+constexpr double kAssumedWeight = 1.0;
+/** A single failure says little of a server. */
+constexpr double kAssumedGoodRuns = 2.0;
+/** What a daemon sees itself counts more: servers can fail some callers only.
+ */
+constexpr double kOwnFactor = 3.0;
 /** Part of the output still expected that is charged as memory. Runs of one
  * engine end at different times, so they never all reach their full size. */
 constexpr double kRemainingPart = 0.6;
@@ -31,14 +35,53 @@
 /** Growth is told to the length predictor in steps of this many tokens. */
 constexpr std::uint32_t kGrowthStep = 64;
 
-void
-Smooth(double& aValue, double aObserved, double aWeight)
+double
+GetMean(const ServerLoad& aServer,
+        DecayedMean ServerLearning::*aPart,
+        double aAssumed,
+        double aAssumedWeight)
 {
-  aValue += aWeight * (aObserved - aValue);
+  DecayedMean mean;
+  mean.Add(aServer.learning_.GetLast().*aPart, kOwnFactor);
+  mean.Add(aServer.othersLearning_.*aPart);
+  return mean.GetMean(aAssumed, aAssumedWeight);
 }
 
 } // namespace
 
+double
+ServerLoad::GetSecondsPerPromptToken() const
+{
+  return GetMean(*this,
+                 &ServerLearning::promptSeconds_,
+                 kAssumedSecondsPerPromptToken,
+                 kAssumedWeight);
+}
+
+double
+ServerLoad::GetSecondsPerToken() const
+{
+  return GetMean(*this,
+                 &ServerLearning::tokenSeconds_,
+                 kAssumedSecondsPerToken,
+                 kAssumedWeight);
+}
+
+double
+ServerLoad::GetSecondsPerCall() const
+{
+  return GetMean(*this,
+                 &ServerLearning::callSeconds_,
+                 kAssumedSecondsPerCall,
+                 kAssumedWeight);
+}
+
+double
+ServerLoad::GetFailureShare() const
+{
+  return GetMean(*this, &ServerLearning::failures_, 0.0, kAssumedGoodRuns);
+}
+
 LoadBoard::LoadBoard() = default;
 
 void
@@ -52,9 +95,6 @@
     load.index_ = nextIndex_++;
     load.own_.server_ = aRecord.id_;
     load.others_.server_ = aRecord.id_;
-    load.secondsPerPromptToken_ = kAssumedSecondsPerPromptToken;
-    load.secondsPerToken_ = kAssumedSecondsPerToken;
-    load.secondsPerCall_ = kAssumedSecondsPerCall;
     load.coldUntil_ = aNow + aRecord.coldLeft_;
   }
   load.record_ = aRecord;
@@ -74,12 +114,9 @@
   ServerLoad& load = found->second;
   prefixes_.RemoveServer(load.index_, aNow);
   load.index_ = nextIndex_++;
-  load.failureShare_ = 0.0;
   load.failuresInRow_ = 0;
   load.suspectUntil_ = Time();
-  load.secondsPerPromptToken_ = kAssumedSecondsPerPromptToken;
-  load.secondsPerToken_ = kAssumedSecondsPerToken;
-  load.secondsPerCall_ = kAssumedSecondsPerCall;
+  load.learning_.Reset();
 }
 
 void
@@ -116,6 +153,19 @@
     lengths_.FindClass(aRoute, ModelName(), aCustomer), aDemand, aTokens);
 }
 
+double
+LoadBoard::PredictOutput(const RouteName& aRoute,
+                         const CustomerId& aCustomer,
+                         const GenerationDemand& aDemand,
+                         std::uint32_t aTokens) const
+{
+  const double expected =
+    lengths_.PredictLength(lengths_.FindClass(aRoute, ModelName(), aCustomer),
+                           aTokens,
+                           aDemand.outputLimit_);
+  return std::max(0.0, expected - aTokens);
+}
+
 RunNumber
 LoadBoard::Start(const RunDescription& aRun)
 {
@@ -165,13 +215,12 @@
   ServerLoad& server = servers_.at(run.description_.server_);
   const double since = ToSeconds(aNow - run.lastEvent_);
   if (run.pendingPrompt_ > 0.0) {
-    Smooth(server.secondsPerPromptToken_,
-           ToSeconds(aNow - run.description_.startedAt_) / run.promptAhead_,
-           kSpeedWeight);
+    server.learning_.Get(aNow).promptSeconds_.Add(
+      ToSeconds(aNow - run.description_.startedAt_) / run.promptAhead_);
     ClearPending(run, server);
   } else if (aTokens > run.tokens_ && run.tokens_ > 0) {
-    Smooth(
-      server.secondsPerToken_, since / (aTokens - run.tokens_), kSpeedWeight);
+    server.learning_.Get(aNow).tokenSeconds_.Add(since /
+                                                 (aTokens - run.tokens_));
   }
   server.failuresInRow_ = 0;
   run.lastEvent_ = aNow;
@@ -207,15 +256,14 @@
   }
   if (aEnd == RunEnd::Completed) {
     server.failuresInRow_ = 0;
-    Smooth(server.failureShare_, 0.0, kFailureWeight);
+    server.learning_.Get(aNow).failures_.Add(0.0);
     if (run.description_.kind_ == CallKind::Generation) {
       lengths_.ObserveGrowth(
         run.lengthClass_, run.growthRecorded_, run.tokens_);
       lengths_.ObserveEnd(run.lengthClass_, run.tokens_);
     } else {
-      Smooth(server.secondsPerCall_,
-             ToSeconds(aNow - run.description_.startedAt_),
-             kSpeedWeight);
+      server.learning_.Get(aNow).callSeconds_.Add(
+        ToSeconds(aNow - run.description_.startedAt_));
     }
   } else if (aEnd != RunEnd::Withdrawn) {
     ObserveFailure(server, aEnd, aNow);
@@ -226,9 +274,10 @@
 void
 LoadBoard::ObserveFailure(ServerLoad& aServer, RunEnd aEnd, Time aNow)
 {
-  Smooth(aServer.failureShare_, 1.0, kFailureWeight);
   ++aServer.failuresInRow_;
-  if (aEnd == RunEnd::Unreachable) {
+  if (aEnd != RunEnd::Unreachable) {
+    aServer.learning_.Get(aNow).failures_.Add(1.0);
+  } else {
     const auto doublings = std::min(aServer.failuresInRow_ - 1, kMostDoublings);
     aServer.suspectUntil_ =
       aNow + std::min(kSuspectTime * (1U << doublings), kLongestSuspectTime);
@@ -268,6 +317,17 @@
   RefreshOthers();
 }
 
+void
+LoadBoard::SetPeerFindings(const std::string& aPeer,
+                           std::vector<ServerFinding> aFindings,
+                           Time aNow)
+{
+  Peer& peer = peers_[aPeer];
+  peer.findings_ = std::move(aFindings);
+  peer.heardAt_ = aNow;
+  RefreshOthers();
+}
+
 std::size_t
 LoadBoard::ExpirePeers(Time aNow)
 {
@@ -285,6 +345,7 @@
 {
   for (auto& [id, server] : servers_) {
     server.others_ = ServerUse{ id, 0, 0.0, 0.0 };
+    server.othersLearning_ = ServerLearning();
   }
   for (const auto& [name, peer] : peers_) {
     for (const ServerUse& use : peer.uses_) {
@@ -296,6 +357,12 @@
         others.pendingPrompt_ += use.pendingPrompt_;
       }
     }
+    for (const ServerFinding& finding : peer.findings_) {
+      const auto found = servers_.find(finding.server_);
+      if (found != servers_.end()) {
+        found->second.othersLearning_.Add(finding.learning_);
+      }
+    }
   }
 }
 
@@ -311,6 +378,19 @@
   return uses;
 }
 
+std::vector<ServerFinding>
+LoadBoard::DescribeFindings(Time aNow)
+{
+  std::vector<ServerFinding> findings;
+  for (auto& [id, server] : servers_) {
+    const ServerLearning& learning = server.learning_.Get(aNow);
+    if (learning.IsWorthTelling()) {
+      findings.push_back({ id, learning });
+    }
+  }
+  return findings;
+}
+
 bool
 LoadBoard::IsFirstUser(const std::string& aDaemon,
                        const BackendServerId& aServer) const
--- a/modules/azurecross_dispatch/placement/LoadBoard.h
+++ b/modules/azurecross_dispatch/placement/LoadBoard.h
@@ -2,6 +2,7 @@
 
 #include "../servers/ServerDirectory.h"
 #include "../tables/ServingTables.h"
+#include "ServerLearning.h"
 
 #include <azurecross_policy/azurecross_policy.h>
 
@@ -75,6 +76,13 @@
   double pendingPrompt_ = 0.0;
 };
 
+/** What one daemon has observed of one backend server lately. */
+struct ServerFinding
+{
+  BackendServerId server_;
+  ServerLearning learning_;
+};
+
 /** One backend server as placement sees it. */
 struct ServerLoad
 {
@@ -87,14 +95,10 @@
   /** Not used before this time, after it could not be reached. */
   Time suspectUntil_;
   std::uint32_t failuresInRow_ = 0;
-  /** Smoothed share of runs that failed or were rejected. */
-  double failureShare_ = 0.0;
-  /** Time to read one prompt token, waiting ones included. */
-  double secondsPerPromptToken_ = 0.0;
-  /** Time between two output tokens. */
-  double secondsPerToken_ = 0.0;
-  /** Time of a plain call. */
-  double secondsPerCall_ = 0.0;
+  /** What this daemon has observed. */
+  FadingLearning learning_;
+  /** What the others have observed, all together. */
+  ServerLearning othersLearning_;
   /** Identifies this start of the server in the prefix index. */
   std::uint32_t index_ = 0;
 
@@ -107,6 +111,15 @@
     return own_.pendingPrompt_ + others_.pendingPrompt_;
   }
   std::uint32_t GetRuns() const { return own_.runs_ + others_.runs_; }
+
+  /** @returns the time to read one prompt token, waiting ones included. */
+  double GetSecondsPerPromptToken() const;
+  /** @returns the time between two output tokens. */
+  double GetSecondsPerToken() const;
+  /** @returns the time of a plain call. */
+  double GetSecondsPerCall() const;
+  /** @returns the share of runs that failed or were rejected lately. */
+  double GetFailureShare() const;
 };
 
 /**
@@ -137,6 +150,10 @@
   void SetPeerUse(const std::string& aPeer,
                   std::vector<ServerUse> aUses,
                   Time aNow);
+  /** Replaces what another daemon has observed. */
+  void SetPeerFindings(const std::string& aPeer,
+                       std::vector<ServerFinding> aFindings,
+                       Time aNow);
   /** Drops what was heard from daemons that have been silent too long.
    * @returns how many daemons are left. */
   std::size_t ExpirePeers(Time aNow);
@@ -146,6 +163,8 @@
 
   /** @returns what this daemon uses, for the others. */
   std::vector<ServerUse> DescribeOwnUse() const;
+  /** @returns what this daemon has observed lately, for the others. */
+  std::vector<ServerFinding> DescribeFindings(Time aNow);
 
   /** @returns whether no daemon with a smaller name uses the server, so that
    * one daemon of all does what is needed once. */
@@ -163,6 +182,12 @@
                        const CustomerId& aCustomer,
                        const GenerationDemand& aDemand,
                        std::uint32_t aTokens) const;
+  /** @returns the output tokens that a run with so many tokens is expected to
+   * still make. */
+  double PredictOutput(const RouteName& aRoute,
+                       const CustomerId& aCustomer,
+                       const GenerationDemand& aDemand,
+                       std::uint32_t aTokens) const;
   /** @returns the output tokens that a run is expected to still make. */
   double PredictRemaining(RunNumber aRun) const;
   const RunDescription* FindRun(RunNumber aRun) const;
@@ -193,6 +218,7 @@
   struct Peer
   {
     std::vector<ServerUse> uses_;
+    std::vector<ServerFinding> findings_;
     Time heardAt_;
   };
 
--- a/modules/azurecross_dispatch/placement/ServerPlacement.cpp
+++ b/modules/azurecross_dispatch/placement/ServerPlacement.cpp
@@ -9,7 +9,11 @@
 /** Part of an engine's memory that admission fills with expected use. The rest
  * absorbs outputs that are longer than expected; running out of memory
  * preempts a running generation, which has to be read again. */
-constexpr double kUsableMemory = 0.92;
+constexpr double kUsableMemory = 0.88;
+/** The same for a run that is expected to end soon: it leaves before the others
+ * have grown into the rest, and would otherwise wait behind long ones. */
+constexpr double kUsableMemoryBriefly = 0.97;
+constexpr double kBriefSeconds = 1.0;
 /** Part of the time to the target that the expected first event may take. */
 constexpr double kUsableTime = 0.8;
 /** Costs are in units of one engine's whole memory. */
@@ -25,7 +29,7 @@
 /** Cost of 10 ms between tokens: slow engines hold a run for longer. */
 constexpr double kTokenGapCost = 0.1;
 /** Cost of a server whose recent runs all failed. */
-constexpr double kFailureCost = 2.0;
+constexpr double kFailureCost = 3.0;
 /** Cost of a server that could not be reached lately, or has just started. */
 constexpr double kSuspectCost = 10.0;
 constexpr double kColdCost = 0.3;
@@ -56,7 +60,7 @@
                                 const PlacementRequest& aRequest,
                                 Time aNow) const
 {
-  double cost = kFailureCost * aServer.failureShare_;
+  double cost = kFailureCost * aServer.GetFailureShare();
   const AvailabilityZone& preferred = aRequest.preferredZone_.GetValue().empty()
                                         ? zone_
                                         : aRequest.preferredZone_;
@@ -90,8 +94,12 @@
     aServer.GetMemory() +
     aBoard.PredictMemory(
       aRequest.route_, aRequest.customer_, aRequest.demand_, aRequest.tokens_);
+  const double output = aBoard.PredictOutput(
+    aRequest.route_, aRequest.customer_, aRequest.demand_, aRequest.tokens_);
+  const bool isBrief = output * aServer.GetSecondsPerToken() < kBriefSeconds;
+  const double usable = isBrief ? kUsableMemoryBriefly : kUsableMemory;
   const double share =
-    memory / (kUsableMemory * static_cast<double>(engine.memoryTokens_));
+    memory / (usable * static_cast<double>(engine.memoryTokens_));
   // A request that fits nowhere still has to run on an empty engine.
   if (share > 1.0 && runs > 0) {
     return std::nullopt;
@@ -103,7 +111,7 @@
       aRequest.demand_.promptTokens_ -
       aBoard.FindCachedTokens(aServer.record_.id_, aRequest.demand_, aNow);
     const double pending = aServer.GetPendingPrompt();
-    seconds = (pending + prompt) * aServer.secondsPerPromptToken_;
+    seconds = (pending + prompt) * aServer.GetSecondsPerPromptToken();
     const double left = ToSeconds(aRequest.timeToTarget_);
     // A late request waits for an engine without prompts ahead of it.
     if (pending > 0.0 && seconds > kUsableTime * left) {
@@ -115,7 +123,7 @@
   choice.expectedSeconds_ = seconds;
   choice.loadShare_ = share;
   choice.cost_ = share + kWaitCost * waitShare * waitShare +
-                 kTokenGapCost * aServer.secondsPerToken_ / 0.01;
+                 kTokenGapCost * aServer.GetSecondsPerToken() / 0.01;
   return choice;
 }
 
@@ -128,8 +136,8 @@
   }
   PlacementChoice choice;
   choice.loadShare_ = static_cast<double>(runs + 1) / aServer.record_.slots_;
-  choice.expectedSeconds_ = aServer.secondsPerCall_;
-  choice.cost_ = choice.loadShare_ + kSecondCost * aServer.secondsPerCall_;
+  choice.expectedSeconds_ = aServer.GetSecondsPerCall();
+  choice.cost_ = choice.loadShare_ + kSecondCost * aServer.GetSecondsPerCall();
   return choice;
 }
 
--- a/modules/azurecross_serving/daemon/ServingDaemon.h
+++ b/modules/azurecross_serving/daemon/ServingDaemon.h
@@ -91,14 +91,13 @@
       [this](const BackendServerId& aServer) { mover_.LeaveServer(aServer); });
     state_.SetLoadHandler([this] { PostDispatch(); });
     state_.SetPlacedHandler([this] { peers_.ReportPlacement(); });
-    state_.SetStoreReturnHandler([this] {
-      // Those that wait for the store ask a reader as soon as they hear of it.
-      if (source_.IsReader()) {
-        peers_.Report();
+    // Others that wait for the store ask a reader as soon as they hear of it,
+    // and those that still believe in it check.
+    state_.SetStoreHandler([this] { peers_.Report(); });
+    peers_.SetStorePeerHandler([this](const SocketAddress& aPeer, bool aHas) {
+      if (aHas) {
+        source_.TakeStorePeer(aPeer);
       }
-    });
-    peers_.SetStorePeerHandler([this](const SocketAddress& aPeer) {
-      source_.TakeStorePeer(aPeer);
       sync_.Retry();
     });
   }
--- a/modules/azurecross_serving/forward/BackendCall.cpp
+++ b/modules/azurecross_serving/forward/BackendCall.cpp
@@ -15,6 +15,10 @@
 constexpr double kIdlePart = 0.5;
 /** Used when the server states no time. */
 constexpr Duration kUsualIdleTime = std::chrono::milliseconds(2000);
+/** A partition lasts several seconds, and what a generation makes meanwhile
+ * arrives after it; its caller waits four times the time to the first event.
+ * To break the stream off sooner loses it. */
+constexpr std::chrono::seconds kGenerationSilence{ 12 };
 /** Answers to other requests that are passed over before giving up. */
 constexpr int kMostSkipped = 3;
 
@@ -46,7 +50,12 @@
                                                     services_.deadlines_);
   services_.metrics_.CountBackendConnection(false);
   const Time limit = std::min(aDeadline, ReadMonotonicTime() + kConnectTimeout);
-  co_return co_await connection_->Connect(aPlan.address_, limit);
+  std::optional<Error> error =
+    co_await connection_->Connect(aPlan.address_, limit);
+  if (!error && context_.IsGeneration()) {
+    SetKeepAlive(connection_->GetSocket().native_handle(), kGenerationSilence);
+  }
+  co_return error;
 }
 
 asio::awaitable<std::optional<Error>>
--- a/modules/azurecross_serving/peers/LoadExchange.cpp
+++ b/modules/azurecross_serving/peers/LoadExchange.cpp
@@ -12,8 +12,14 @@
 constexpr Duration kReportInterval = std::chrono::milliseconds(300);
 /** Gathers placements that follow each other into one report. */
 constexpr Duration kGatherTime = std::chrono::milliseconds(5);
-/** A daemon that was heard of this recently passes on what the store says. */
-constexpr Duration kPeerStoreTime = std::chrono::seconds(1);
+/** A daemon that said so this recently passes on what the store says. */
+constexpr Duration kPeerStoreTime = std::chrono::milliseconds(1500);
+/** Reports of many daemons that differ from what this one knows of the store
+ * make it check this often. */
+constexpr Duration kStoreNewsInterval = std::chrono::milliseconds(200);
+/** What was learned goes to other zones with each third report: bytes between
+ * zones are dear, and it holds for seconds. */
+constexpr unsigned kFindingsInterval = 3;
 /** Below the time for which a report is used. */
 constexpr Duration kLongestInterval = std::chrono::milliseconds(1200);
 /** Datagrams of regular reports that one daemon sends in a second to its own
@@ -110,7 +116,7 @@
   timer.expires_after(FindInterval(aIsOwnZone));
   timer.async_wait([this, aIsOwnZone](const boost::system::error_code& aCode) {
     if (!aCode) {
-      SendTo(aIsOwnZone);
+      SendTo(aIsOwnZone, aIsOwnZone || ++reports_ % kFindingsInterval == 0);
       ScheduleReport(aIsOwnZone);
     }
   });
@@ -139,28 +145,32 @@
   if (!budget_.Take(CountMembers(aIsOwnZone), ReadMonotonicTime())) {
     return;
   }
-  SendTo(aIsOwnZone);
-  ScheduleReport(aIsOwnZone);
+  SendTo(aIsOwnZone, false);
 }
 
 void
 LoadExchange::Report()
 {
-  SendTo(true);
-  SendTo(false);
+  SendTo(true, true);
+  SendTo(false, true);
 }
 
 void
-LoadExchange::SendTo(bool aIsOwnZone)
+LoadExchange::SendTo(bool aIsOwnZone, bool aTellsFindings)
 {
   if (members_.empty()) {
     return;
   }
-  const std::string text =
-    FormatLoadReport({ name_,
-                       state_.GetBoard().DescribeOwnUse(),
-                       state_.DescribeLeaving(),
-                       state_.IsStoreReachable() });
+  LoadBoard& board = state_.GetBoard();
+  LoadReport report{ name_,
+                     board.DescribeOwnUse(),
+                     state_.DescribeLeaving(),
+                     state_.IsStoreReachable(),
+                     std::nullopt };
+  if (aTellsFindings) {
+    report.findings_ = board.DescribeFindings(ReadMonotonicTime());
+  }
+  const std::string text = FormatLoadReport(report);
   for (const auto& [member, zone] : members_) {
     if ((zone == zone_) != aIsOwnZone) {
       continue;
@@ -177,7 +187,10 @@
 bool
 LoadExchange::HasPeerWithStore(Time aNow) const
 {
-  return aNow - peerWithStoreAt_ < kPeerStoreTime;
+  return std::any_of(
+    storePeers_.begin(), storePeers_.end(), [&](const auto& aPeer) {
+      return aNow - aPeer.second < kPeerStoreTime;
+    });
 }
 
 void
@@ -185,16 +198,25 @@
 {
   const Time now = ReadMonotonicTime();
   if (aReport.hasStore_) {
-    peerWithStoreAt_ = now;
-    const auto address = ParseSocketAddress(aReport.sender_);
-    if (address && onStorePeer_ && !state_.IsStoreReachable()) {
-      onStorePeer_(*address);
-    }
+    storePeers_[aReport.sender_] = now;
+  } else {
+    storePeers_.erase(aReport.sender_);
+  }
+  const bool isNews = aReport.hasStore_ != state_.IsStoreReachable() &&
+                      now - storePeerToldAt_ >= kStoreNewsInterval;
+  const auto address = ParseSocketAddress(aReport.sender_);
+  if (isNews && address && onStorePeer_) {
+    storePeerToldAt_ = now;
+    onStorePeer_(*address, aReport.hasStore_);
   }
   for (const BackendServerId& server : aReport.leaving_) {
     state_.TakeLeavingNotice(server, "told by " + aReport.sender_, now);
   }
-  state_.GetBoard().SetPeerUse(aReport.sender_, std::move(aReport.uses_), now);
+  LoadBoard& board = state_.GetBoard();
+  board.SetPeerUse(aReport.sender_, std::move(aReport.uses_), now);
+  if (aReport.findings_) {
+    board.SetPeerFindings(aReport.sender_, std::move(*aReport.findings_), now);
+  }
   state_.NotifyLoad();
 }
 
--- a/modules/azurecross_serving/peers/LoadExchange.h
+++ b/modules/azurecross_serving/peers/LoadExchange.h
@@ -43,9 +43,10 @@
   /** Sends a report soon after a placement, as far as the budget goes. */
   void ReportPlacement();
 
-  /** Sets what is called with a daemon that hears from the store while this one
-   * does not. */
-  void SetStorePeerHandler(std::function<void(const SocketAddress&)> aHandler)
+  /** Is told of a daemon that knows otherwise of the store than this one, and
+   * whether that one hears from it. */
+  using StorePeerHandler = std::function<void(const SocketAddress&, bool)>;
+  void SetStorePeerHandler(StorePeerHandler aHandler)
   {
     onStorePeer_ = std::move(aHandler);
   }
@@ -59,7 +60,8 @@
 
 private:
   void ScheduleReport(bool aIsOwnZone);
-  void SendTo(bool aIsOwnZone);
+  /** @param aTellsFindings whether what was learned goes along. */
+  void SendTo(bool aIsOwnZone, bool aTellsFindings);
   void SendPlacement(bool aIsOwnZone);
   void Receive();
   void TakeReport(LoadReport aReport);
@@ -80,12 +82,15 @@
   boost::asio::steady_timer otherZonesTimer_;
   boost::asio::steady_timer placementTimer_;
   bool isPlacementPending_ = false;
+  /** Regular reports sent to other zones. */
+  unsigned reports_ = 0;
   ReportBudget budget_;
-  std::function<void(const SocketAddress&)> onStorePeer_;
+  StorePeerHandler onStorePeer_;
+  Time storePeerToldAt_;
+  /** When each daemon last said that it hears from the store. */
+  std::map<std::string, Time> storePeers_;
   AvailabilityZone zone_;
   std::string name_;
-  /** When a daemon with a reachable store was last heard of. */
-  Time peerWithStoreAt_;
   std::map<SocketAddress, AvailabilityZone> members_;
   std::array<char, kLargestReport> buffer_{};
   boost::asio::ip::udp::endpoint sender_;
--- a/modules/azurecross_serving/peers/LoadReport.cpp
+++ b/modules/azurecross_serving/peers/LoadReport.cpp
@@ -12,6 +12,69 @@
 
 /** One use is the array: server, runs, expected memory, pending prompt. */
 constexpr std::size_t kUseFields = 4;
+/** One finding is the array: server, and for each part of what was learned the
+ * mean in nanoseconds or billionths and its weight in tenths. */
+constexpr std::size_t kFindingFields = 9;
+constexpr double kMeanUnit = 1e-9;
+constexpr double kWeightUnit = 0.1;
+
+void
+AppendMean(json::array& aFields, const DecayedMean& aMean)
+{
+  aFields.emplace_back(std::llround(aMean.GetMean(0.0, 0.0) / kMeanUnit));
+  aFields.emplace_back(std::llround(aMean.weight_ / kWeightUnit));
+}
+
+std::optional<DecayedMean>
+ParseMean(const json::value& aMean, const json::value& aWeight)
+{
+  const std::int64_t* mean = aMean.if_int64();
+  const std::int64_t* weight = aWeight.if_int64();
+  if (mean == nullptr || weight == nullptr || *mean < 0 || *weight < 0) {
+    return std::nullopt;
+  }
+  DecayedMean result;
+  result.weight_ = static_cast<double>(*weight) * kWeightUnit;
+  result.sum_ = static_cast<double>(*mean) * kMeanUnit * result.weight_;
+  return result;
+}
+
+std::optional<ServerFinding>
+ParseFinding(const json::value& aValue)
+{
+  const json::array* fields = aValue.if_array();
+  if (fields == nullptr || fields->size() != kFindingFields ||
+      !(*fields)[0].is_string()) {
+    return std::nullopt;
+  }
+  ServerFinding finding;
+  finding.server_ = BackendServerId(std::string((*fields)[0].get_string()));
+  ServerLearning& learning = finding.learning_;
+  std::size_t field = 1;
+  for (DecayedMean* part : { &learning.promptSeconds_,
+                             &learning.tokenSeconds_,
+                             &learning.callSeconds_,
+                             &learning.failures_ }) {
+    const auto mean = ParseMean((*fields)[field], (*fields)[field + 1]);
+    if (!mean) {
+      return std::nullopt;
+    }
+    *part = *mean;
+    field += 2;
+  }
+  return finding;
+}
+
+json::array
+FormatFinding(const ServerFinding& aFinding)
+{
+  json::array fields{ aFinding.server_.GetValue() };
+  AppendMean(fields, aFinding.learning_.promptSeconds_);
+  AppendMean(fields, aFinding.learning_.tokenSeconds_);
+  AppendMean(fields, aFinding.learning_.callSeconds_);
+  AppendMean(fields, aFinding.learning_.failures_);
+  return fields;
+}
 
 std::optional<ServerUse>
 ParseUse(const json::value& aValue)
@@ -57,6 +120,13 @@
   }
   report["leaving"] = std::move(leaving);
   report["has_store"] = aReport.hasStore_;
+  if (aReport.findings_) {
+    json::array findings;
+    for (const ServerFinding& finding : *aReport.findings_) {
+      findings.push_back(FormatFinding(finding));
+    }
+    report["findings"] = std::move(findings);
+  }
   return json::serialize(report);
 }
 
@@ -89,6 +159,17 @@
       report.leaving_.emplace_back(std::string(server.get_string()));
     }
   }
+  const json::value* findings = object->if_contains("findings");
+  if (findings != nullptr && findings->is_array()) {
+    report.findings_.emplace();
+    for (const json::value& entry : findings->get_array()) {
+      auto finding = ParseFinding(entry);
+      if (!finding) {
+        return std::nullopt;
+      }
+      report.findings_->push_back(std::move(*finding));
+    }
+  }
   for (const json::value& entry : uses->get_array()) {
     auto use = ParseUse(entry);
     if (!use) {
--- a/modules/azurecross_serving/peers/LoadReport.h
+++ b/modules/azurecross_serving/peers/LoadReport.h
@@ -19,6 +19,8 @@
   std::vector<BackendServerId> leaving_;
   /** Whether the sender hears from the store. */
   bool hasStore_ = true;
+  /** What the sender has learned; nothing if it is unchanged. */
+  std::optional<std::vector<ServerFinding>> findings_;
 };
 
 /** @returns the report as JSON. */
--- a/modules/azurecross_serving/state/ServingState.h
+++ b/modules/azurecross_serving/state/ServingState.h
@@ -66,8 +66,8 @@
   void SetStoreReachable(bool aIsReachable)
   {
     isStoreReachable_ = aIsReachable;
-    if (aIsReachable && onStoreReturn_) {
-      onStoreReturn_();
+    if (onStoreChange_) {
+      onStoreChange_();
     }
   }
   bool IsStoreReachable() const { return isStoreReachable_; }
@@ -75,10 +75,10 @@
   /** Removes what stayed missing and forgets silent peers. */
   void Tick(Time aNow, Time aBootNow);
 
-  /** Sets what is called when this daemon hears from the store again. */
-  void SetStoreReturnHandler(std::function<void()> aHandler)
+  /** Sets what is called when the store is lost or answers again. */
+  void SetStoreHandler(std::function<void()> aHandler)
   {
-    onStoreReturn_ = std::move(aHandler);
+    onStoreChange_ = std::move(aHandler);
   }
   /** Sets what is called when a backend server begins to leave. */
   void SetLeavingHandler(std::function<void(const BackendServerId&)> aHandler)
@@ -131,7 +131,7 @@
   bool isStoreReachable_ = true;
   std::function<void(const BackendServerId&)> onLeaving_;
   std::function<void()> onLoad_;
-  std::function<void()> onStoreReturn_;
+  std::function<void()> onStoreChange_;
   std::function<void()> onPlaced_;
 };
 
--- a/modules/azurecross_serving/state/StateSync.h
+++ b/modules/azurecross_serving/state/StateSync.h
@@ -151,6 +151,10 @@
     return isLost_ || ReadMonotonicTime() - regainedAt_ < kAfterOutage;
   }
 
+  /** Whether the store answers decides what daemons do while engines leave
+   * unannounced, so that the first failure is checked at once. */
+  static constexpr Duration kCheckPause = std::chrono::milliseconds(50);
+
   Duration FindPause(unsigned aFailures, Duration aLongest)
   {
     return random_.Jitter(std::min(kRetryPause * aFailures, aLongest), 0.5);
@@ -224,7 +228,9 @@
       AsyncResult<TablesReading> reading = co_await source_.ReadTables();
       Note("read_tables", IsAnswered(reading), FindReason(reading));
       if (!reading) {
-        co_await proofWanted_.Wait(FindPause(++failures, kLongestRetryPause));
+        const bool isFirst = ++failures == 1;
+        co_await proofWanted_.Wait(
+          isFirst ? kCheckPause : FindPause(failures, kLongestRetryPause));
         continue;
       }
       failures = 0;
--- a/tests/dispatch_tests/PlacementTests.cpp
+++ b/tests/dispatch_tests/PlacementTests.cpp
@@ -128,6 +128,89 @@
   BOOST_TEST(most <= kDaemons / 2);
 }
 
+// Guards against each daemon of a fleet that learns by itself which engine
+// breaks off its answers: 64 short generations of one day were lost so, one or
+// two for each pair of daemon and engine.
+BOOST_AUTO_TEST_CASE(FailuresSeenByOthersCount)
+{
+  LoadBoard other;
+  AddEngine(other, "bad");
+  for (int failure = 0; failure < 4; ++failure) {
+    other.Finish(
+      StartGeneration(other, "bad", 100), RunEnd::Failed, At(0.1 * failure));
+  }
+  LoadBoard board;
+  AddEngine(board, "bad");
+  AddEngine(board, "good");
+  for (int run = 0; run < 3; ++run) {
+    StartGeneration(board, "good", 3000);
+  }
+  ServerPlacement placement(AvailabilityZone("a"), 1);
+  const PlacementRequest request = MakeGeneration(1000);
+  BOOST_TEST(placement.Choose(board, request, At(1))->server_.GetValue() ==
+             "bad");
+  board.SetPeerFindings("d2", other.DescribeFindings(At(0.5)), At(0.5));
+  BOOST_TEST(placement.Choose(board, request, At(1))->server_.GetValue() ==
+             "good");
+  // What others saw long ago counts no more.
+  board.SetPeerFindings("d2", other.DescribeFindings(At(60)), At(60));
+  BOOST_TEST(placement.Choose(board, request, At(60))->server_.GetValue() ==
+             "bad");
+}
+
+// Guards against a fleet that treats slow and fast engines alike because no
+// daemon has used them often enough.
+BOOST_AUTO_TEST_CASE(SpeedsSeenByOthersCount)
+{
+  LoadBoard other;
+  AddEngine(other, "slow");
+  const PlacementRequest request = MakeGeneration(2000);
+  const RunNumber run = other.Start({ BackendServerId("slow"),
+                                      request.route_,
+                                      request.customer_,
+                                      request.kind_,
+                                      request.demand_,
+                                      0,
+                                      At(0) });
+  other.ObserveEvent(run, 4, At(3));
+  LoadBoard board;
+  AddEngine(board, "slow");
+  const ServerLoad* server = board.Find(BackendServerId("slow"));
+  const double assumed = server->GetSecondsPerPromptToken();
+  board.SetPeerFindings("d2", other.DescribeFindings(At(3)), At(3));
+  BOOST_TEST(server->GetSecondsPerPromptToken() > 3.0 * assumed);
+}
+
+// Guards against short generations that wait behind long ones for memory that
+// is kept for the growth of running ones. The load: engines filled with long
+// generations by a burst.
+BOOST_AUTO_TEST_CASE(BriefRunsUseTheReservedMemory)
+{
+  LoadBoard board;
+  AddEngine(board, "e1");
+  ServerPlacement placement(AvailabilityZone("a"), 1);
+  PlacementRequest request = MakeGeneration(3000);
+  const auto start = [&] {
+    board.Start({ BackendServerId("e1"),
+                  request.route_,
+                  request.customer_,
+                  request.kind_,
+                  request.demand_,
+                  1,
+                  At(0) });
+  };
+  while (placement.Choose(board, request, At(1))) {
+    start();
+  }
+  const double memory = board.Find(BackendServerId("e1"))->GetMemory();
+  BOOST_TEST(memory < 0.9 * 20000.0);
+  request.demand_.promptTokens_ =
+    static_cast<std::uint32_t>(0.95 * 20000.0 - memory);
+  BOOST_TEST(!placement.Choose(board, request, At(1)).has_value());
+  request.demand_.outputLimit_ = 20;
+  BOOST_TEST(placement.Choose(board, request, At(1)).has_value());
+}
+
 // Guards against plain calls beyond the slots of a server.
 BOOST_AUTO_TEST_CASE(CallsStayWithinTheSlots)
 {
