Add azurecross trace, which tells a request's story and cause from logs

The command reads logs of any processes, in any order, counts lines that are no records, and adds the changes of the request's backend servers and the outages of the store that its process saw.

--- a/apps/azurecross/Commands.cpp
+++ b/apps/azurecross/Commands.cpp
@@ -2,6 +2,7 @@
 
 #include "EntryCommands.h"
 #include "TableCommands.h"
+#include "TraceCommand.h"
 
 #include <array>
 #include <iostream>
@@ -17,7 +18,7 @@
   int (*run_)(CommandContext&);
 };
 
-constexpr std::array<Command, 9> kCommands{ {
+constexpr std::array<Command, 10> kCommands{ {
   { "get", "[routes|pools|TABLE/NAME]: print the tables", RunGet },
   { "edit", "TABLE/NAME FIELD=VALUE...: change or --delete a row", RunEdit },
   { "diff", "FILE: print what apply would change", RunDiff },
@@ -27,6 +28,7 @@
   { "status", "print the status of --entries", RunStatus },
   { "explain", "METHOD PATH: how an entry would treat a request", RunExplain },
   { "send", "METHOD PATH: send a request to --entry", RunSend },
+  { "trace", "REQUEST-ID [FILE...]: tell a request from logs", RunTrace },
 } };
 
 std::string
--- /dev/null
+++ b/apps/azurecross/RequestTrace.cpp
@@ -0,0 +1,196 @@
+#include "RequestTrace.h"
+
+#include <algorithm>
+#include <array>
+#include <istream>
+
+namespace azurecross {
+
+namespace json = boost::json;
+
+namespace {
+
+/** Fields that all records have; the rest is printed. */
+constexpr std::array<std::string_view, 4> kCommonFields{ "time",
+                                                         "level",
+                                                         "program",
+                                                         "message" };
+constexpr std::array<std::string_view, 3> kStoreMessages{
+  "dependency_lost",
+  "dependency_regained",
+  "stopping"
+};
+constexpr std::array<std::string_view, 3> kServerFields{ "backend_server",
+                                                         "from",
+                                                         "to" };
+
+std::string
+FindText(const json::object& aFields, std::string_view aName)
+{
+  const json::value* value = aFields.if_contains(aName);
+  if (value == nullptr) {
+    return {};
+  }
+  return value->is_string() ? std::string(value->get_string())
+                            : json::serialize(*value);
+}
+
+template<std::size_t Count>
+bool
+Contains(const std::array<std::string_view, Count>& aNames,
+         std::string_view aName)
+{
+  return std::find(aNames.begin(), aNames.end(), aName) != aNames.end();
+}
+
+} // namespace
+
+RequestTrace::RequestTrace(std::string aRequest)
+  : request_(std::move(aRequest))
+{
+}
+
+void
+RequestTrace::Read(std::istream& aLines, const std::string& aSource)
+{
+  std::string line;
+  while (std::getline(aLines, line)) {
+    TakeLine(line, aSource);
+  }
+}
+
+void
+RequestTrace::TakeLine(std::string_view aLine, const std::string& aSource)
+{
+  const std::size_t start = aLine.find('{');
+  if (start == std::string_view::npos) {
+    unreadable_ += aLine.empty() ? 0 : 1;
+    return;
+  }
+  boost::system::error_code code;
+  json::value value = json::parse(aLine.substr(start), code);
+  const bool isRecord =
+    !code && value.is_object() && value.get_object().contains("message");
+  if (!isRecord) {
+    ++unreadable_;
+    return;
+  }
+  Record record;
+  record.fields_ = std::move(value.get_object());
+  record.time_ = FindText(record.fields_, "time");
+  record.message_ = FindText(record.fields_, "message");
+  record.source_ = aSource;
+  if (FindText(record.fields_, "request") == request_) {
+    own_.push_back(std::move(record));
+  } else if (record.message_ == "server_changed" ||
+             Contains(kStoreMessages, record.message_)) {
+    changes_.push_back(std::move(record));
+  }
+}
+
+std::vector<RequestTrace::Record>
+RequestTrace::FindContext() const
+{
+  std::set<std::string> servers;
+  std::set<std::string> sources;
+  for (const Record& record : own_) {
+    sources.insert(record.source_);
+    for (const std::string_view field : kServerFields) {
+      servers.insert(FindText(record.fields_, field));
+    }
+  }
+  std::vector<Record> context;
+  for (const Record& record : changes_) {
+    // Each process logs the same change of a server; the request's own decided.
+    if (!sources.contains(record.source_)) {
+      continue;
+    }
+    const bool isOfServer =
+      record.message_ == "server_changed" &&
+      servers.contains(FindText(record.fields_, "backend_server"));
+    if (isOfServer || Contains(kStoreMessages, record.message_)) {
+      context.push_back(record);
+    }
+  }
+  return context;
+}
+
+std::vector<std::string>
+RequestTrace::Describe() const
+{
+  std::vector<Record> records = FindContext();
+  records.insert(records.end(), own_.begin(), own_.end());
+  // Times have one format, so that their order is that of the texts.
+  std::stable_sort(records.begin(),
+                   records.end(),
+                   [](const Record& aLeft, const Record& aRight) {
+                     return aLeft.time_ < aRight.time_;
+                   });
+  std::vector<std::string> lines;
+  for (const Record& record : records) {
+    std::string line =
+      record.time_ + " " + record.source_ + " " + record.message_;
+    for (const auto& field : record.fields_) {
+      if (!Contains(kCommonFields, field.key()) && field.key() != "request") {
+        line += " " + std::string(field.key()) + "=" +
+                FindText(record.fields_, field.key());
+      }
+    }
+    lines.push_back(std::move(line));
+  }
+  return lines;
+}
+
+std::string
+RequestTrace::FindCause() const
+{
+  const auto isEnd = [](const Record& aRecord) {
+    return aRecord.message_ == "request_served" ||
+           aRecord.message_ == "request_failed" ||
+           aRecord.message_ == "request_refused" ||
+           aRecord.message_ == "caller_left";
+  };
+  const auto end = std::find_if(own_.rbegin(), own_.rend(), isEnd);
+  if (end == own_.rend()) {
+    return "no record of its end: the process died, or its log is missing";
+  }
+  if (end->message_ == "request_served") {
+    return "served with status " + FindText(end->fields_, "status");
+  }
+  std::string cause = end->message_ + ": " +
+                      FindText(end->fields_, "reason") + ", " +
+                      FindText(end->fields_, "detail") + " (verdict " +
+                      FindText(end->fields_, "verdict") + ")";
+  const std::string server = FindText(end->fields_, "backend_server");
+  std::string store;
+  std::string serverChange;
+  for (const Record& record : FindContext()) {
+    if (record.time_ > end->time_) {
+      continue;
+    }
+    if (record.message_ == "dependency_lost") {
+      store = "; the store was lost since " + record.time_;
+    } else if (record.message_ == "dependency_regained") {
+      store.clear();
+    } else if (record.message_ == "stopping") {
+      store = "; the process was stopping since " + record.time_;
+    } else if (FindText(record.fields_, "backend_server") == server) {
+      const std::string change = FindText(record.fields_, "change");
+      serverChange = change == "added"
+                       ? std::string()
+                       : "; backend server " + server + " " + change +
+                           " at " + record.time_;
+    }
+  }
+  const auto move =
+    std::find_if(own_.rbegin(), own_.rend(), [](const Record& aRecord) {
+      return aRecord.message_ == "move_ended";
+    });
+  if (move != own_.rend()) {
+    cause += "; last move: " + FindText(move->fields_, "step") + " " +
+             FindText(move->fields_, "outcome");
+  }
+  return cause + serverChange + store;
+}
+
+} // namespace azurecross
