Wait for the list of members only after the start

Cause, found in reading the change: each watch waited up to 1.5 s for the first list of members. The wait now ends 1.5 s after the start. ChangesAreFollowedWithoutARegistration fails on the code before. A first form of the test never ended, because its fake store answered a watch without suspending; it waits 5 ms now.

--- a/modules/azurecross_serving/state/StateSync.h
+++ b/modules/azurecross_serving/state/StateSync.h
@@ -56,6 +56,7 @@
   void Start(MemberRecord aSelf, MembersHandler aOnMembers)
   {
     self_ = std::move(aSelf);
+    joinEnd_ = ReadMonotonicTime() + kLongestJoinWait;
     onMembers_ = std::move(aOnMembers);
     Spawn(FollowTables());
     Spawn(ProveTables());
@@ -178,12 +179,12 @@
     }
   }
 
-  /** Waits until the daemon knows the others after its start. */
+  /** Waits until the daemon knows the others, only for a while after its start:
+   * a store that takes no registrations must not delay changes. */
   boost::asio::awaitable<void> AwaitMembers()
   {
-    const Time giveUp = ReadMonotonicTime() + kLongestJoinWait;
-    while (!areMembersKnown_ && ReadMonotonicTime() < giveUp) {
-      co_await membersKnown_.Wait(giveUp - ReadMonotonicTime());
+    while (!areMembersKnown_ && ReadMonotonicTime() < joinEnd_) {
+      co_await membersKnown_.Wait(joinEnd_ - ReadMonotonicTime());
     }
   }
 
@@ -342,6 +343,7 @@
   Signal regained_;
   Signal membersKnown_;
   bool areMembersKnown_ = false;
+  Time joinEnd_;
   MemberRecord self_;
   MembersHandler onMembers_;
   unsigned failures_ = 0;
--- a/tests/serving_tests/SyncTests.cpp
+++ b/tests/serving_tests/SyncTests.cpp
@@ -77,16 +77,24 @@
   {
     ++watches_;
     asio::steady_timer timer(co_await asio::this_coro::executor);
-    for (int step = 0; step < 1000 && !isDown_; ++step) {
+    for (int step = 0; step < 1000; ++step) {
       timer.expires_after(5ms);
       co_await timer.async_wait(asio::use_awaitable);
+      if (isDown_ || hasNews_) {
+        break;
+      }
     }
-    co_return MakeError(ErrorCode::StoreUnavailable);
+    if (!hasNews_) {
+      co_return MakeError(ErrorCode::StoreUnavailable);
+    }
+    Reading reading;
+    reading.revision_ = 5;
+    co_return reading;
   }
 
   asio::awaitable<AsyncResult<bool>> AnswerMember()
   {
-    if (isDown_) {
+    if (isDown_ || takesNoMembers_) {
       co_return MakeError(ErrorCode::StoreUnavailable);
     }
     co_return true;
@@ -99,6 +107,8 @@
 
   bool isDown_ = false;
   bool hasTables_ = true;
+  bool hasNews_ = false;
+  bool takesNoMembers_ = false;
   int reads_ = 0;
   int lists_ = 0;
   int watches_ = 0;
@@ -188,6 +198,19 @@
   BOOST_TEST(!state_.IsStoreReachable());
 }
 
+// Guards against changes of servers that are delayed while the store takes no
+// registrations.
+BOOST_FIXTURE_TEST_CASE(ChangesAreFollowedWithoutARegistration, SyncFixture)
+{
+  store_.takesNoMembers_ = true;
+  Start();
+  RunFor(1700ms);
+  store_.hasNews_ = true;
+  const int before = store_.watches_;
+  RunFor(1s);
+  BOOST_TEST(store_.watches_ - before >= 10);
+}
+
 // Guards against a new lease and record after each short outage: the lease
 // outlasts it, and only word of its end ends it.
 BOOST_FIXTURE_TEST_CASE(LeaseIsKeptThroughAnOutage, SyncFixture)
