--- a/apps/azurecross/RequestTrace.cpp
+++ b/apps/azurecross/RequestTrace.cpp
@@ -172,10 +172,16 @@
     } else if (record.message_ == "stopping") {
       store = "; the process was stopping since " + record.time_;
     } else if (FindText(record.fields_, "backend_server") == server) {
+      serverChange.clear();
       const std::string change = FindText(record.fields_, "change");
-      serverChange = change == "added" ? std::string()
-                                       : "; backend server " + server + " " +
-                                           change + " at " + record.time_;
+      if (change != "added") {
+        serverChange += "; backend server ";
+        serverChange += server;
+        serverChange += " ";
+        serverChange += change;
+        serverChange += " at ";
+        serverChange += record.time_;
+      }
     }
   }
   const auto move =
