Count only the difference that a load report makes

LoadBoard added up the uses and findings of all daemons anew for each report: with 60 daemons about 500 look-ups for each of 60 reports a second, in the daemon as well.

Change: a report takes off what its daemon said before and adds what it says now; everything is added up anew only when a server is new or a daemon falls silent.

No decision changes: SumsOfOthersAreTheirLastWords compares the sums with those of all last reports over 2,000 random reports with servers that come and go.

--- a/modules/azurecross_dispatch/placement/LoadBoard.cpp
+++ b/modules/azurecross_dispatch/placement/LoadBoard.cpp
@@ -311,10 +311,13 @@
                       std::vector<ServerUse> aUses,
                       Time aNow)
 {
+  // Reports of all daemons come in several times a second, so only the
+  // difference that one makes is counted.
   Peer& peer = peers_[aPeer];
+  SubtractUses(peer.uses_);
   peer.uses_ = std::move(aUses);
   peer.heardAt_ = aNow;
-  RefreshOthers();
+  AddUses(peer.uses_);
 }
 
 void
@@ -323,9 +326,10 @@
                            Time aNow)
 {
   Peer& peer = peers_[aPeer];
+  AddFindings(peer.findings_, -1.0);
   peer.findings_ = std::move(aFindings);
   peer.heardAt_ = aNow;
-  RefreshOthers();
+  AddFindings(peer.findings_, 1.0);
 }
 
 std::size_t
@@ -348,20 +352,53 @@
     server.othersLearning_ = ServerLearning();
   }
   for (const auto& [name, peer] : peers_) {
-    for (const ServerUse& use : peer.uses_) {
-      const auto found = servers_.find(use.server_);
-      if (found != servers_.end()) {
-        ServerUse& others = found->second.others_;
-        others.runs_ += use.runs_;
-        others.memoryTokens_ += use.memoryTokens_;
-        others.pendingPrompt_ += use.pendingPrompt_;
-      }
+    AddUses(peer.uses_);
+    AddFindings(peer.findings_, 1.0);
+  }
+}
+
+void
+LoadBoard::AddUses(const std::vector<ServerUse>& aUses)
+{
+  for (const ServerUse& use : aUses) {
+    const auto found = servers_.find(use.server_);
+    if (found != servers_.end()) {
+      ServerUse& others = found->second.others_;
+      others.runs_ += use.runs_;
+      others.memoryTokens_ += use.memoryTokens_;
+      others.pendingPrompt_ += use.pendingPrompt_;
+    }
+  }
+}
+
+void
+LoadBoard::SubtractUses(const std::vector<ServerUse>& aUses)
+{
+  for (const ServerUse& use : aUses) {
+    const auto found = servers_.find(use.server_);
+    if (found == servers_.end()) {
+      continue;
     }
-    for (const ServerFinding& finding : peer.findings_) {
-      const auto found = servers_.find(finding.server_);
-      if (found != servers_.end()) {
-        found->second.othersLearning_.Add(finding.learning_);
-      }
+    ServerUse& others = found->second.others_;
+    others.runs_ -= std::min(others.runs_, use.runs_);
+    // Rounding errors must not leave a load on a server that nobody uses.
+    const bool isUnused = others.runs_ == 0;
+    others.memoryTokens_ =
+      isUnused ? 0.0 : std::max(0.0, others.memoryTokens_ - use.memoryTokens_);
+    others.pendingPrompt_ =
+      isUnused ? 0.0
+               : std::max(0.0, others.pendingPrompt_ - use.pendingPrompt_);
+  }
+}
+
+void
+LoadBoard::AddFindings(const std::vector<ServerFinding>& aFindings,
+                       double aFactor)
+{
+  for (const ServerFinding& finding : aFindings) {
+    const auto found = servers_.find(finding.server_);
+    if (found != servers_.end()) {
+      found->second.othersLearning_.Add(finding.learning_, aFactor);
     }
   }
 }
--- a/modules/azurecross_dispatch/placement/LoadBoard.h
+++ b/modules/azurecross_dispatch/placement/LoadBoard.h
@@ -228,7 +228,13 @@
   void ClearPending(Run& aRun, ServerLoad& aServer);
   void ObserveFailure(ServerLoad& aServer, RunEnd aEnd, Time aNow);
   void ObserveUnreachable(const ServerRecord& aRecord, Time aNow);
+  /** Adds up anew what all other daemons use and have observed. */
   void RefreshOthers();
+  /** Adds what one daemon uses to the sums, or takes it off. */
+  void AddUses(const std::vector<ServerUse>& aUses);
+  void SubtractUses(const std::vector<ServerUse>& aUses);
+  /** Adds what one daemon has observed, or with -1 takes it off. */
+  void AddFindings(const std::vector<ServerFinding>& aFindings, double aFactor);
 
   /** The last server of a zone that could not be reached. */
   struct ZoneFailure
--- a/tests/dispatch_tests/LoadTests.cpp
+++ b/tests/dispatch_tests/LoadTests.cpp
@@ -2,6 +2,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
+#include <map>
+#include <vector>
+
 namespace azurecross {
 
 // Guards against load that stays on the board after its runs have ended.
@@ -26,6 +30,47 @@
   BOOST_TEST(load->GetMemory() == 0.0);
 }
 
+// Guards against sums over the other daemons that drift from what these last
+// said, by reports that replace each other and servers that come and go.
+BOOST_AUTO_TEST_CASE(SumsOfOthersAreTheirLastWords)
+{
+  Random random(7);
+  LoadBoard board;
+  std::map<std::string, std::vector<ServerUse>> said;
+  for (int step = 0; step < 2000; ++step) {
+    if (step % 50 == 0) {
+      const std::string engine = "e" + std::to_string(random.DrawBelow(6));
+      board.Remove(BackendServerId(engine));
+      AddEngine(board, "e" + std::to_string(random.DrawBelow(6)));
+    }
+    const std::string peer = "d" + std::to_string(random.DrawBelow(5));
+    std::vector<ServerUse> uses;
+    for (int engine = 0; engine < 6; ++engine) {
+      const auto runs = static_cast<std::uint32_t>(random.DrawBelow(3));
+      if (runs > 0) {
+        uses.push_back({ BackendServerId("e" + std::to_string(engine)),
+                         runs,
+                         runs * 1000.0 * random.DrawUnit(),
+                         0.0 });
+      }
+    }
+    said[peer] = uses;
+    board.SetPeerUse(peer, uses, At(0));
+    for (const auto& [id, server] : board.GetServers()) {
+      std::uint32_t runs = 0;
+      double memory = 0.0;
+      for (const auto& [name, words] : said) {
+        for (const ServerUse& use : words) {
+          runs += use.server_ == id ? use.runs_ : 0;
+          memory += use.server_ == id ? use.memoryTokens_ : 0.0;
+        }
+      }
+      BOOST_REQUIRE(server.GetRuns() == runs);
+      BOOST_REQUIRE(std::abs(server.GetMemory() - memory) < 1e-3);
+    }
+  }
+}
+
 // Guards against loads of daemons that have died.
 BOOST_AUTO_TEST_CASE(SilentDaemonsAreForgotten)
 {
