Pace every watch, and pause after failures in one place

Cause, seen when a test never ended: the loop that follows the tables had no pause after an answer, so a store whose watch answers at once would keep the daemon's only thread busy. The branch that pauses after a failure stood twice (FollowTables and FollowServers).

Change: both loops wait 30 ms after each answer, and PauseAfter decides about all pauses before a new read.

Test: WatchesThatAnswerAtOnceArePaced does not end on the code before.

--- a/modules/azurecross_serving/state/StateSync.h
+++ b/modules/azurecross_serving/state/StateSync.h
@@ -161,9 +161,15 @@
     return random_.Jitter(std::min(kRetryPause * aFailures, aLongest), 0.5);
   }
 
-  /** Pauses after a failed call; while the store is lost, until it is back. */
+  /** Pauses before the state is read anew: briefly if only the changes were
+   * lost, longer after failed calls; while the store is lost, until it is back.
+   */
   boost::asio::awaitable<void> PauseAfter(unsigned aFailures)
   {
+    if (aFailures == 0) {
+      co_await Sleep(kWatchPause);
+      co_return;
+    }
     if (!isLost_) {
       co_await Sleep(FindPause(aFailures, kLongestRetryPause));
     }
@@ -202,11 +208,8 @@
       Note("watch_tables", IsAnswered(reading), FindReason(reading));
       if (!reading) {
         revision = 0;
-        if (!IsAnswered(reading)) {
-          co_await PauseAfter(++failures);
-        } else {
-          co_await Sleep(kWatchPause);
-        }
+        failures += IsAnswered(reading) ? 0 : 1;
+        co_await PauseAfter(failures);
         continue;
       }
       failures = 0;
@@ -214,9 +217,7 @@
         revision == 0 && !reading->content_ && !state_.GetTables();
       revision = reading->revision_;
       state_.TakeTables(std::move(reading->content_), ReadMonotonicTime());
-      if (isMissing) {
-        co_await Sleep(kNoTablesPause);
-      }
+      co_await Sleep(isMissing ? kNoTablesPause : kWatchPause);
       co_await AwaitMembers();
     }
   }
@@ -258,11 +259,8 @@
       Note("watch_servers", IsAnswered(reading), FindReason(reading));
       if (!reading) {
         revision = 0;
-        if (!IsAnswered(reading)) {
-          co_await PauseAfter(++failures);
-        } else {
-          co_await Sleep(kWatchPause);
-        }
+        failures += IsAnswered(reading) ? 0 : 1;
+        co_await PauseAfter(failures);
         continue;
       }
       failures = 0;
--- a/tests/serving_tests/SyncTests.cpp
+++ b/tests/serving_tests/SyncTests.cpp
@@ -77,12 +77,9 @@
   {
     ++watches_;
     asio::steady_timer timer(co_await asio::this_coro::executor);
-    for (int step = 0; step < 1000; ++step) {
+    for (int step = 0; step < 1000 && !isDown_ && !hasNews_; ++step) {
       timer.expires_after(5ms);
       co_await timer.async_wait(asio::use_awaitable);
-      if (isDown_ || hasNews_) {
-        break;
-      }
     }
     if (!hasNews_) {
       co_return MakeError(ErrorCode::StoreUnavailable);
@@ -211,6 +208,17 @@
   BOOST_TEST(store_.watches_ - before >= 10);
 }
 
+// Guards against a watch that answers at once and keeps the daemon's only
+// thread busy: a store that does so must not stop it.
+BOOST_FIXTURE_TEST_CASE(WatchesThatAnswerAtOnceArePaced, SyncFixture)
+{
+  store_.hasNews_ = true;
+  Start();
+  RunFor(1s);
+  // Two loops, one call each 30 ms at most.
+  BOOST_TEST(store_.watches_ <= 70);
+}
+
 // Guards against a new lease and record after each short outage: the lease
 // outlasts it, and only word of its end ends it.
 BOOST_FIXTURE_TEST_CASE(LeaseIsKeptThroughAnOutage, SyncFixture)
