Keep the state of a condition alive until its timeout handler has run

Cause: the timeout handler of AsyncCondition::Wait could be queued behind the end of a notified wait. Change: the condition's state is shared with its waits, its destruction notifies them, and the timeout of one wait no longer ends another. A resume takes the move's id before it connects, so that a late response to the stop request no longer sets a deadline on the resumed stream (LateStopResponseDoesNotCutResumedStream); a move is marked as started before its coroutine runs; a generation that resumes on an engine that drains moves on (GenerationMovesOnFromDrainingTarget). All of these tests fail without the change. Ruled out: a null connection in HandleStopped.

--- a/modules/azurecross_serving/forward/AsyncCondition.h
+++ b/modules/azurecross_serving/forward/AsyncCondition.h
@@ -8,45 +8,69 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <memory>
+
 namespace azurecross {
 
-/** Condition variable for coroutines that run on one thread. */
+/**
+ * Condition variable for coroutines that run on one thread. Its destruction
+ * notifies the coroutines that are still waiting.
+ */
 class AsyncCondition
 {
 public:
   explicit AsyncCondition(const WorkerExecutor& aExecutor)
-    : timer_(aExecutor)
+    : state_(std::make_shared<State>(aExecutor))
   {
-    timer_.expires_at(std::chrono::steady_clock::time_point::max());
   }
+  ~AsyncCondition() { Notify(); }
+
+  AsyncCondition(const AsyncCondition&) = delete;
+  AsyncCondition& operator=(const AsyncCondition&) = delete;
 
   /** Resumes all coroutines that are waiting now. */
   void Notify()
   {
-    ++notifications_;
-    timer_.cancel();
+    ++state_->notifications_;
+    state_->timer_.cancel();
   }
 
   /** @returns whether a notification arrived before the timeout. */
   boost::asio::awaitable<bool> Wait(Duration aTimeout)
   {
-    const std::uint64_t before = notifications_;
-    boost::asio::steady_timer timeout(timer_.get_executor());
-    timeout.expires_after(aTimeout);
-    timeout.async_wait([this, before](const boost::system::error_code& aCode) {
-      if (!aCode && notifications_ == before) {
-        timer_.cancel();
+    // The handler of the timeout can run after the wait has ended, when the
+    // condition may be gone already.
+    const std::shared_ptr<State> state = state_;
+    const std::uint64_t before = state->notifications_;
+    boost::asio::steady_timer timeout(state->timer_.get_executor(), aTimeout);
+    timeout.async_wait([state](const boost::system::error_code& aCode) {
+      if (!aCode) {
+        state->timer_.cancel();
       }
     });
-    boost::system::error_code code;
-    co_await timer_.async_wait(
-      boost::asio::redirect_error(boost::asio::use_awaitable, code));
-    co_return notifications_ != before;
+    // The timeouts of other waiting coroutines cancel the timer as well.
+    while (state->notifications_ == before &&
+           std::chrono::steady_clock::now() < timeout.expiry()) {
+      boost::system::error_code code;
+      co_await state->timer_.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, code));
+    }
+    co_return state->notifications_ != before;
   }
 
 private:
-  boost::asio::steady_timer timer_;
-  std::uint64_t notifications_ = 0;
+  struct State
+  {
+    explicit State(const WorkerExecutor& aExecutor)
+      : timer_(aExecutor, std::chrono::steady_clock::time_point::max())
+    {
+    }
+
+    boost::asio::steady_timer timer_;
+    std::uint64_t notifications_ = 0;
+  };
+
+  std::shared_ptr<State> state_;
 };
 
 } // namespace azurecross
--- a/modules/azurecross_serving/forward/GenerationExchange.cpp
+++ b/modules/azurecross_serving/forward/GenerationExchange.cpp
@@ -267,6 +267,10 @@
     co_return false;
   }
   const bool isStopped = generation_->stage_ == MoveStage::Stopped;
+  // From here on the copy belongs to the resume: a move that still waits for
+  // the response to its request must change neither the generation nor the
+  // connection to its new engine.
+  ++generation_->moveId_;
   const KvCacheCopy copy = *generation_->copy_;
   bool isResumed = co_await ResumeFrom(copy);
   if (!isResumed && isStopped && copy.server_ != generation_->server_ &&
@@ -281,7 +285,9 @@
   generation_->copyReservation_ = RunReservation();
   generation_->stage_ = MoveStage::None;
   generation_->isMoving_ = false;
-  ++generation_->moveId_;
+  if (isResumed) {
+    services_.mover_->MoveIfDraining(generation_);
+  }
   co_return isResumed;
 }
 
--- a/modules/azurecross_serving/moves/ActiveGeneration.h
+++ b/modules/azurecross_serving/moves/ActiveGeneration.h
@@ -66,8 +66,8 @@
   /** Whether a move is in progress; the move then releases an unused copy. */
   bool isMoving_ = false;
   /**
-   * Incremented by each move and resume, so that a superseded move detects that
-   * it must stop.
+   * Incremented at the start of each move and resume. A move that finds another
+   * id after a suspension has been superseded and leaves the generation alone.
    */
   unsigned moveId_ = 0;
   /** The newest copy of the KV cache on another engine. */
--- a/modules/azurecross_serving/moves/GenerationMover.cpp
+++ b/modules/azurecross_serving/moves/GenerationMover.cpp
@@ -50,6 +50,12 @@
 {
   generations_.insert(aGeneration);
   // The engine may have started to drain while it processed the prompt.
+  MoveIfDraining(aGeneration);
+}
+
+void
+GenerationMover::MoveIfDraining(const GenerationPtr& aGeneration)
+{
   const ServerLoad* server =
     services_.state_.GetLoadTracker().Find(aGeneration->server_);
   if (server != nullptr && server->record_.state_ == ServerState::Draining) {
@@ -61,7 +67,12 @@
 GenerationMover::StartMove(const GenerationPtr& aGeneration)
 {
   if (aGeneration->stage_ == MoveStage::None && !aGeneration->isMoving_) {
-    asio::co_spawn(context_, MoveGeneration(aGeneration), asio::detached);
+    // Set before the coroutine runs, so that no second move can be started.
+    aGeneration->stage_ = MoveStage::Copying;
+    aGeneration->isMoving_ = true;
+    const unsigned moveId = ++aGeneration->moveId_;
+    asio::co_spawn(
+      context_, MoveGeneration(aGeneration, moveId), asio::detached);
   }
 }
 
@@ -167,13 +178,10 @@
 }
 
 asio::awaitable<void>
-GenerationMover::MoveGeneration(GenerationPtr aGeneration)
+GenerationMover::MoveGeneration(GenerationPtr aGeneration, unsigned aMoveId)
 {
-  aGeneration->stage_ = MoveStage::Copying;
-  const unsigned moveId = ++aGeneration->moveId_;
-  aGeneration->isMoving_ = true;
   const ScopeGuard clearMoving([&] {
-    if (aGeneration->moveId_ == moveId) {
+    if (aGeneration->moveId_ == aMoveId) {
       aGeneration->isMoving_ = false;
     }
   });
@@ -182,7 +190,7 @@
   for (int copies = 1; isCopied && copies < kMaxCopies; ++copies) {
     // Meanwhile the generation may have ended, or resumed from the copy after
     // its engine was gone.
-    if (aGeneration->moveId_ != moveId) {
+    if (aGeneration->moveId_ != aMoveId) {
       co_return;
     }
     if (aGeneration->isFinished_) {
@@ -190,14 +198,14 @@
     }
     const Time copyStart = ReadMonotonicTime();
     const MoveResult result = co_await CopyWhileRunning(aGeneration);
-    isCopied = result == MoveResult::Copied && aGeneration->moveId_ == moveId;
+    isCopied = result == MoveResult::Copied && aGeneration->moveId_ == aMoveId;
     if (isCopied && !aGeneration->isFinished_ &&
         MovePlanner::IsLinkFree(ReadMonotonicTime() - copyStart)) {
       co_await StopAndCopyRemainder(aGeneration);
       break;
     }
   }
-  if (aGeneration->moveId_ != moveId) {
+  if (aGeneration->moveId_ != aMoveId) {
     co_return;
   }
   const bool hasEnded =
@@ -251,12 +259,14 @@
   moveRequest.attemptId_ = aGeneration->attemptId_;
   moveRequest.target_ = aGeneration->copy_->address_;
   moveRequest.isFinal_ = true;
+  const unsigned moveId = aGeneration->moveId_;
   const MoveResponse moveResponse =
     co_await SendMoveRequest(aGeneration->address_, moveRequest);
   LogStep(
     *aGeneration, "stop", kMoveResultNames.FindName(moveResponse.result_));
-  if (!aGeneration->copy_ || aGeneration->stage_ != MoveStage::Stopping) {
-    // The stream broke and resumed from the copy before this response.
+  if (aGeneration->moveId_ != moveId || !aGeneration->copy_) {
+    // The stream broke, and its exchange resumes it from the copy without
+    // waiting for this response.
     co_return;
   }
   if (moveResponse.result_ == MoveResult::NoSuchRun) {
--- a/modules/azurecross_serving/moves/GenerationMover.h
+++ b/modules/azurecross_serving/moves/GenerationMover.h
@@ -30,6 +30,9 @@
 
   /** Registers a generation while its stream is forwarded. */
   void Add(const std::shared_ptr<ActiveGeneration>& aGeneration);
+  /** Moves a generation whose engine is draining, for example because the
+   * engine started to drain while the generation was moved to it. */
+  void MoveIfDraining(const std::shared_ptr<ActiveGeneration>& aGeneration);
   /** Removes a generation that has ended and releases an unused copy. */
   void Remove(const std::shared_ptr<ActiveGeneration>& aGeneration);
 
@@ -42,8 +45,11 @@
   /**
    * Copies one generation to another engine until the remainder is short, then
    * stops the generation and copies the remainder.
+   * @param aMoveId the id of this move; it ends when the generation has another
+   * one.
    */
-  boost::asio::awaitable<void> MoveGeneration(GenerationPtr aGeneration);
+  boost::asio::awaitable<void> MoveGeneration(GenerationPtr aGeneration,
+                                              unsigned aMoveId);
   /** Starts a move unless one has been started. */
   void StartMove(const GenerationPtr& aGeneration);
   /**
--- a/tests/serving_tests/MoveTests.cpp
+++ b/tests/serving_tests/MoveTests.cpp
@@ -210,6 +210,107 @@
   BOOST_TEST(resumes == 1);
 }
 
+// A response to the stop request that arrives while the stream already resumes
+// must not touch the resumed stream. It limited the time of the new connection,
+// which cut the stream.
+BOOST_FIXTURE_TEST_CASE(LateStopResponseDoesNotCutResumedStream, ServingFixture)
+{
+  // The exchange waits 1.8 s for a move in progress, the mover 2.5 s.
+  constexpr auto kStopResponseDelay = std::chrono::milliseconds(2100);
+  constexpr auto kResumeDelay = std::chrono::milliseconds(900);
+  std::atomic<bool> isStopRequested = false;
+  std::atomic<int> resumes = 0;
+  FakeBackendServer source([&](FakeConnection& aConnection) {
+    const std::string request = aConnection.ReadRequest();
+    if (IsFinalMoveRequest(request)) {
+      isStopRequested = true;
+      std::this_thread::sleep_for(kStopResponseDelay);
+      RespondToMove(aConnection, 200, "h2");
+      return;
+    }
+    if (IsMoveRequest(request)) {
+      RespondToMove(aConnection, 200, "h1");
+      return;
+    }
+    aConnection.StartStream();
+    aConnection.SendChunk(MakeEvent(1));
+    WaitForFlag(isStopRequested);
+  });
+  FakeBackendServer target([&](FakeConnection& aConnection) {
+    if (aConnection.ReadRequest().empty()) {
+      return;
+    }
+    ++resumes;
+    std::this_thread::sleep_for(kResumeDelay);
+    aConnection.StartStream();
+    aConnection.SendChunk(MakeEvent(2));
+    aConnection.Send("0\r\n\r\n");
+  });
+  SetTables(MakeTables());
+  AddServer("e1", "engines", source);
+  TestCaller caller = Connect();
+  caller.Send(MakeRequest("/stream/x"));
+  caller.ReadUntil(MakeEvent(1));
+  AddServer("e2", "engines", target);
+  SetDraining("e1", "engines", source);
+  const std::string remainder = caller.ReadUntil("0\r\n\r\n");
+  BOOST_TEST(remainder.find(MakeEvent(2)) != std::string::npos);
+  BOOST_TEST(resumes == 1);
+}
+
+// A generation must not stay on an engine that starts to drain while the
+// generation is moved to it: the engine ended and the stream was lost.
+BOOST_FIXTURE_TEST_CASE(GenerationMovesOnFromDrainingTarget, ServingFixture)
+{
+  std::atomic<bool> isStopped = false;
+  std::atomic<bool> isTargetDraining = false;
+  std::atomic<bool> isTargetStopped = false;
+  std::atomic<int> resumes = 0;
+  FakeBackendServer source([&](FakeConnection& aConnection) {
+    const std::string request = aConnection.ReadRequest();
+    if (IsFinalMoveRequest(request)) {
+      WaitForFlag(isTargetDraining);
+      isStopped = true;
+    }
+    if (IsMoveRequest(request)) {
+      RespondToMove(aConnection, 200, "h1");
+      return;
+    }
+    aConnection.StartStream();
+    aConnection.SendChunk(MakeEvent(1));
+    WaitForFlag(isStopped);
+  });
+  FakeBackendServer target([&](FakeConnection& aConnection) {
+    const std::string request = aConnection.ReadRequest();
+    if (IsMoveRequest(request)) {
+      isTargetStopped = isTargetStopped || IsFinalMoveRequest(request);
+      RespondToMove(aConnection, 200, "h2");
+      return;
+    }
+    aConnection.StartStream();
+    aConnection.SendChunk(MakeEvent(2));
+    WaitForFlag(isTargetStopped);
+  });
+  FakeBackendServer lastTarget(MakeTarget(3, 3, resumes));
+  SetTables(MakeTables());
+  AddServer("e1", "engines", source);
+  TestCaller caller = Connect();
+  caller.Send(MakeRequest("/stream/x"));
+  caller.ReadUntil(MakeEvent(1));
+  AddServer("e2", "engines", target);
+  SetDraining("e1", "engines", source);
+  for (int wait = 0; wait < 300 && source.CountConnections() < 2; ++wait) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  AddServer("e3", "engines", lastTarget);
+  SetDraining("e2", "engines", target);
+  isTargetDraining = true;
+  const std::string remainder = caller.ReadUntil("0\r\n\r\n");
+  BOOST_TEST(remainder.find(MakeEvent(2)) != std::string::npos);
+  BOOST_TEST(remainder.find(MakeEvent(3)) != std::string::npos);
+  BOOST_TEST(resumes == 1);
+}
+
 // A generation must move off an engine that started to drain while it processed
 // the prompt.
 BOOST_FIXTURE_TEST_CASE(GenerationStartedOnDrainingEngineMoves, ServingFixture)
