Let starting daemons wait for their readers before they read the store

Change: until a daemon has had state once, it asks its reader each 60 ms for at most 700 ms whether it serves its feed, before it reads the store. An unreachable reader ends the wait. Ruled out: a longer skip of failed readers; the readers are up within 100 ms.

--- a/modules/azurecross_serving/peers/RelayedStateSource.h
+++ b/modules/azurecross_serving/peers/RelayedStateSource.h
@@ -11,6 +11,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <optional>
 #include <string>
@@ -58,6 +60,7 @@
 
   boost::asio::awaitable<AsyncResult<TablesSnapshot>> ReadTables()
   {
+    co_await AwaitReaderStart(knownVersion_ > 0);
     // The selector skips each reader that has failed.
     auto reader = readerSelector_.SelectReader(ReadMonotonicTime());
     for (int attempts = 0; reader && attempts < kMaxReaderAttempts;
@@ -115,18 +118,21 @@
 
   boost::asio::awaitable<AsyncResult<ServersUpdate>> ListServers()
   {
+    co_await AwaitReaderStart(hasServerList_);
     const auto reader = readerSelector_.SelectReader(ReadMonotonicTime());
     if (reader) {
       serversEpoch_ = 0;
       std::optional<ServersUpdate> result =
         co_await FetchServers(client_, *reader, Duration::zero());
       if (result) {
+        hasServerList_ = true;
         co_return std::move(*result);
       }
     }
     AsyncResult<ServersUpdate> result = co_await store_.ListServers();
     RecordStoreResult(result);
     if (result) {
+      hasServerList_ = true;
       feed_.UpdateServers(result->servers_, true);
       serversEpoch_ = 0;
     }
@@ -198,6 +204,12 @@
 private:
   /** A reachable daemon responds within a few milliseconds. */
   static constexpr Duration kCallTimeout = std::chrono::milliseconds(400);
+  /** After its start, a daemon waits this long for a reader that was started at
+   * the same time, instead of reading the store like all others. */
+  static constexpr Duration kMaxReaderStartWait =
+    std::chrono::milliseconds(700);
+  static constexpr Duration kReaderStartPollInterval =
+    std::chrono::milliseconds(60);
   /** Readers tried before the store. In a zone that is cut off, each attempt
    * takes the whole `kCallTimeout`. */
   static constexpr int kMaxReaderAttempts = 3;
@@ -315,6 +327,30 @@
     }
   }
 
+  /** Waits until the reader of this daemon serves its feed. Ends at once if
+   * this daemon has had state before, if it has no reader or if the reader
+   * can't be reached. */
+  boost::asio::awaitable<void> AwaitReaderStart(bool aHasState)
+  {
+    const auto reader = readerSelector_.SelectReader(ReadMonotonicTime());
+    if (reader && !readerStartDeadline_) {
+      readerStartDeadline_ = ReadMonotonicTime() + kMaxReaderStartWait;
+    }
+    bool isReady = aHasState || !reader;
+    while (!isReady && ReadMonotonicTime() < *readerStartDeadline_) {
+      HttpRequest request;
+      request.target_ = "/feed/ready";
+      const AsyncResult<HttpResponse> response =
+        co_await client_.Send(*reader, std::move(request));
+      constexpr unsigned kUnavailable = 503;
+      isReady = !response || response->status_ != kUnavailable;
+      if (!isReady) {
+        boost::asio::steady_timer timer(executor_, kReaderStartPollInterval);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+      }
+    }
+  }
+
   /** Sends a request to a reader and records a failure of the reader.
    * @returns the body of the response, or nothing after a failure. */
   boost::asio::awaitable<std::optional<std::string>> FetchFromReader(
@@ -455,6 +491,9 @@
   AsyncCondition tablesReceived_;
   bool isReaderWatchPending_ = false;
   bool areTablesFromStore_ = false;
+  bool hasServerList_ = false;
+  /** The end of the wait for readers that were started with this daemon. */
+  std::optional<Time> readerStartDeadline_;
   /** The time before which the tables are not read from the store. */
   Time nextStoreReadAt_;
   /** The epoch of the reader's change numbers; 0 if the servers were read
--- a/modules/azurecross_serving/peers/StateFeed.cpp
+++ b/modules/azurecross_serving/peers/StateFeed.cpp
@@ -339,6 +339,8 @@
     response = co_await HandleServersRequest(std::move(request));
   } else if (request.GetPath() == "/feed/members") {
     response = HandleMembersRequest();
+  } else if (request.GetPath() == "/feed/ready") {
+    response = HandleReadyRequest();
   }
   co_await aExchange.Respond(std::move(response));
 }
@@ -367,6 +369,13 @@
                  includesTables ? encodedTables_ : std::string()));
 }
 
+HttpResponse
+StateFeed::HandleReadyRequest() const
+{
+  const bool isReady = version_ != 0 && hasServerList_ && confirmedAt_;
+  return isReady ? MakeJsonResponse(200, "{}") : MakeUnavailableResponse();
+}
+
 HttpResponse
 StateFeed::HandleMembersRequest() const
 {
--- a/modules/azurecross_serving/peers/StateFeed.h
+++ b/modules/azurecross_serving/peers/StateFeed.h
@@ -65,7 +65,8 @@
  * Serves the state that this daemon has read to other daemons, so that the load
  * on the store doesn't grow with the number of daemons. Handles
  * `GET /feed/tables` and `GET /feed/servers`, which are long polls that wait
- * for changes like the store's watches, and `GET /feed/members`.
+ * for changes like the store's watches, `GET /feed/members`, and `GET
+ * /feed/ready`, which tells whether tables and servers are served.
  */
 class StateFeed
 {
@@ -123,6 +124,7 @@
   boost::asio::awaitable<HttpResponse> HandleServersRequest(
     HttpRequest aRequest);
   HttpResponse HandleMembersRequest() const;
+  HttpResponse HandleReadyRequest() const;
 
   std::uint64_t epoch_;
   AsyncCondition changed_;
--- a/tests/serving_tests/FeedTests.cpp
+++ b/tests/serving_tests/FeedTests.cpp
@@ -423,6 +423,34 @@
   BOOST_TEST(reader.store_.parses_ == 0);
 }
 
+// Guards against a fleet that reads the store as one when all its daemons start
+// together: the readers had no state yet, and 195 daemons read the tables and
+// the servers themselves.
+BOOST_FIXTURE_TEST_CASE(StartingDaemonWaitsForItsReader, FeedFixture)
+{
+  Daemon& starting = *nonReaders_[0];
+  auto tables =
+    asio::co_spawn(context_, starting.source_.ReadTables(), asio::use_future);
+  auto servers =
+    asio::co_spawn(context_, starting.source_.ListServers(), asio::use_future);
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  for (Daemon* reader : readers_) {
+    BOOST_TEST(Read(*reader).has_value());
+    BOOST_TEST(List(*reader).has_value());
+  }
+  BOOST_TEST(tables.get().has_value());
+  BOOST_TEST(servers.get().has_value());
+  BOOST_TEST(starting.store_.reads_ == 0);
+}
+
+// Guards against a daemon that stays without state because its readers never
+// get any.
+BOOST_FIXTURE_TEST_CASE(StartingDaemonReadsTheStoreInTheEnd, FeedFixture)
+{
+  BOOST_TEST(Read(*nonReaders_[0]).has_value());
+  BOOST_TEST(nonReaders_[0]->store_.reads_ == 1);
+}
+
 // Guards against daemons without state behind a relay: what a relay has read
 // from a store reader is served to its subscribers, with its true age.
 BOOST_FIXTURE_TEST_CASE(RelayServesWhatItHasRead, FeedFixture)
