--- a/tests/serving_tests/CallTests.cpp
+++ b/tests/serving_tests/CallTests.cpp
@@ -200,6 +200,7 @@
   // The limit of a single response must not be what ends them.
   GetServices().limits_.answerLimitBytes_ = std::size_t{ 1 } << 40;
   std::vector<std::unique_ptr<FakeBackendServer>> servers;
+  servers.reserve(kServers);
   SetTables(MakeTables());
   for (int index = 0; index < kServers; ++index) {
     const std::size_t kind = static_cast<std::size_t>(index) % std::size(heads);
@@ -221,6 +222,7 @@
     AddServer("s" + std::to_string(index), "desk", *servers.back());
   }
   std::vector<std::future<unsigned>> statuses;
+  statuses.reserve(kServers);
   for (int call = 0; call < kServers; ++call) {
     statuses.push_back(std::async(std::launch::async, [this] {
       return Call(MakeRequest("/once/x")).status_;
--- a/tests/serving_tests/ReportTests.cpp
+++ b/tests/serving_tests/ReportTests.cpp
@@ -21,6 +21,7 @@
 MakeMembers(int aCount, int aZones, std::uint16_t aPort)
 {
   std::vector<MemberRecord> members;
+  members.reserve(static_cast<std::size_t>(aCount));
   for (int index = 0; index < aCount; ++index) {
     members.push_back(
       { { "127.0.1." + std::to_string(index + 1), aPort },
@@ -99,6 +100,7 @@
   asio::io_context context(1);
   const auto members = MakeMembers(kDaemons, 3, kPort);
   std::vector<std::unique_ptr<Daemon>> daemons;
+  daemons.reserve(members.size());
   for (const MemberRecord& member : members) {
     daemons.push_back(std::make_unique<Daemon>(context, member));
     daemons.back()->exchange_.SetMembers(members);
@@ -126,6 +128,7 @@
   asio::io_context context(1);
   const auto members = MakeMembers(kDaemons, 3, kPort);
   std::vector<std::unique_ptr<Daemon>> daemons;
+  daemons.reserve(members.size());
   std::map<AvailabilityZone, bool> hasStoppedSummarizer;
   for (const MemberRecord& member : members) {
     ReportTopology topology(member.peerAddress_, member.zone_);
