Re-arm the idle deadline of a connection from the limit in force

Callers saw: after a change of the configuration that raised the idle limit, connections closed at the old limit, and a request that crossed the close got neither an answer nor a refusal. Cause: the deadline was computed once, when the wait for a request began; callers go by the new limit at once. Change: when the deadline of an idle connection passes, it is set again if the limit in force has not passed. Ruled out: a lowered limit. The connection stays open until its old deadline, which harms no caller. Measured: RaisedIdleLimitReachesWaitingConnection got no answer and ConnectionClosesAtRaisedIdleLimit saw the close at the old limit before the change; both pass with it (release).

--- a/modules/azurecross_gateway/relay/CallerChannel.cpp
+++ b/modules/azurecross_gateway/relay/CallerChannel.cpp
@@ -36,11 +36,7 @@
                              DeadlineList& aDeadlines,
                              const GatewayLimits& aLimits)
   : socket_(std::move(aSocket))
-  , deadline_([this] {
-    timedOut_ = true;
-    boost::system::error_code ignored;
-    socket_.cancel(ignored);
-  })
+  , deadline_([this] { Expire(); })
   , limits_(aLimits)
   , buffer_(aLimits.headerLimitBytes_ + aLimits.readAheadBytes_)
 {
@@ -50,6 +46,22 @@
   aDeadlines.Add(deadline_);
 }
 
+void
+CallerChannel::Expire()
+{
+  if (isIdle_) {
+    // New tables may have raised the limit since the wait began.
+    const Time idleEnd = idleSince_ + limits_.idleTimeout_;
+    if (ReadMonotonicTime() < idleEnd) {
+      deadline_.Set(idleEnd);
+      return;
+    }
+  }
+  timedOut_ = true;
+  boost::system::error_code ignored;
+  socket_.cancel(ignored);
+}
+
 asio::awaitable<bool>
 CallerChannel::WaitForRequest()
 {
@@ -58,7 +70,8 @@
   }
   boost::system::error_code code;
   isIdle_ = true;
-  deadline_.Set(ReadMonotonicTime() + limits_.idleTimeout_);
+  idleSince_ = ReadMonotonicTime();
+  deadline_.Set(idleSince_ + limits_.idleTimeout_);
   co_await socket_.async_wait(asio::socket_base::wait_read,
                               asio::redirect_error(asio::use_awaitable, code));
   deadline_.Clear();
--- a/modules/azurecross_gateway/relay/CallerChannel.h
+++ b/modules/azurecross_gateway/relay/CallerChannel.h
@@ -90,6 +90,8 @@
   void Close();
 
 private:
+  /** Ends the current wait unless its limit has been raised meanwhile. */
+  void Expire();
   boost::asio::awaitable<bool> WaitForRequest();
   boost::asio::awaitable<bool> Continue(RequestParser& aParser);
   ReadOutcome Refuse(const boost::system::error_code& aCode);
@@ -101,6 +103,8 @@
   const GatewayLimits& limits_;
   boost::beast::flat_buffer buffer_;
   std::function<void()> onLeft_;
+  /** When the current or last wait for a request began. */
+  Time idleSince_;
   bool isIdle_ = false;
   bool isReading_ = false;
   bool isWatched_ = false;
