Serve a request that arrives as the idle wait ends

Callers saw: a whole request that reached the daemon just before the idle limit of its connection passed got neither an answer nor a refusal. Cause: the deadline cancels the wait before the reactor reports the bytes; the channel took the cancelled wait for an idle connection, and CloseOrderly read and discarded the request. Change: after the deadline the channel looks for unread bytes; if there are any it serves them, and the deadline's flag is cleared, since it would turn the request into a 408. Ruled out: a 408 for a whole request when the wait ends first; the handler of a wait resumes the coroutine at once, which clears the deadline. Measured: RequestAtIdleLimitIsAnswered got no answer before the change and 404 with it (release).

--- a/modules/azurecross_gateway/relay/CallerChannel.cpp
+++ b/modules/azurecross_gateway/relay/CallerChannel.cpp
@@ -76,6 +76,12 @@
                               asio::redirect_error(asio::use_awaitable, code));
   deadline_.Clear();
   isIdle_ = false;
+  boost::system::error_code availability;
+  if (timedOut_ && socket_.available(availability) > 0) {
+    // A request arrived in the turn of the loop in which the wait ended.
+    timedOut_ = false;
+    co_return true;
+  }
   co_return !code && socket_.is_open();
 }
 
--- a/tests/serving_tests/IdleTests.cpp
+++ b/tests/serving_tests/IdleTests.cpp
@@ -52,4 +52,20 @@
   BOOST_TEST(caller.WaitForClose());
 }
 
+// A request that arrived before the end of the idle wait was dropped.
+BOOST_FIXTURE_TEST_CASE(RequestAtIdleLimitIsAnswered, ServingFixture)
+{
+  SetTables(MakeTables());
+  Run([this] { GetServices().limits_.idleTimeout_ = kShortIdleLimit; });
+  TestCaller caller = Connect();
+  std::this_thread::sleep_for(kSettleTime);
+  Run([&] {
+    // The deadline is checked before the reactor reports the request.
+    caller.Send(MakeUnroutedRequest());
+    std::this_thread::sleep_for(kShortIdleLimit);
+    GetServices().deadlines_.Tick(ReadMonotonicTime());
+  });
+  BOOST_TEST(caller.ReadAnswer().status_ == 404U);
+}
+
 } // namespace azurecross
