Renew the budget of every kind of log record

What operators saw: nothing yet; found while the records of a lost connection were read. After 100 `records_dropped` records a daemon never wrote another one. Cause: `DecisionLog::kDecisionCount` stayed at 19 when `feed_role_changed` became the twentieth kind. The last kind, `records_dropped`, was counted past the end of the array, in padding that `Tick` doesn't reset. Change: the size follows from the table of names. Ruled out: no other member was overwritten; the index fell into the padding behind the array. Measured: BudgetOfEachKindIsRenewed fails on the code before (for records_dropped) and passes now.

--- a/modules/azurecross_serving/log/DecisionLog.h
+++ b/modules/azurecross_serving/log/DecisionLog.h
@@ -89,7 +89,8 @@
 private:
   /** Ample: a typical daemon serves about ten requests per second. */
   static constexpr std::uint32_t kDefaultRecordsPerSecond = 100;
-  static constexpr std::size_t kDecisionCount = 19;
+  static constexpr std::size_t kDecisionCount =
+    kDecisionNames.GetEntries().size();
 
   std::uint32_t recordsPerSecond_;
   std::array<std::uint32_t, kDecisionCount> writtenRecords_{};
