Record a fatal signal before it ends the process

What callers saw: connections closed without an answer when a daemon ended with code 139; its log ended with an ordinary record, which can't be told from a kill or a loss of power. Cause: nothing handled SIGSEGV, SIGBUS, SIGILL, SIGFPE and SIGABRT. Change: FatalSignalLog writes one prepared line (`fatal_signal`, with the signal and the daemon's id) from the handler, restores the earlier action and lets it end the process, so that the exit status stays the same. The handler calls sigaction, write, raise and, for standard output, poll without a wait, which ordinary records use as well: a full pipe must not keep a failed process alive. It reads no clock; the time is that of the record before. It runs on a stack of its own, for stack overflows of the main thread; a stack that a sanitizer has set is kept, and a sanitizer's handler still runs afterwards. Ruled out: SIG_DFL in place of the earlier action, which would suppress the reports of sanitizers; raise for every signal, since a faulting instruction that is repeated keeps its address in a core dump.

--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -20,6 +20,9 @@
   }
   try {
     StartLogging(settings.logLevel_, "azurecross-entry");
+    const FatalSignalLog fatalSignals("azurecross-entry",
+                                      LogOutput::StandardError,
+                                      settings.entryId_.GetValue());
     return EntryDaemon(settings).Run();
   } catch (const std::exception& exception) {
     std::cerr << "azurecross-entry: " << exception.what() << "\n";
--- a/apps/platform_standin/main.cpp
+++ b/apps/platform_standin/main.cpp
@@ -16,6 +16,8 @@
 Run(const SettingValues& aSettings)
 {
   StartLogging(LogLevel::Info, "azurecross-platform-standin");
+  const FatalSignalLog fatalSignals("azurecross-platform-standin",
+                                    LogOutput::StandardError);
   boost::asio::io_context context(1);
   PlatformStandin standin(context.get_executor(),
                           aSettings.GetAddress("listen"));
--- a/modules/azurecross_core/azurecross_core.h
+++ b/modules/azurecross_core/azurecross_core.h
@@ -21,6 +21,7 @@
 #include "concurrency/RcuCell.h"
 #include "concurrency/ScopeGuard.h"
 #include "hashing/Hash.h"
+#include "logging/FatalSignalLog.h"
 #include "logging/Log.h"
 #include "metrics/Metrics.h"
 #include "settings/Settings.h"
--- a/modules/azurecross_core/logging/Log.cpp
+++ b/modules/azurecross_core/logging/Log.cpp
@@ -14,9 +14,12 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <climits>
+#include <cstring>
 #include <iomanip>
 #include <iostream>
 #include <sstream>
@@ -36,6 +39,12 @@
 
 std::atomic<std::uint64_t> gDroppedRecords{ 0 };
 
+// The characters of the last record's time. Words, so that a signal handler
+// and other threads can read them without a lock.
+constexpr std::size_t kTimeWords =
+  std::tuple_size_v<LogTime> / sizeof(std::uint64_t);
+std::array<std::atomic<std::uint64_t>, kTimeWords> gLastTime{};
+
 /** Writes whole lines to standard output as far as that does not block. */
 class NonBlockingBackend
   : public logging::sinks::basic_formatted_sink_backend<char>
@@ -76,6 +85,17 @@
   return text.str();
 }
 
+void
+StoreLastTime(const std::string& aTime)
+{
+  std::array<std::uint64_t, kTimeWords> words{};
+  std::memcpy(
+    words.data(), aTime.data(), std::min(aTime.size(), sizeof(words)));
+  for (std::size_t index = 0; index < kTimeWords; ++index) {
+    gLastTime[index].store(words[index], std::memory_order_relaxed);
+  }
+}
+
 boost::json::value
 ToJson(const LogField::Value& aValue)
 {
@@ -91,12 +111,25 @@
   return gDroppedRecords.load(std::memory_order_relaxed);
 }
 
+LogTime
+GetLastLogTime()
+{
+  std::array<std::uint64_t, kTimeWords> words{};
+  for (std::size_t index = 0; index < kTimeWords; ++index) {
+    words[index] = gLastTime[index].load(std::memory_order_relaxed);
+  }
+  LogTime time{};
+  std::memcpy(time.data(), words.data(), time.size());
+  return time;
+}
+
 void
 StartLogging(LogLevel aLowestLevel,
              std::string_view aProgram,
              LogOutput aOutput)
 {
   gProgram = aProgram;
+  StoreLastTime(FormatUtcTime());
   gLowestLevel = static_cast<int>(aLowestLevel);
   logging::core::get()->remove_all_sinks();
   if (aOutput == LogOutput::StandardOutput) {
@@ -133,7 +166,9 @@
     return;
   }
   boost::json::object line;
-  line["time"] = FormatUtcTime();
+  const std::string time = FormatUtcTime();
+  StoreLastTime(time);
+  line["time"] = time;
   line["level"] = kLogLevelNames.FindName(aLevel);
   line["program"] = gProgram;
   line["message"] = aMessage;
--- a/modules/azurecross_core/logging/Log.h
+++ b/modules/azurecross_core/logging/Log.h
@@ -3,6 +3,7 @@
 #include "../types/Identifiers.h"
 #include "../types/NameTable.h"
 
+#include <array>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -96,6 +97,14 @@
 std::uint64_t
 CountDroppedLogRecords();
 
+/** The text of a record's time, for example `2026-01-01T00:00:00.000Z`. */
+using LogTime = std::array<char, 24>;
+
+/** @returns the time of the last record, or of `StartLogging` if there is none.
+ * Safe in a signal handler. */
+LogTime
+GetLastLogTime();
+
 /** @returns whether records of this level are written. */
 bool
 IsLogged(LogLevel aLevel);
