--- a/modules/azurecross_core/types/Error.h
+++ b/modules/azurecross_core/types/Error.h
@@ -28,6 +28,7 @@
   DeadlineUnreachable,
   DeadlineExceeded,
   NoBackendServer,
+  PromptQuarantined,
   BackendServerFailed,
   AnswerMismatched,
   AnswerTruncated,
@@ -44,7 +45,7 @@
   Internal,
 };
 
-inline constexpr NameTable<ErrorCode, 25> kErrorCodeNames{
+inline constexpr NameTable<ErrorCode, 26> kErrorCodeNames{
   { { { ErrorCode::InvalidRequest, "invalid_request" },
       { ErrorCode::HeaderTooLarge, "header_too_large" },
       { ErrorCode::BodyTooLarge, "body_too_large" },
@@ -56,6 +57,7 @@
       { ErrorCode::DeadlineUnreachable, "deadline_unreachable" },
       { ErrorCode::DeadlineExceeded, "deadline_exceeded" },
       { ErrorCode::NoBackendServer, "no_backend_server" },
+      { ErrorCode::PromptQuarantined, "prompt_quarantined" },
       { ErrorCode::BackendServerFailed, "backend_server_failed" },
       { ErrorCode::AnswerMismatched, "answer_mismatched" },
       { ErrorCode::AnswerTruncated, "answer_truncated" },
--- a/modules/azurecross_dispatch/azurecross_dispatch.h
+++ b/modules/azurecross_dispatch/azurecross_dispatch.h
@@ -17,5 +17,6 @@
 #include "moves/MovePlanner.h"
 #include "placement/ServerLoadTracker.h"
 #include "placement/ServerPlacement.h"
+#include "quarantine/PromptQuarantine.h"
 #include "queue/Dispatcher.h"
 #include "servers/ServerDirectory.h"
--- a/modules/azurecross_dispatch/placement/ServerLoadTracker.h
+++ b/modules/azurecross_dispatch/placement/ServerLoadTracker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../quarantine/PromptPart.h"
 #include "../servers/ServerDirectory.h"
 #include "../tables/ServingTables.h"
 #include "ServerStatistics.h"
@@ -25,6 +26,8 @@
   std::vector<std::uint64_t> prefixHashes_;
   /** Length of each prefix in tokens. */
   std::vector<std::uint32_t> prefixTokens_;
+  /** The parts of the prompt that other requests can share. */
+  std::vector<PromptPartId> sharedParts_;
 };
 
 /** Describes the execution of a request on a backend server (a run). */
--- /dev/null
+++ b/modules/azurecross_dispatch/quarantine/PromptQuarantine.cpp
@@ -0,0 +1,315 @@
+#include "PromptQuarantine.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace azurecross {
+
+namespace {
+
+/** An answer this recent shows that a part is sound in spite of the death of an
+ * engine. Later deaths count, because the engines' software may have changed.
+ */
+constexpr Duration kSoundLifetime = std::chrono::seconds(30);
+/** Other daemons are told of an answer for this time, several report intervals.
+ */
+constexpr Duration kSoundReportTime = std::chrono::seconds(5);
+/** A process under the same id cannot die again within this time: it has to
+ * start first. Used where the start time is unknown. */
+constexpr Duration kShortestEngineLife = std::chrono::seconds(2);
+/** A part that ended a single engine is forgotten after this time. */
+constexpr Duration kSuspicionLifetime = std::chrono::minutes(10);
+/** A quarantined part is forgotten after this time without another death. */
+constexpr Duration kQuarantineLifetime = std::chrono::hours(2);
+/** Delay of the trial after the fewest deaths that lead to quarantine. Each
+ * further death makes it four times as long, up to the maximum. */
+constexpr Duration kFirstTrialDelay = std::chrono::seconds(15);
+constexpr unsigned kTrialDelayFactor = 4;
+constexpr Duration kMaxTrialDelay = std::chrono::minutes(30);
+
+bool
+IsSameDeath(const EngineDeath& aLeft, const EngineDeath& aRight)
+{
+  if (aLeft.server_ != aRight.server_) {
+    return false;
+  }
+  const bool haveStartTimes =
+    aLeft.startedUnixMs_ != 0 && aRight.startedUnixMs_ != 0;
+  return haveStartTimes
+           ? aLeft.startedUnixMs_ == aRight.startedUnixMs_
+           : std::chrono::abs(aLeft.at_ - aRight.at_) < kShortestEngineLife;
+}
+
+} // namespace
+
+std::string
+FormatPromptPartId(PromptPartId aPart)
+{
+  std::array<char, 16> text{};
+  const auto end =
+    std::to_chars(text.data(), text.data() + text.size(), aPart, 16).ptr;
+  return { text.data(), end };
+}
+
+std::optional<PromptPartId>
+ParsePromptPartId(std::string_view aText)
+{
+  PromptPartId part = 0;
+  const char* const textEnd = aText.data() + aText.size();
+  const auto [end, code] = std::from_chars(aText.data(), textEnd, part, 16);
+  if (code != std::errc() || end != textEnd) {
+    return std::nullopt;
+  }
+  return part;
+}
+
+PromptQuarantine::PromptQuarantine(std::uint64_t aSeed)
+  : seed_(aSeed)
+{
+}
+
+void
+PromptQuarantine::SetExemptParts(std::set<PromptPartId> aParts)
+{
+  exemptParts_ = std::move(aParts);
+}
+
+bool
+PromptQuarantine::IsSound(PromptPartId aPart, Time aAt) const
+{
+  const auto soundAt = soundParts_.Find(aPart);
+  return soundAt && *soundAt + kSoundLifetime > aAt;
+}
+
+void
+PromptQuarantine::RecordAnswer(const std::vector<PromptPartId>& aParts,
+                               Time aNow)
+{
+  for (const PromptPartId part : aParts) {
+    soundParts_.Record(part, aNow);
+    const auto suspect = suspects_.find(part);
+    if (suspect != suspects_.end()) {
+      MarkSound(suspect, aNow);
+    }
+  }
+}
+
+void
+PromptQuarantine::MarkSound(Suspects::iterator aSuspect, Time aAt)
+{
+  Suspect& suspect = aSuspect->second;
+  if (suspect.IsQuarantined()) {
+    AddEvent(QuarantineChange::Lifted, aSuspect->first, suspect);
+    --quarantinedCount_;
+  }
+  if (!suspect.deaths_.empty()) {
+    suspect.updatedAt_ = std::max(suspect.updatedAt_, aAt);
+  }
+  suspect.deaths_.clear();
+  suspect.soundAt_ = aAt;
+}
+
+bool
+PromptQuarantine::RecordDeath(const std::vector<PromptPartId>& aParts,
+                              const EngineDeath& aDeath)
+{
+  bool isNew = false;
+  for (const PromptPartId part : aParts) {
+    isNew = AddDeath(part, aDeath) || isNew;
+  }
+  return isNew;
+}
+
+bool
+PromptQuarantine::AddDeath(PromptPartId aPart, const EngineDeath& aDeath)
+{
+  if (exemptParts_.contains(aPart) || IsSound(aPart, aDeath.at_)) {
+    return false;
+  }
+  Suspect& suspect = FindOrAddSuspect(aPart);
+  std::vector<EngineDeath>& deaths = suspect.deaths_;
+  const bool isKnown =
+    std::any_of(deaths.begin(), deaths.end(), [&](const EngineDeath& aKnown) {
+      return IsSameDeath(aKnown, aDeath);
+    });
+  const bool isTooOld =
+    deaths.size() >= kMaxDeaths && aDeath.at_ <= deaths.front().at_;
+  if (isKnown || isTooOld) {
+    return false;
+  }
+  const bool wasQuarantined = suspect.IsQuarantined();
+  deaths.insert(std::upper_bound(deaths.begin(),
+                                 deaths.end(),
+                                 aDeath,
+                                 [](const auto& aLeft, const auto& aRight) {
+                                   return aLeft.at_ < aRight.at_;
+                                 }),
+                aDeath);
+  if (deaths.size() > kMaxDeaths) {
+    deaths.erase(deaths.begin());
+  }
+  suspect.updatedAt_ = std::max(suspect.updatedAt_, aDeath.at_);
+  suspect.soundAt_.reset();
+  if (!suspect.IsQuarantined()) {
+    return true;
+  }
+  quarantinedCount_ += wasQuarantined ? 0 : 1;
+  suspect.trialAt_ = deaths.back().at_ + GetTrialDelay(aPart, deaths.size());
+  AddEvent(wasQuarantined ? QuarantineChange::Confirmed
+                          : QuarantineChange::Quarantined,
+           aPart,
+           suspect);
+  return true;
+}
+
+PromptQuarantine::Suspect&
+PromptQuarantine::FindOrAddSuspect(PromptPartId aPart)
+{
+  if (suspects_.size() >= kMaxSuspects && !suspects_.contains(aPart)) {
+    const auto weakest = std::min_element(
+      suspects_.begin(),
+      suspects_.end(),
+      [](const auto& aLeft, const auto& aRight) {
+        return std::pair(aLeft.second.deaths_.size(), aLeft.second.updatedAt_) <
+               std::pair(aRight.second.deaths_.size(),
+                         aRight.second.updatedAt_);
+      });
+    quarantinedCount_ -= weakest->second.IsQuarantined() ? 1 : 0;
+    suspects_.erase(weakest);
+  }
+  return suspects_[aPart];
+}
+
+Duration
+PromptQuarantine::GetTrialDelay(PromptPartId aPart, std::size_t aDeaths) const
+{
+  Duration delay = kFirstTrialDelay;
+  for (std::size_t deaths = kFatalDeaths; deaths < aDeaths; ++deaths) {
+    delay = std::min<Duration>(delay * kTrialDelayFactor, kMaxTrialDelay);
+  }
+  if (aDeaths >= kMaxDeaths) {
+    delay = kMaxTrialDelay;
+  }
+  Random random(seed_ ^ aPart);
+  return delay + FromSeconds(random.DrawUnit() * ToSeconds(delay));
+}
+
+bool
+PromptQuarantine::Merge(const std::vector<PromptPartEvidence>& aEvidence,
+                        Time aNow)
+{
+  bool isNew = false;
+  for (const PromptPartEvidence& evidence : aEvidence) {
+    if (evidence.soundAt_) {
+      soundParts_.Record(evidence.part_, *evidence.soundAt_);
+      const auto suspect = suspects_.find(evidence.part_);
+      const bool isNews =
+        suspect != suspects_.end() && !suspect->second.deaths_.empty();
+      if (isNews) {
+        MarkSound(suspect, *evidence.soundAt_);
+      }
+    }
+    for (const EngineDeath& death : evidence.deaths_) {
+      isNew = AddDeath(evidence.part_, death) || isNew;
+    }
+    const bool contradicts =
+      !evidence.deaths_.empty() && IsSound(evidence.part_, aNow);
+    if (contradicts) {
+      // The sender learns from the next report that the part is sound.
+      Suspect& suspect = FindOrAddSuspect(evidence.part_);
+      suspect.soundAt_ = soundParts_.Find(evidence.part_);
+      suspect.updatedAt_ = aNow;
+    }
+  }
+  return isNew;
+}
+
+std::vector<PromptPartEvidence>
+PromptQuarantine::GetEvidence(Time aNow) const
+{
+  std::vector<PromptPartEvidence> reported;
+  for (const auto& [part, suspect] : suspects_) {
+    const bool isSoundNews =
+      suspect.soundAt_ && aNow - suspect.updatedAt_ < kSoundReportTime;
+    if (!suspect.deaths_.empty() || isSoundNews) {
+      reported.push_back({ part, suspect.deaths_, suspect.soundAt_ });
+    }
+  }
+  std::stable_sort(reported.begin(),
+                   reported.end(),
+                   [](const auto& aLeft, const auto& aRight) {
+                     return aLeft.deaths_.size() > aRight.deaths_.size();
+                   });
+  if (reported.size() > kMaxReportedParts) {
+    reported.resize(kMaxReportedParts);
+  }
+  return reported;
+}
+
+std::optional<QuarantinedPart>
+PromptQuarantine::FindQuarantined(const std::vector<PromptPartId>& aParts,
+                                  Time aNow) const
+{
+  if (quarantinedCount_ == 0) {
+    return std::nullopt;
+  }
+  for (const PromptPartId part : aParts) {
+    const auto found = suspects_.find(part);
+    if (found == suspects_.end() || !found->second.IsQuarantined()) {
+      continue;
+    }
+    const Suspect& suspect = found->second;
+    if (aNow < suspect.trialAt_) {
+      return QuarantinedPart{ part,
+                              suspect.deaths_.size(),
+                              suspect.trialAt_ - aNow };
+    }
+  }
+  return std::nullopt;
+}
+
+void
+PromptQuarantine::RecordSend(const std::vector<PromptPartId>& aParts, Time aNow)
+{
+  if (quarantinedCount_ == 0) {
+    return;
+  }
+  for (const PromptPartId part : aParts) {
+    const auto found = suspects_.find(part);
+    if (found != suspects_.end() && found->second.IsQuarantined()) {
+      found->second.trialAt_ =
+        aNow + GetTrialDelay(part, found->second.deaths_.size());
+    }
+  }
+}
+
+void
+PromptQuarantine::Tick(Time aNow)
+{
+  std::erase_if(suspects_, [&](const auto& aEntry) {
+    const Suspect& suspect = aEntry.second;
+    const Duration lifetime =
+      suspect.IsQuarantined() ? kQuarantineLifetime : kSuspicionLifetime;
+    const bool isExpired = aNow - suspect.updatedAt_ > lifetime;
+    quarantinedCount_ -= isExpired && suspect.IsQuarantined() ? 1 : 0;
+    return isExpired;
+  });
+}
+
+void
+PromptQuarantine::AddEvent(QuarantineChange aChange,
+                           PromptPartId aPart,
+                           const Suspect& aSuspect)
+{
+  events_.push_back(
+    { aChange, { aPart, aSuspect.deaths_, aSuspect.soundAt_ } });
+}
+
+std::vector<QuarantineEvent>
+PromptQuarantine::TakeEvents()
+{
+  return std::exchange(events_, {});
+}
+
+} // namespace azurecross
--- a/modules/azurecross_dispatch/queue/Dispatcher.cpp
+++ b/modules/azurecross_dispatch/queue/Dispatcher.cpp
@@ -39,9 +39,11 @@
 } // namespace
 
 Dispatcher::Dispatcher(ServerLoadTracker& aLoadTracker,
+                       PromptQuarantine& aQuarantine,
                        ServerPlacement aPlacement,
                        std::uint64_t aSeed)
   : loadTracker_(aLoadTracker)
+  , quarantine_(aQuarantine)
   , placement_(std::move(aPlacement))
   , random_(aSeed)
 {
@@ -64,6 +66,9 @@
 void
 Dispatcher::Enqueue(DispatchTicket aTicket, Time aNow, DispatchDecisions& aOut)
 {
+  if (RefuseIfQuarantined(aTicket, aNow, aOut)) {
+    return;
+  }
   const TicketId ticketId = aTicket.id_;
   const PlacementRequest& request = aTicket.request_;
   const double wait = EstimateWait(aTicket);
@@ -79,7 +84,8 @@
                                 : ErrorCode::NoBackendServer,
         ComputeRetryAfter(wait, aTicket.deadline_ - aNow),
         Duration::zero(),
-        queued_.size() });
+        queued_.size(),
+        std::nullopt });
     return;
   }
   const QueueKey key(request.pool_, aTicket.priority_);
@@ -88,6 +94,25 @@
   Dispatch(aNow, aOut);
 }
 
+bool
+Dispatcher::RefuseIfQuarantined(const DispatchTicket& aTicket,
+                                Time aNow,
+                                DispatchDecisions& aOut) const
+{
+  const auto part =
+    quarantine_.FindQuarantined(aTicket.request_.demand_.sharedParts_, aNow);
+  if (!part) {
+    return false;
+  }
+  aOut.refusals_.push_back({ aTicket.id_,
+                             ErrorCode::PromptQuarantined,
+                             part->untilTrial_,
+                             aNow - aTicket.arrival_,
+                             queued_.size(),
+                             part });
+  return true;
+}
+
 double
 Dispatcher::EstimateWait(const DispatchTicket& aTicket) const
 {
@@ -162,6 +187,10 @@
     return false;
   }
   DispatchTicket& ticket = queued_.at(*ticketId).ticket_;
+  if (RefuseIfQuarantined(ticket, aNow, aOut)) {
+    Remove(*ticketId);
+    return true;
+  }
   ticket.request_.timeToTarget_ = ticket.targetTime_ - aNow;
   auto choice = placement_.Choose(loadTracker_, ticket.request_, aNow);
   if (!choice) {
@@ -178,6 +207,7 @@
                                     0,
                                     aNow });
   start.choice_ = std::move(*choice);
+  quarantine_.RecordSend(ticket.request_.demand_.sharedParts_, aNow);
   aQueue.Charge(ticket.request_.customer_, ComputeCharge(ticket.request_));
   Remove(*ticketId);
   aOut.starts_.push_back(std::move(start));
@@ -204,8 +234,12 @@
 Dispatcher::Tick(Time aNow, DispatchDecisions& aOut)
 {
   std::vector<TicketId> expired;
+  std::vector<TicketId> quarantined;
   for (auto& [ticketId, queued] : queued_) {
-    if (aNow >= FindLatestStart(queued.ticket_)) {
+    const bool isQuarantined = RefuseIfQuarantined(queued.ticket_, aNow, aOut);
+    if (isQuarantined) {
+      quarantined.push_back(ticketId);
+    } else if (aNow >= FindLatestStart(queued.ticket_)) {
       expired.push_back(ticketId);
     } else if (aNow >= queued.ticket_.targetTime_ &&
                queued.key_.second < kLatePriorityOffset) {
@@ -215,6 +249,9 @@
   for (const TicketId ticketId : expired) {
     Refuse(ticketId, aNow, aOut);
   }
+  for (const TicketId ticketId : quarantined) {
+    Remove(ticketId);
+  }
   Dispatch(aNow, aOut);
 }
 
@@ -230,7 +267,8 @@
       reason,
       ComputeRetryAfter(EstimateWait(ticket), ticket.deadline_ - aNow),
       aNow - ticket.arrival_,
-      queued_.size() });
+      queued_.size(),
+      std::nullopt });
   Remove(aTicket);
 }
 
--- a/modules/azurecross_dispatch/queue/Dispatcher.h
+++ b/modules/azurecross_dispatch/queue/Dispatcher.h
@@ -2,6 +2,7 @@
 
 #include "../placement/ServerLoadTracker.h"
 #include "../placement/ServerPlacement.h"
+#include "../quarantine/PromptQuarantine.h"
 
 #include <azurecross_core/azurecross_core.h>
 #include <azurecross_policy/azurecross_policy.h>
@@ -49,6 +50,8 @@
   Duration retryAfter_{};
   Duration waited_{};
   std::size_t queued_ = 0;
+  /** Set if the reason is `PromptQuarantined`. */
+  std::optional<QuarantinedPart> quarantinedPart_;
 };
 
 struct DispatchDecisions
@@ -64,13 +67,15 @@
  * Requests wait here rather than in an engine. Requests that can still meet
  * their target time start first, by priority and fairly between customers; late
  * ones follow. A request is refused as soon as its expected wait exceeds the
- * usable part of its time. The design covers bursts of one kind of request that
+ * usable part of its time, and at once if a part of its prompt is in
+ * quarantine. The design covers bursts of one kind of request that
  * exceed the engines' memory while a part of the engines is reclaimed.
  */
 class Dispatcher
 {
 public:
   Dispatcher(ServerLoadTracker& aLoadTracker,
+             PromptQuarantine& aQuarantine,
              ServerPlacement aPlacement,
              std::uint64_t aSeed);
 
@@ -104,6 +109,11 @@
   bool TryStartNext(FairQueue& aQueue, Time aNow, DispatchDecisions& aOut);
   double EstimateWait(const DispatchTicket& aTicket) const;
   void Refuse(TicketId aTicket, Time aNow, DispatchDecisions& aOut);
+  /** Refuses the ticket, which is not queued, if a part of its prompt is in
+   * quarantine. @returns whether it was refused. */
+  bool RefuseIfQuarantined(const DispatchTicket& aTicket,
+                           Time aNow,
+                           DispatchDecisions& aOut) const;
   Duration ComputeRetryAfter(double aWaitSeconds, Duration aTimeLeft);
   void Remove(TicketId aTicket);
   void DemoteLateRequest(QueueEntry& aEntry);
@@ -111,6 +121,7 @@
   bool HasReadyServer(const PlacementRequest& aRequest) const;
 
   ServerLoadTracker& loadTracker_;
+  PromptQuarantine& quarantine_;
   ServerPlacement placement_;
   Random random_;
   std::map<QueueKey, FairQueue> queues_;
--- a/modules/azurecross_gateway/messages/ErrorReply.cpp
+++ b/modules/azurecross_gateway/messages/ErrorReply.cpp
@@ -59,6 +59,7 @@
     case ErrorCode::AnswerTruncated:
       return 502;
     case ErrorCode::NoBackendServer:
+    case ErrorCode::PromptQuarantined:
     case ErrorCode::OwnerUnreachable:
     case ErrorCode::StoreUnavailable:
     case ErrorCode::Draining:
--- a/modules/azurecross_serving/daemon/ServingDaemon.h
+++ b/modules/azurecross_serving/daemon/ServingDaemon.h
@@ -5,6 +5,7 @@
 #include "../moves/GenerationMover.h"
 #include "../peers/LoadExchange.h"
 #include "../peers/RelayedStateSource.h"
+#include "../quarantine/EngineDeathProbe.h"
 #include "../server/FrontServer.h"
 #include "../state/StateSync.h"
 
@@ -63,6 +64,7 @@
                    return stateSync_.AwaitTablesConfirmation(aTimeout);
                  },
                  nullptr,
+                 nullptr,
                  std::nullopt }
     , loadExchange_(context_,
                     settings_.peerListen_,
@@ -71,6 +73,7 @@
                     log_)
     , mover_(context_, services_)
     , drainProbe_(context_, services_, loadExchange_)
+    , deathProbe_(context_, services_, loadExchange_)
     , stateFeed_(context_, settings_.peerListen_, random_.DrawBits())
     , stateSource_(context_.get_executor(),
                    aSource,
@@ -95,6 +98,7 @@
     , tickTimer_(context_)
   {
     services_.mover_ = &mover_;
+    services_.deathProbe_ = &deathProbe_;
     limits_.connectionLimit_ = settings_.descriptorLimit_ / 2;
     readinessServer_.AddReadyPath(settings_.readinessPath_);
     state_.SetServerLeavingHandler([this](const BackendServerId& aServer) {
@@ -319,6 +323,7 @@
   LoadExchange loadExchange_;
   GenerationMover mover_;
   DrainProbe drainProbe_;
+  EngineDeathProbe deathProbe_;
   StateFeed stateFeed_;
   RelayedStateSource<Source> stateSource_;
   StateSync<RelayedStateSource<Source>> stateSync_;
--- a/modules/azurecross_serving/dispatch/AsyncDispatcher.cpp
+++ b/modules/azurecross_serving/dispatch/AsyncDispatcher.cpp
@@ -7,6 +7,24 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+std::string
+FormatRefusal(const RefuseDecision& aRefusal)
+{
+  if (aRefusal.quarantinedPart_) {
+    const QuarantinedPart& part = *aRefusal.quarantinedPart_;
+    return "part " + FormatPromptPartId(part.part_) +
+           " of the prompt is in quarantine: " + std::to_string(part.deaths_) +
+           " engines died before they answered requests with it";
+  }
+  return "no backend server is expected to have capacity in time; waited " +
+         std::to_string(ToSeconds(aRefusal.waited_)) + " s, " +
+         std::to_string(aRefusal.queued_) + " queued";
+}
+
+} // namespace
+
 AsyncDispatcher::AsyncDispatcher(ServingState& aState,
                                  AvailabilityZone aZone,
                                  ServingMetrics& aMetrics,
@@ -14,6 +32,7 @@
   : state_(aState)
   , metrics_(aMetrics)
   , dispatcher_(aState.GetLoadTracker(),
+                aState.GetQuarantine(),
                 ServerPlacement(std::move(aZone), aSeed + 1),
                 aSeed)
 {
@@ -81,15 +100,12 @@
   }
   for (const RefuseDecision& refusal : aDecisions.refusals_) {
     CompleteWaiter(refusal.ticketId_, [&](Waiter& aWaiter) {
-      aWaiter.error_ = Error{
-        refusal.reason_,
-        Verdict::NotRun,
-        "no backend server is expected to have capacity in time; waited " +
-          std::to_string(ToSeconds(refusal.waited_)) + " s, " +
-          std::to_string(refusal.queued_) + " queued",
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-          refusal.retryAfter_)
-      };
+      aWaiter.error_ =
+        Error{ refusal.reason_,
+               Verdict::NotRun,
+               FormatRefusal(refusal),
+               std::chrono::duration_cast<std::chrono::milliseconds>(
+                 refusal.retryAfter_) };
     });
   }
 }
--- a/modules/azurecross_serving/forward/ForwardServices.h
+++ b/modules/azurecross_serving/forward/ForwardServices.h
@@ -12,6 +12,7 @@
 
 namespace azurecross {
 
+class EngineDeathProbe;
 class GenerationMover;
 
 /** Dependencies of the forwarding path, all used on one thread. */
@@ -35,6 +36,7 @@
    */
   std::function<boost::asio::awaitable<bool>(Duration)> awaitFreshTables_;
   GenerationMover* mover_ = nullptr;
+  EngineDeathProbe* deathProbe_ = nullptr;
   /** Latest end of the daemon; set when a planned shutdown begins. */
   std::optional<Time> shutdownTime_;
 };
--- a/modules/azurecross_serving/forward/GenerationExchange.cpp
+++ b/modules/azurecross_serving/forward/GenerationExchange.cpp
@@ -1,6 +1,7 @@
 #include "GenerationExchange.h"
 
 #include "../moves/GenerationMover.h"
+#include "../quarantine/EngineDeathProbe.h"
 #include "CallExchange.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -25,6 +26,11 @@
  * and forth.
  */
 constexpr unsigned kMaxResumes = 20;
+/**
+ * Events that prove a prompt to be sound. An engine that a prompt ends may
+ * still send the first event.
+ */
+constexpr std::uint32_t kEventsOfAnswer = 2;
 
 } // namespace
 
@@ -47,6 +53,40 @@
 
 asio::awaitable<AttemptResult>
 GenerationExchange::Run(StartedRun& aRun, PlacementRequest aRequest)
+{
+  promptParts_ = aRequest.demand_.sharedParts_;
+  const SocketAddress engine = aRun.choice_.address_;
+  AttemptResult result = co_await Execute(aRun, std::move(aRequest));
+  ExamineFailure(result, generation_ ? generation_->address_ : engine);
+  co_return result;
+}
+
+void
+GenerationExchange::RecordAnswer()
+{
+  if (!isAnswered_) {
+    isAnswered_ = true;
+    services_.state_.RecordPromptAnswer(promptParts_, ReadMonotonicTime());
+  }
+}
+
+void
+GenerationExchange::ExamineFailure(const AttemptResult& aResult,
+                                   const SocketAddress& aEngine)
+{
+  const bool isBroken = aResult.error_ &&
+                        aResult.error_->verdict_ != Verdict::NotRun &&
+                        aResult.error_->code_ != ErrorCode::Cancelled;
+  if (isBroken && !isAnswered_ && services_.deathProbe_ != nullptr) {
+    services_.deathProbe_->Examine({ context_.metadata_.attemptId_,
+                                     context_.server_,
+                                     aEngine,
+                                     promptParts_ });
+  }
+}
+
+asio::awaitable<AttemptResult>
+GenerationExchange::Execute(StartedRun& aRun, PlacementRequest aRequest)
 {
   call_ = std::make_unique<BackendCall>(services_, context_);
   const ScopeGuard resetCancel([this] { context_.cancel_ = nullptr; });
@@ -203,6 +243,9 @@
   const std::uint32_t tokensPerEvent =
     context_.pool_->engine_ ? context_.pool_->engine_->tokensPerEvent_ : 1;
   generation_->tokens_ = buffer_.CountEvents() * tokensPerEvent;
+  if (buffer_.CountEvents() >= kEventsOfAnswer) {
+    RecordAnswer();
+  }
   services_.state_.GetLoadTracker().ObserveEvent(
     generation_->reservation_.GetRun(), generation_->tokens_, now);
 }
@@ -211,6 +254,7 @@
 GenerationExchange::FinishStream()
 {
   generation_->reservation_.SetEnd(RunOutcome::Completed);
+  RecordAnswer();
   const std::string remainder = buffer_.TakeRemainder();
   if (!remainder.empty()) {
     co_await writer_.WriteStreamData(remainder);
@@ -261,8 +305,11 @@
 {
   buffer_.DiscardPartialEvent();
   co_await WaitForMove();
+  const bool isQuarantined =
+    !isAnswered_ && services_.state_.GetQuarantine().FindQuarantined(
+                      promptParts_, ReadMonotonicTime());
   if (!generation_->copy_ || generation_->copy_->handle_.empty() ||
-      context_.IsAborted() || ++resumeCount_ > kMaxResumes) {
+      context_.IsAborted() || isQuarantined || ++resumeCount_ > kMaxResumes) {
     services_.metrics_.CountResume(false);
     co_return false;
   }
--- a/modules/azurecross_serving/forward/GenerationExchange.h
+++ b/modules/azurecross_serving/forward/GenerationExchange.h
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <memory>
+#include <vector>
 
 namespace azurecross {
 
@@ -36,6 +37,14 @@
                                             PlacementRequest aRequest);
 
 private:
+  boost::asio::awaitable<AttemptResult> Execute(StartedRun& aRun,
+                                                PlacementRequest aRequest);
+  /** Records once that the engine answers the request. */
+  void RecordAnswer();
+  /** Has the engine examined if it broke the connection without an answer. */
+  void ExamineFailure(const AttemptResult& aResult,
+                      const SocketAddress& aEngine);
+
   /** Result of one read of the stream. */
   enum class ReadOutcome
   {
@@ -84,6 +93,9 @@
   std::optional<Error> readError_;
   Time lastEventTime_;
   unsigned resumeCount_ = 0;
+  /** The parts of the prompt that other requests can share. */
+  std::vector<PromptPartId> promptParts_;
+  bool isAnswered_ = false;
 };
 
 } // namespace azurecross
--- a/modules/azurecross_serving/log/DecisionLog.h
+++ b/modules/azurecross_serving/log/DecisionLog.h
@@ -30,10 +30,12 @@
   MovePlanned,
   MoveEnded,
   GenerationResumed,
+  EngineExamined,
+  PromptQuarantineChanged,
   RecordsDropped,
 };
 
-inline constexpr NameTable<Decision, 20> kDecisionNames{
+inline constexpr NameTable<Decision, 22> kDecisionNames{
   { { { Decision::Started, "started" },
       { Decision::Stopping, "stopping" },
       { Decision::Stopped, "stopped" },
@@ -53,6 +55,8 @@
       { Decision::MovePlanned, "move_planned" },
       { Decision::MoveEnded, "move_ended" },
       { Decision::GenerationResumed, "generation_resumed" },
+      { Decision::EngineExamined, "engine_examined" },
+      { Decision::PromptQuarantineChanged, "prompt_quarantine_changed" },
       { Decision::RecordsDropped, "records_dropped" } } }
 };
 
--- a/modules/azurecross_serving/metrics/ServingMetrics.cpp
+++ b/modules/azurecross_serving/metrics/ServingMetrics.cpp
@@ -30,6 +30,9 @@
       "azurecross_forward_queue_wait_seconds",
       "Time from a request's arrival to its start on a backend server",
       kLatencyBounds))
+  , quarantinedParts_(aMetrics.GetGauge(
+      "azurecross_forward_quarantined_prompt_parts",
+      "Parts of prompts whose requests are refused because they end engines"))
   , queuedRequests_(
       aMetrics.GetGauge("azurecross_forward_queued_requests",
                         "Requests that wait for a backend server"))
@@ -153,6 +156,23 @@
     .Increment();
 }
 
+void
+ServingMetrics::CountQuarantineChange(QuarantineChange aChange)
+{
+  metrics_
+    .GetCounter(
+      "azurecross_forward_quarantine_changes_total",
+      "Changes of the quarantine of parts of prompts",
+      { { "change", std::string(kQuarantineChangeNames.FindName(aChange)) } })
+    .Increment();
+}
+
+void
+ServingMetrics::SetQuarantinedParts(std::size_t aCount)
+{
+  quarantinedParts_.Set(static_cast<double>(aCount));
+}
+
 void
 ServingMetrics::SetQueuedRequests(std::size_t aCount)
 {
--- a/modules/azurecross_serving/metrics/ServingMetrics.h
+++ b/modules/azurecross_serving/metrics/ServingMetrics.h
@@ -34,6 +34,8 @@
   void CountResume(bool aIsSuccessful);
   void CountStoreCall(std::string_view aCall, bool aIsAnswered);
   void CountBackendConnection(bool aIsReused);
+  void CountQuarantineChange(QuarantineChange aChange);
+  void SetQuarantinedParts(std::size_t aCount);
   void SetQueuedRequests(std::size_t aCount);
   void SetTablesVersion(std::uint64_t aVersion);
   void SetTablesConfirmationAge(Duration aAge);
@@ -48,6 +50,7 @@
   prometheus::Histogram& firstEventLatency_;
   prometheus::Histogram& eventGap_;
   prometheus::Histogram& queueWait_;
+  prometheus::Gauge& quarantinedParts_;
   prometheus::Gauge& queuedRequests_;
   prometheus::Gauge& tablesVersion_;
   prometheus::Gauge& tablesConfirmationAge_;
--- a/modules/azurecross_serving/peers/LoadExchange.cpp
+++ b/modules/azurecross_serving/peers/LoadExchange.cpp
@@ -119,7 +119,7 @@
   ownZoneTimer_.expires_after(GetReportInterval(topology_.GetOwnZone().size()));
   ownZoneTimer_.async_wait([this](const boost::system::error_code& aCode) {
     if (!aCode) {
-      SendOwnReport(topology_.GetOwnZone(), true);
+      SendOwnReport(topology_.GetOwnZone(), ReportContent::EvidenceAndFindings);
       ScheduleOwnZoneReport();
     }
   });
@@ -141,7 +141,9 @@
     if (topology_.IsSummarizer()) {
       SendSummaries(includesFindings);
     } else if (!topology_.UsesSummaries()) {
-      SendOwnReport(topology_.GetOtherZones(), includesFindings);
+      SendOwnReport(topology_.GetOtherZones(),
+                    includesFindings ? ReportContent::EvidenceAndFindings
+                                     : ReportContent::Evidence);
     }
     ScheduleOtherZonesReport();
   });
@@ -171,15 +173,22 @@
 LoadExchange::SendPlacementReport(const std::vector<SocketAddress>& aReceivers)
 {
   if (placementBudget_.TryTake(aReceivers.size(), ReadMonotonicTime())) {
-    SendOwnReport(aReceivers, false);
+    SendOwnReport(aReceivers, ReportContent::LoadOnly);
   }
 }
 
 void
 LoadExchange::SendReports()
 {
-  SendOwnReport(topology_.GetOwnZone(), true);
-  SendOwnReport(topology_.GetOtherZones(), true);
+  SendOwnReport(topology_.GetOwnZone(), ReportContent::EvidenceAndFindings);
+  SendOwnReport(topology_.GetOtherZones(), ReportContent::EvidenceAndFindings);
+}
+
+void
+LoadExchange::SendEvidence()
+{
+  SendOwnReport(topology_.GetOwnZone(), ReportContent::Evidence);
+  SendOwnReport(topology_.GetOtherZones(), ReportContent::Evidence);
 }
 
 LoadReport
@@ -195,13 +204,17 @@
 
 void
 LoadExchange::SendOwnReport(const std::vector<SocketAddress>& aReceivers,
-                            bool aIncludesFindings)
+                            ReportContent aContent)
 {
   ServerLoadTracker& tracker = state_.GetLoadTracker();
+  const Time now = ReadMonotonicTime();
   LoadReport report = MakeReport();
   report.uses_ = tracker.GetOwnUsage();
-  if (aIncludesFindings) {
-    report.findings_ = tracker.GetOwnStatistics(ReadMonotonicTime());
+  if (aContent != ReportContent::LoadOnly) {
+    report.promptEvidence_ = state_.GetQuarantine().GetEvidence(now);
+  }
+  if (aContent == ReportContent::EvidenceAndFindings) {
+    report.findings_ = tracker.GetOwnStatistics(now);
   }
   Send(std::move(report), aReceivers);
 }
@@ -217,6 +230,8 @@
     report.scope_ = aScope;
     report.daemonCount_ = aSummary.daemonCount_;
     report.uses_ = std::move(aSummary.usage_);
+    report.promptEvidence_ =
+      state_.GetQuarantine().GetEvidence(ReadMonotonicTime());
     if (aIncludesFindings) {
       report.findings_ = std::move(aSummary.statistics_);
     }
@@ -236,10 +251,10 @@
   if (aReceivers.empty()) {
     return;
   }
-  std::string datagram = FormatLoadReport(aReport);
+  std::string datagram = FormatLoadReport(aReport, ReadMonotonicTime());
   if (datagram.size() > kMaxDatagramBytes) {
     aReport.findings_.reset();
-    datagram = FormatLoadReport(aReport);
+    datagram = FormatLoadReport(aReport, ReadMonotonicTime());
   }
   for (const SocketAddress& receiver : aReceivers) {
     boost::system::error_code code;
@@ -292,7 +307,17 @@
                            state_.GetLeavingServers().size() > leavingBefore;
   if (isNewInZone) {
     // The sender has told only the summarizers of this zone.
-    SendOwnReport(topology_.GetOwnZone(), false);
+    SendOwnReport(topology_.GetOwnZone(), ReportContent::LoadOnly);
+  }
+}
+
+void
+LoadExchange::HandlePromptEvidence(const LoadReport& aReport, Time aNow)
+{
+  const bool isNew = state_.MergePromptEvidence(aReport.promptEvidence_, aNow);
+  if (isNew && topology_.IsSummarizer() && aReport.zone_ != zone_.GetValue()) {
+    // The sender has told only the summarizers of this zone.
+    SendOwnReport(topology_.GetOwnZone(), ReportContent::Evidence);
   }
 }
 
@@ -326,6 +351,7 @@
   const Time now = ReadMonotonicTime();
   HandleStoreAccess(aReport, now);
   HandleLeavingServers(aReport, now);
+  HandlePromptEvidence(aReport, now);
   const std::optional<std::string> name = FindPeerName(aReport);
   if (!name) {
     return;
@@ -351,8 +377,8 @@
       }
       // Other errors mean that an earlier datagram reached no listener.
       if (!aCode) {
-        auto report =
-          ParseLoadReport(std::string_view(buffer_.data(), aLength));
+        auto report = ParseLoadReport(std::string_view(buffer_.data(), aLength),
+                                      ReadMonotonicTime());
         if (report) {
           HandleReport(std::move(*report));
         }
--- a/modules/azurecross_serving/peers/LoadExchange.h
+++ b/modules/azurecross_serving/peers/LoadExchange.h
@@ -48,6 +48,9 @@
    * one reports to, in addition to the regular reports. */
   void SendReports();
 
+  /** Sends the evidence about parts of prompts to the same daemons. */
+  void SendEvidence();
+
   /** Schedules a report about a placement after a short delay. The report is
    * skipped if the budget for such reports is exhausted. */
   void SchedulePlacementReport();
@@ -70,10 +73,18 @@
 private:
   void ScheduleOwnZoneReport();
   void ScheduleOtherZonesReport();
-  /** Sends the load of this daemon.
-   * @param aIncludesFindings whether the report includes the findings. */
+  /** What a report contains in addition to the load. */
+  enum class ReportContent
+  {
+    LoadOnly,
+    /** The evidence about parts of prompts. */
+    Evidence,
+    EvidenceAndFindings,
+  };
+
+  /** Sends the load of this daemon. */
   void SendOwnReport(const std::vector<SocketAddress>& aReceivers,
-                     bool aIncludesFindings);
+                     ReportContent aContent);
   /** Sends the load of the own zone to the summarizers of the other zones, and
    * the load of the other zones to the daemons of the own zone. */
   void SendSummaries(bool aIncludesFindings);
@@ -85,6 +96,7 @@
   void HandleReport(LoadReport aReport);
   void HandleStoreAccess(const LoadReport& aReport, Time aNow);
   void HandleLeavingServers(const LoadReport& aReport, Time aNow);
+  void HandlePromptEvidence(const LoadReport& aReport, Time aNow);
   /** @returns the name under which the load of a report is kept, or nothing if
    * other reports cover that load. */
   std::optional<std::string> FindPeerName(const LoadReport& aReport) const;
--- a/modules/azurecross_serving/peers/LoadReport.cpp
+++ b/modules/azurecross_serving/peers/LoadReport.cpp
@@ -21,6 +21,14 @@
 constexpr std::uint32_t kMaxDaemonCount = 100000;
 constexpr double kMeanUnit = 1e-9;
 constexpr double kWeightUnit = 0.1;
+/** JSON array of the evidence about a part of a prompt: the part, the age of
+ * the last answer in milliseconds or null, the deaths. */
+constexpr std::size_t kEvidenceFieldCount = 3;
+/** JSON array of the death of an engine: the server, its start time as a Unix
+ * time in milliseconds, the age of the death in milliseconds. */
+constexpr std::size_t kDeathFieldCount = 3;
+/** Evidence is forgotten after hours; an older age is an invalid report. */
+constexpr std::int64_t kMaxAgeMs = 24 * 3600 * 1000;
 
 void
 AppendMean(json::array& aFields, const DecayedMean& aMean)
@@ -105,6 +113,116 @@
   return use;
 }
 
+std::int64_t
+FormatAge(Time aTime, Time aNow)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aNow - aTime)
+    .count();
+}
+
+std::optional<Time>
+ParseAge(const json::value& aValue, Time aNow)
+{
+  const std::int64_t* age = aValue.if_int64();
+  if (age == nullptr || *age < 0 || *age > kMaxAgeMs) {
+    return std::nullopt;
+  }
+  return aNow - std::chrono::milliseconds(*age);
+}
+
+std::optional<EngineDeath>
+ParseDeath(const json::value& aValue, Time aNow)
+{
+  const json::array* fields = aValue.if_array();
+  if (fields == nullptr || fields->size() != kDeathFieldCount) {
+    return std::nullopt;
+  }
+  const json::string* server = (*fields)[0].if_string();
+  const std::int64_t* started = (*fields)[1].if_int64();
+  const auto at = ParseAge((*fields)[2], aNow);
+  if (server == nullptr || started == nullptr || !at) {
+    return std::nullopt;
+  }
+  return EngineDeath{ BackendServerId(std::string(*server)), *started, *at };
+}
+
+std::optional<PromptPartEvidence>
+ParseEvidence(const json::value& aValue, Time aNow)
+{
+  const json::array* fields = aValue.if_array();
+  if (fields == nullptr || fields->size() != kEvidenceFieldCount) {
+    return std::nullopt;
+  }
+  const json::string* partText = (*fields)[0].if_string();
+  const json::array* deaths = (*fields)[2].if_array();
+  if (partText == nullptr || deaths == nullptr ||
+      deaths->size() > PromptQuarantine::kMaxDeaths) {
+    return std::nullopt;
+  }
+  const auto part =
+    ParsePromptPartId(std::string_view(partText->data(), partText->size()));
+  if (!part) {
+    return std::nullopt;
+  }
+  PromptPartEvidence evidence;
+  evidence.part_ = *part;
+  if (!(*fields)[1].is_null()) {
+    evidence.soundAt_ = ParseAge((*fields)[1], aNow);
+    if (!evidence.soundAt_) {
+      return std::nullopt;
+    }
+  }
+  for (const json::value& entry : *deaths) {
+    auto death = ParseDeath(entry, aNow);
+    if (!death) {
+      return std::nullopt;
+    }
+    evidence.deaths_.push_back(std::move(*death));
+  }
+  return evidence;
+}
+
+json::array
+FormatEvidence(const PromptPartEvidence& aEvidence, Time aNow)
+{
+  json::array deaths;
+  for (const EngineDeath& death : aEvidence.deaths_) {
+    deaths.push_back(json::array{ death.server_.GetValue(),
+                                  death.startedUnixMs_,
+                                  FormatAge(death.at_, aNow) });
+  }
+  json::value soundAge;
+  if (aEvidence.soundAt_) {
+    soundAge = FormatAge(*aEvidence.soundAt_, aNow);
+  }
+  return json::array{ FormatPromptPartId(aEvidence.part_),
+                      std::move(soundAge),
+                      std::move(deaths) };
+}
+
+/** Parses the evidence about parts of prompts, which a report may lack.
+ * @returns whether it is valid. */
+bool
+ParsePromptEvidence(const json::object& aObject, Time aNow, LoadReport& aReport)
+{
+  const json::value* entries = aObject.if_contains("prompt_evidence");
+  if (entries == nullptr) {
+    return true;
+  }
+  if (!entries->is_array() ||
+      entries->get_array().size() > PromptQuarantine::kMaxReportedParts) {
+    return false;
+  }
+  for (const json::value& entry : entries->get_array()) {
+    auto evidence = ParseEvidence(entry, aNow);
+    if (!evidence) {
+      return false;
+    }
+    aReport.promptEvidence_.push_back(std::move(*evidence));
+  }
+  return true;
+}
+
 /** Parses the daemons that a report covers.
  * @returns whether the members are valid. */
 bool
@@ -139,7 +257,7 @@
 } // namespace
 
 std::string
-FormatLoadReport(const LoadReport& aReport)
+FormatLoadReport(const LoadReport& aReport, Time aNow)
 {
   json::array uses;
   for (const ServerUsage& use : aReport.uses_) {
@@ -169,11 +287,18 @@
     }
     report["findings"] = std::move(findings);
   }
+  if (!aReport.promptEvidence_.empty()) {
+    json::array evidence;
+    for (const PromptPartEvidence& entry : aReport.promptEvidence_) {
+      evidence.push_back(FormatEvidence(entry, aNow));
+    }
+    report["prompt_evidence"] = std::move(evidence);
+  }
   return json::serialize(report);
 }
 
 std::optional<LoadReport>
-ParseLoadReport(std::string_view aText)
+ParseLoadReport(std::string_view aText, Time aNow)
 {
   boost::system::error_code code;
   const json::value value = json::parse(aText, code);
@@ -189,7 +314,9 @@
   }
   LoadReport report;
   report.sender_ = std::string(sender->get_string());
-  if (!ParseScope(*object, report)) {
+  const bool isValid =
+    ParseScope(*object, report) && ParsePromptEvidence(*object, aNow, report);
+  if (!isValid) {
     return std::nullopt;
   }
   const json::value* hasStore = object->if_contains("has_store");
--- a/modules/azurecross_serving/peers/LoadReport.h
+++ b/modules/azurecross_serving/peers/LoadReport.h
@@ -28,14 +28,17 @@
   /** The speeds and failure rates that the sender has measured for the servers;
    * empty if the report omits them. */
   std::optional<std::vector<ReportedStatistics>> findings_;
+  /** Parts of prompts that are suspected to end engines. */
+  std::vector<PromptPartEvidence> promptEvidence_;
 };
 
-/** @returns the report as JSON. */
+/** @returns the report as JSON. Times are sent as ages, because the clocks of
+ * the daemons have different origins. */
 std::string
-FormatLoadReport(const LoadReport& aReport);
+FormatLoadReport(const LoadReport& aReport, Time aNow);
 
 /** @returns the report, or nothing if the text is not a valid report. */
 std::optional<LoadReport>
-ParseLoadReport(std::string_view aText);
+ParseLoadReport(std::string_view aText, Time aNow);
 
 } // namespace azurecross
--- /dev/null
+++ b/modules/azurecross_serving/quarantine/EngineDeathProbe.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "../forward/ForwardServices.h"
+#include "../peers/LoadExchange.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <string>
+#include <vector>
+
+namespace azurecross {
+
+/** A generation whose engine broke the connection before it had answered. */
+struct UnansweredRun
+{
+  std::string attemptId_;
+  BackendServerId server_;
+  SocketAddress address_;
+  /** The parts of the prompt that other requests can share. */
+  std::vector<PromptPartId> parts_;
+};
+
+/**
+ * Finds out whether an engine that broke the connection of an unanswered
+ * generation has died, and then reports the parts of the prompt as evidence to
+ * the quarantine and to the other daemons. Connections also break on engines
+ * that are alive, so only an engine that refuses a new connection counts as
+ * dead.
+ *
+ * @see PromptQuarantine
+ */
+class EngineDeathProbe
+{
+public:
+  EngineDeathProbe(boost::asio::io_context& aContext,
+                   ForwardServices& aServices,
+                   LoadExchange& aPeers);
+
+  EngineDeathProbe(const EngineDeathProbe&) = delete;
+  EngineDeathProbe& operator=(const EngineDeathProbe&) = delete;
+
+  /** Examines the engine of the run in the background. */
+  void Examine(UnansweredRun aRun);
+
+private:
+  boost::asio::awaitable<void> Probe(UnansweredRun aRun);
+  /** @returns whether nothing listens at the address any more. */
+  boost::asio::awaitable<bool> IsRefused(SocketAddress aAddress);
+
+  boost::asio::io_context& context_;
+  ForwardServices& services_;
+  LoadExchange& peers_;
+};
+
+} // namespace azurecross
--- a/modules/azurecross_serving/state/ServingSettings.h
+++ b/modules/azurecross_serving/state/ServingSettings.h
@@ -3,6 +3,7 @@
 #include <azurecross_dispatch/azurecross_dispatch.h>
 
 #include <cstdint>
+#include <set>
 #include <string>
 
 namespace azurecross {
@@ -32,6 +33,8 @@
   /** Time between SIGTERM and SIGKILL. */
   Duration shutdownGracePeriod_ = std::chrono::seconds(8);
   RetryAllowance::Bounds retryBounds_;
+  /** Parts of prompts that are never quarantined. */
+  std::set<PromptPartId> exemptPromptParts_;
 };
 
 } // namespace azurecross
--- a/modules/azurecross_serving/state/ServingState.cpp
+++ b/modules/azurecross_serving/state/ServingState.cpp
@@ -24,8 +24,10 @@
   , metrics_(aMetrics)
   , directory_(kRemovalConfirmationTime)
   , retryBudget_(aSettings.retryBounds_)
+  , quarantine_(HashBytes(aSettings.entryId_))
   , keyFreshness_(aSettings.maxKeyRevocationDelay_, kKeyRevocationMargin)
 {
+  quarantine_.SetExemptParts(aSettings.exemptPromptParts_);
 }
 
 bool
@@ -197,9 +199,63 @@
   NotifyLoadChanged();
 }
 
+void
+ServingState::RecordPromptAnswer(const std::vector<PromptPartId>& aParts,
+                                 Time aNow)
+{
+  quarantine_.RecordAnswer(aParts, aNow);
+  LogQuarantineEvents(aNow);
+}
+
+bool
+ServingState::RecordEngineDeath(const std::vector<PromptPartId>& aParts,
+                                const BackendServerId& aServer,
+                                Time aNow)
+{
+  const ServerRecord* server = directory_.Find(aServer);
+  const bool isNew = quarantine_.RecordDeath(
+    aParts, { aServer, server == nullptr ? 0 : server->startedUnixMs_, aNow });
+  LogQuarantineEvents(aNow);
+  return isNew;
+}
+
+bool
+ServingState::MergePromptEvidence(
+  const std::vector<PromptPartEvidence>& aEvidence,
+  Time aNow)
+{
+  const bool isNew = quarantine_.Merge(aEvidence, aNow);
+  LogQuarantineEvents(aNow);
+  return isNew;
+}
+
+void
+ServingState::LogQuarantineEvents(Time aNow)
+{
+  for (const QuarantineEvent& event : quarantine_.TakeEvents()) {
+    std::string deaths;
+    for (const EngineDeath& death : event.evidence_.deaths_) {
+      deaths.append(deaths.empty() ? "" : ", ")
+        .append(death.server_.GetValue())
+        .append(" ")
+        .append(std::to_string(ToSeconds(aNow - death.at_)))
+        .append(" s ago");
+    }
+    log_.Write(Decision::PromptQuarantineChanged,
+               { { "part", FormatPromptPartId(event.evidence_.part_) },
+                 { "change", kQuarantineChangeNames.FindName(event.change_) },
+                 { "deaths", event.evidence_.deaths_.size() },
+                 { "engines", deaths } });
+    metrics_.CountQuarantineChange(event.change_);
+  }
+  metrics_.SetQuarantinedParts(quarantine_.CountQuarantined());
+}
+
 void
 ServingState::Tick(Time aNow, Time aBootNow)
 {
+  quarantine_.Tick(aNow);
+  metrics_.SetQuarantinedParts(quarantine_.CountQuarantined());
   for (const BackendServerId& id : directory_.RemoveExpired(aNow)) {
     log_.Write(
       Decision::ServerChanged,
--- a/modules/azurecross_serving/state/ServingState.h
+++ b/modules/azurecross_serving/state/ServingState.h
@@ -33,6 +33,7 @@
   const ServingTablesPtr& GetTables() const { return tables_; }
   ServerLoadTracker& GetLoadTracker() { return loadTracker_; }
   RetryAllowance& GetRetryBudget() { return retryBudget_; }
+  PromptQuarantine& GetQuarantine() { return quarantine_; }
   const KeyFreshness& GetKeyFreshness() const { return keyFreshness_; }
 
   /** @returns whether requests can be served: tables are loaded and, if
@@ -70,6 +71,19 @@
    * reported to other daemons. */
   std::vector<BackendServerId> GetLeavingServers() const;
 
+  /** Records that an engine answers a request with these parts. */
+  void RecordPromptAnswer(const std::vector<PromptPartId>& aParts, Time aNow);
+  /** Records that an engine died before it began to answer a request with these
+   * parts.
+   * @returns whether other daemons should be told. */
+  bool RecordEngineDeath(const std::vector<PromptPartId>& aParts,
+                         const BackendServerId& aServer,
+                         Time aNow);
+  /** Adds the evidence about parts of prompts that another daemon reported.
+   * @returns whether it contains a death that was unknown. */
+  bool MergePromptEvidence(const std::vector<PromptPartEvidence>& aEvidence,
+                           Time aNow);
+
   /** Sets whether the store answers this daemon. */
   void SetStoreReachable(bool aIsReachable)
   {
@@ -129,6 +143,7 @@
                     std::string_view aReason,
                     Time aNow);
   void MarkLeaving(const BackendServerId& aId, Time aNow);
+  void LogQuarantineEvents(Time aNow);
 
   DecisionLog& log_;
   ServingMetrics& metrics_;
@@ -136,6 +151,7 @@
   ServerDirectory directory_;
   ServerLoadTracker loadTracker_;
   RetryAllowance retryBudget_;
+  PromptQuarantine quarantine_;
   KeyFreshness keyFreshness_;
   std::map<BackendServerId, Time> leavingSince_;
   bool isStoreReachable_ = true;
--- /dev/null
+++ b/tests/dispatch_tests/QuarantineTests.cpp
@@ -0,0 +1,266 @@
+#include "TestPool.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace azurecross {
+
+namespace {
+
+constexpr PromptPartId kFatal = 0xbad;
+constexpr PromptPartId kCommon = 0xc0;
+constexpr PromptPartId kRare = 0x4a;
+
+EngineDeath
+MakeDeath(const std::string& aServer, double aSeconds)
+{
+  return { BackendServerId(aServer), 1, At(aSeconds) };
+}
+
+/** @returns a quarantine in which the fatal part has ended so many engines, one
+ * each second. */
+PromptQuarantine
+MakeQuarantine(int aDeaths)
+{
+  PromptQuarantine quarantine(1);
+  for (int death = 0; death < aDeaths; ++death) {
+    quarantine.RecordDeath({ kFatal },
+                           MakeDeath("e" + std::to_string(death), death));
+  }
+  return quarantine;
+}
+
+bool
+IsQuarantined(const PromptQuarantine& aQuarantine,
+              PromptPartId aPart,
+              double aSeconds)
+{
+  return aQuarantine.FindQuarantined({ kCommon, aPart }, At(aSeconds))
+    .has_value();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Quarantine)
+
+// Guards against a fatal part that ends one engine after the other.
+BOOST_AUTO_TEST_CASE(PartIsQuarantinedAfterTwoDeaths)
+{
+  BOOST_TEST(!IsQuarantined(MakeQuarantine(1), kFatal, 1.0));
+  const PromptQuarantine quarantine = MakeQuarantine(2);
+  const auto part = quarantine.FindQuarantined({ kCommon, kFatal }, At(1.1));
+  BOOST_REQUIRE(part.has_value());
+  BOOST_TEST(part->part_ == kFatal);
+  BOOST_TEST(part->deaths_ == 2U);
+  BOOST_TEST((part->untilTrial_ > Duration::zero()));
+}
+
+// Guards against blame for the parts that fatal requests share with sound ones.
+BOOST_AUTO_TEST_CASE(AnsweredPartsAreNotBlamed)
+{
+  PromptQuarantine quarantine(1);
+  quarantine.RecordAnswer({ kCommon, kRare }, At(0.0));
+  for (int death = 1; death <= 5; ++death) {
+    quarantine.RecordDeath({ kCommon, kFatal, kRare },
+                           MakeDeath("e" + std::to_string(death), death));
+  }
+  BOOST_TEST(!quarantine.FindQuarantined({ kCommon, kRare }, At(6.0)));
+  BOOST_TEST(IsQuarantined(quarantine, kFatal, 6.0));
+}
+
+// Guards against deaths before and after an answer that add up to a verdict.
+BOOST_AUTO_TEST_CASE(AnswerClearsEarlierDeaths)
+{
+  PromptQuarantine quarantine = MakeQuarantine(1);
+  quarantine.RecordAnswer({ kFatal }, At(1.0));
+  quarantine.RecordDeath({ kFatal }, MakeDeath("later", 60.0));
+  BOOST_TEST(!IsQuarantined(quarantine, kFatal, 60.0));
+  quarantine.RecordDeath({ kFatal }, MakeDeath("latest", 61.0));
+  BOOST_TEST(IsQuarantined(quarantine, kFatal, 61.0));
+}
+
+// Guards against one death that counts again for each daemon that saw it.
+BOOST_AUTO_TEST_CASE(DeathOfOneProcessCountsOnce)
+{
+  PromptQuarantine quarantine = MakeQuarantine(1);
+  BOOST_TEST(!quarantine.RecordDeath({ kFatal }, MakeDeath("e0", 0.1)));
+  BOOST_TEST(!IsQuarantined(quarantine, kFatal, 0.2));
+  EngineDeath restarted = MakeDeath("e0", 5.0);
+  restarted.startedUnixMs_ = 2;
+  BOOST_TEST(quarantine.RecordDeath({ kFatal }, restarted));
+  BOOST_TEST(IsQuarantined(quarantine, kFatal, 5.0));
+}
+
+// Guards against a restart under the same id that hides a death where servers
+// do not state when they started.
+BOOST_AUTO_TEST_CASE(DeathsWithoutStartTimesAreToldApartByTime)
+{
+  PromptQuarantine quarantine(1);
+  const auto recordDeath = [&](double aSeconds) {
+    return quarantine.RecordDeath({ kFatal },
+                                  { BackendServerId("e"), 0, At(aSeconds) });
+  };
+  BOOST_TEST(recordDeath(0.0));
+  BOOST_TEST(!recordDeath(0.5));
+  BOOST_TEST(recordDeath(4.0));
+}
+
+// Guards against daemons that each see one death and never agree.
+BOOST_AUTO_TEST_CASE(EvidenceOfDaemonsAddsUp)
+{
+  PromptQuarantine first(1);
+  PromptQuarantine second(2);
+  first.RecordDeath({ kFatal }, MakeDeath("e0", 0.0));
+  second.RecordDeath({ kFatal }, MakeDeath("e1", 0.5));
+  BOOST_TEST(second.Merge(first.GetEvidence(At(0.6)), At(0.6)));
+  BOOST_TEST(IsQuarantined(second, kFatal, 0.6));
+  BOOST_TEST(first.Merge(second.GetEvidence(At(0.7)), At(0.7)));
+  BOOST_TEST(IsQuarantined(first, kFatal, 0.7));
+  BOOST_TEST(!first.Merge(second.GetEvidence(At(0.8)), At(0.8)));
+}
+
+// Guards against a daemon that blames a part which others know to be sound.
+BOOST_AUTO_TEST_CASE(DaemonsCorrectEachOther)
+{
+  PromptQuarantine informed(1);
+  informed.RecordAnswer({ kRare }, At(0.0));
+  PromptQuarantine mistaken(2);
+  mistaken.RecordDeath({ kRare }, MakeDeath("e0", 1.0));
+  mistaken.RecordDeath({ kRare }, MakeDeath("e1", 2.0));
+  BOOST_TEST(IsQuarantined(mistaken, kRare, 2.1));
+  informed.Merge(mistaken.GetEvidence(At(2.1)), At(2.1));
+  BOOST_TEST(!IsQuarantined(informed, kRare, 2.1));
+  mistaken.Merge(informed.GetEvidence(At(2.2)), At(2.2));
+  BOOST_TEST(!IsQuarantined(mistaken, kRare, 2.2));
+}
+
+// Guards against a wrong verdict that no answer can correct any more.
+BOOST_AUTO_TEST_CASE(OneTrialIsLetThroughAndLiftsAWrongVerdict)
+{
+  PromptQuarantine quarantine = MakeQuarantine(2);
+  BOOST_TEST(IsQuarantined(quarantine, kFatal, 10.0));
+  BOOST_TEST(!IsQuarantined(quarantine, kFatal, 32.0));
+  quarantine.RecordSend({ kFatal }, At(32.0));
+  BOOST_TEST(IsQuarantined(quarantine, kFatal, 32.1));
+  quarantine.RecordAnswer({ kFatal }, At(32.5));
+  BOOST_TEST(!IsQuarantined(quarantine, kFatal, 32.6));
+  BOOST_TEST(quarantine.CountQuarantined() == 0U);
+}
+
+// Guards against more than three requests on engines after the fifth death.
+BOOST_AUTO_TEST_CASE(TrialsBecomeRareWithFurtherDeaths)
+{
+  const double minutes = 60.0;
+  BOOST_TEST(IsQuarantined(MakeQuarantine(3), kFatal, 2.0 + 59.0));
+  BOOST_TEST(IsQuarantined(MakeQuarantine(4), kFatal, 3.0 + 3.9 * minutes));
+  PromptQuarantine quarantine = MakeQuarantine(5);
+  BOOST_TEST(IsQuarantined(quarantine, kFatal, 29.0 * minutes));
+  // A failed trial of another daemon postpones the own one.
+  quarantine.RecordDeath({ kFatal }, MakeDeath("trial", 29.0 * minutes));
+  BOOST_TEST(IsQuarantined(quarantine, kFatal, 58.0 * minutes));
+}
+
+// Guards against trials of all daemons at the same time.
+BOOST_AUTO_TEST_CASE(TrialsOfDaemonsAreStaggered)
+{
+  int due = 0;
+  constexpr int kDaemons = 200;
+  for (int daemon = 0; daemon < kDaemons; ++daemon) {
+    PromptQuarantine quarantine(static_cast<std::uint64_t>(daemon) * 1000003U);
+    quarantine.RecordDeath({ kFatal }, MakeDeath("e0", 0.0));
+    quarantine.RecordDeath({ kFatal }, MakeDeath("e1", 0.0));
+    due += IsQuarantined(quarantine, kFatal, 15.5) ? 0 : 1;
+  }
+  BOOST_TEST(due > 0);
+  BOOST_TEST(due < kDaemons / 10);
+}
+
+// Guards against memory and reports that grow with the parts under suspicion.
+BOOST_AUTO_TEST_CASE(StateAndReportsAreBounded)
+{
+  PromptQuarantine quarantine = MakeQuarantine(3);
+  for (PromptPartId part = 1; part <= 10000; ++part) {
+    quarantine.RecordDeath({ part + 0x10000 },
+                           MakeDeath("e" + std::to_string(part), 10.0));
+  }
+  const auto evidence = quarantine.GetEvidence(At(11.0));
+  BOOST_TEST(evidence.size() == PromptQuarantine::kMaxReportedParts);
+  BOOST_TEST(evidence[0].part_ == kFatal);
+  BOOST_TEST(IsQuarantined(quarantine, kFatal, 11.0));
+  for (int death = 0; death < 20; ++death) {
+    quarantine.RecordDeath(
+      { kFatal }, MakeDeath("x" + std::to_string(death), 12.0 + death));
+  }
+  BOOST_TEST(quarantine.GetEvidence(At(40.0))[0].deaths_.size() ==
+             PromptQuarantine::kMaxDeaths);
+}
+
+// Guards against a verdict that outlives its evidence.
+BOOST_AUTO_TEST_CASE(OldEvidenceIsForgotten)
+{
+  PromptQuarantine quarantine = MakeQuarantine(1);
+  quarantine.Tick(At(9.0 * 60.0));
+  BOOST_TEST(quarantine.GetEvidence(At(9.0 * 60.0)).size() == 1U);
+  quarantine.Tick(At(11.0 * 60.0));
+  BOOST_TEST(quarantine.GetEvidence(At(11.0 * 60.0)).empty());
+}
+
+// Guards against a verdict that an operator cannot lift.
+BOOST_AUTO_TEST_CASE(ExemptPartsAreNeverQuarantined)
+{
+  PromptQuarantine quarantine(1);
+  quarantine.SetExemptParts({ kFatal });
+  quarantine.RecordDeath({ kFatal }, MakeDeath("e0", 0.0));
+  quarantine.Merge(MakeQuarantine(3).GetEvidence(At(3.0)), At(3.0));
+  BOOST_TEST(!IsQuarantined(quarantine, kFatal, 3.0));
+}
+
+// Guards against verdicts without a record of their evidence.
+BOOST_AUTO_TEST_CASE(ChangesAreReportedWithTheirEvidence)
+{
+  PromptQuarantine quarantine = MakeQuarantine(3);
+  quarantine.RecordAnswer({ kFatal }, At(4.0));
+  const auto events = quarantine.TakeEvents();
+  BOOST_REQUIRE(events.size() == 3U);
+  BOOST_TEST((events[0].change_ == QuarantineChange::Quarantined));
+  BOOST_TEST(events[0].evidence_.deaths_.size() == 2U);
+  BOOST_TEST((events[1].change_ == QuarantineChange::Confirmed));
+  BOOST_TEST((events[2].change_ == QuarantineChange::Lifted));
+  BOOST_TEST(quarantine.TakeEvents().empty());
+}
+
+// Guards against requests that reach an engine because they were queued before
+// the verdict.
+BOOST_AUTO_TEST_CASE(QueuedRequestsAreRefusedAtOnce)
+{
+  ServerLoadTracker tracker;
+  PromptQuarantine quarantine(1);
+  Dispatcher dispatcher(
+    tracker, quarantine, ServerPlacement(AvailabilityZone("a"), 1), 7);
+  DispatchTicket ticket;
+  ticket.request_ = MakeGeneration(1000);
+  ticket.request_.demand_.sharedParts_ = { kCommon, kFatal };
+  ticket.arrival_ = kStart;
+  ticket.targetTime_ = At(4.0);
+  ticket.deadline_ = At(39.0);
+  DispatchDecisions decisions;
+  ticket.id_ = 1;
+  dispatcher.Enqueue(ticket, kStart, decisions);
+  BOOST_TEST(decisions.refusals_.empty());
+  quarantine.RecordDeath({ kFatal }, MakeDeath("e0", 0.1));
+  quarantine.RecordDeath({ kFatal }, MakeDeath("e1", 0.2));
+  dispatcher.Tick(At(0.22), decisions);
+  BOOST_REQUIRE(decisions.refusals_.size() == 1U);
+  BOOST_TEST((decisions.refusals_[0].reason_ == ErrorCode::PromptQuarantined));
+  BOOST_TEST(decisions.refusals_[0].quarantinedPart_->part_ == kFatal);
+  BOOST_TEST(dispatcher.CountQueued() == 0U);
+  // New requests and retries take the same way.
+  AddEngine(tracker, "e2");
+  ticket.id_ = 2;
+  dispatcher.Enqueue(ticket, At(0.3), decisions);
+  BOOST_TEST(decisions.refusals_.size() == 2U);
+  BOOST_TEST(decisions.starts_.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace azurecross
--- a/tests/serving_tests/ServingFixture.cpp
+++ b/tests/serving_tests/ServingFixture.cpp
@@ -67,6 +67,7 @@
                      random_,
                      [](Duration) -> asio::awaitable<bool> { co_return false; },
                      nullptr,
+                     nullptr,
                      std::nullopt });
   mover_ = std::make_unique<GenerationMover>(context_, *services_);
   services_->mover_ = mover_.get();
--- a/tests/serving_tests/StateTests.cpp
+++ b/tests/serving_tests/StateTests.cpp
@@ -98,7 +98,13 @@
   reportedStatistics.statistics_.failureShare_.Add(1.0);
   reportedStatistics.statistics_.failureShare_.Add(0.0);
   report.findings_ = { reportedStatistics };
-  const auto parsed = ParseLoadReport(FormatLoadReport(report));
+  const Time now = Time(std::chrono::seconds(100));
+  const Time died = now - std::chrono::milliseconds(250);
+  report.promptEvidence_ = {
+    { 0xfedcba9876543210U, { { BackendServerId("e1"), 77, died } }, {} },
+    { 0x1fU, {}, now }
+  };
+  const auto parsed = ParseLoadReport(FormatLoadReport(report, now), now);
   BOOST_REQUIRE(parsed.has_value());
   const ServerStatistics& statistics = parsed->findings_->back().statistics_;
   BOOST_TEST(std::abs(statistics.secondsPerPromptToken_.sum_ - 0.000125) <
@@ -115,9 +121,27 @@
   BOOST_TEST(parsed->uses_[0].pendingPromptTokens_ == 300.0);
   BOOST_TEST(parsed->leaving_.size() == 1U);
   BOOST_TEST(!parsed->hasStoreAccess_);
-  for (const char* text :
-       { "", "{}", "[]", "{\"sender\":\"a\",\"uses\":[[1,2]]}", "\xff" }) {
-    BOOST_TEST(!ParseLoadReport(text).has_value());
+  BOOST_REQUIRE(parsed->promptEvidence_.size() == 2U);
+  const PromptPartEvidence& evidence = parsed->promptEvidence_[0];
+  BOOST_TEST(evidence.part_ == 0xfedcba9876543210U);
+  BOOST_REQUIRE(evidence.deaths_.size() == 1U);
+  BOOST_TEST(evidence.deaths_[0].server_ == BackendServerId("e1"));
+  BOOST_TEST(evidence.deaths_[0].startedUnixMs_ == 77);
+  BOOST_TEST((evidence.deaths_[0].at_ == died));
+  BOOST_TEST(!evidence.soundAt_.has_value());
+  BOOST_TEST((parsed->promptEvidence_[1].soundAt_ == now));
+  for (
+    const char* text :
+    { "",
+      "{}",
+      "[]",
+      "{\"sender\":\"a\",\"uses\":[[1,2]]}",
+      "\xff",
+      R"({"sender":"a","uses":[],"prompt_evidence":[["1f",null]]})",
+      R"({"sender":"a","uses":[],"prompt_evidence":[["x",null,[]]]})",
+      R"({"sender":"a","uses":[],"prompt_evidence":[["1f",-1,[]]]})",
+      R"({"sender":"a","uses":[],"prompt_evidence":[["1f",null,[["e",1]]]]})" }) {
+    BOOST_TEST(!ParseLoadReport(text, Time()).has_value());
   }
 }
 
