Tell parts of prompts that the same deaths accuse apart, and correct others at once

Cause: each part with two deaths was quarantined by itself, and answers that acquit a part were told only with the next regular report. Change: of parts that the same deaths accuse, only a request with all of them is refused; a death that a part with more deaths explains no longer counts for the others. A daemon that knows a suspect to be sound tells the others within 60 ms, unless another one has done so.

--- a/modules/azurecross_dispatch/quarantine/PromptQuarantine.cpp
+++ b/modules/azurecross_dispatch/quarantine/PromptQuarantine.cpp
@@ -15,6 +15,9 @@
 /** Other daemons are told of an answer for this time, several report intervals.
  */
 constexpr Duration kSoundReportTime = std::chrono::seconds(5);
+/** Shortest time between two corrections of the same part, while reports that
+ * were sent before the first one still arrive. */
+constexpr Duration kCorrectionInterval = std::chrono::milliseconds(300);
 /** A process under the same id cannot die again within this time: it has to
  * start first. Used where the start time is unknown. */
 constexpr Duration kShortestEngineLife = std::chrono::seconds(2);
@@ -41,6 +44,20 @@
            : std::chrono::abs(aLeft.at_ - aRight.at_) < kShortestEngineLife;
 }
 
+/** @returns whether a list contains all deaths of another one. */
+bool
+ContainsDeaths(const std::vector<EngineDeath>& aList,
+               const std::vector<EngineDeath>& aDeaths)
+{
+  return std::all_of(
+    aDeaths.begin(), aDeaths.end(), [&](const EngineDeath& aDeath) {
+      return std::any_of(
+        aList.begin(), aList.end(), [&](const EngineDeath& aOther) {
+          return IsSameDeath(aDeath, aOther);
+        });
+    });
+}
+
 } // namespace
 
 std::string
@@ -105,9 +122,11 @@
   }
   if (!suspect.deaths_.empty()) {
     suspect.updatedAt_ = std::max(suspect.updatedAt_, aAt);
+    suspect.isCorrectionUntold_ = true;
   }
   suspect.deaths_.clear();
   suspect.soundAt_ = aAt;
+  CompareSuspects();
 }
 
 bool
@@ -118,9 +137,51 @@
   for (const PromptPartId part : aParts) {
     isNew = AddDeath(part, aDeath) || isNew;
   }
+  if (isNew) {
+    CompareSuspects();
+  }
   return isNew;
 }
 
+void
+PromptQuarantine::CompareSuspects()
+{
+  for (auto& [part, suspect] : suspects_) {
+    RemoveExplainedDeaths(part, suspect);
+  }
+  for (auto& [part, suspect] : suspects_) {
+    suspect.companions_.clear();
+    for (const auto& [otherPart, other] : suspects_) {
+      const bool isAccusedAlike =
+        suspect.IsQuarantined() && otherPart != part &&
+        other.deaths_.size() == suspect.deaths_.size() &&
+        ContainsDeaths(other.deaths_, suspect.deaths_);
+      if (isAccusedAlike) {
+        suspect.companions_.push_back(otherPart);
+      }
+    }
+  }
+}
+
+void
+PromptQuarantine::RemoveExplainedDeaths(PromptPartId aPart, Suspect& aSuspect)
+{
+  const Suspect before = aSuspect;
+  for (const auto& [otherPart, other] : suspects_) {
+    const bool isMoreLikely =
+      other.IsQuarantined() && other.deaths_.size() > before.deaths_.size();
+    if (isMoreLikely) {
+      std::erase_if(aSuspect.deaths_, [&](const EngineDeath& aDeath) {
+        return ContainsDeaths(other.deaths_, { aDeath });
+      });
+    }
+  }
+  if (before.IsQuarantined() && !aSuspect.IsQuarantined()) {
+    --quarantinedCount_;
+    AddEvent(QuarantineChange::Lifted, aPart, before);
+  }
+}
+
 bool
 PromptQuarantine::AddDeath(PromptPartId aPart, const EngineDeath& aDeath)
 {
@@ -208,6 +269,10 @@
         suspect != suspects_.end() && !suspect->second.deaths_.empty();
       if (isNews) {
         MarkSound(suspect, *evidence.soundAt_);
+        isNew = true;
+      }
+      if (suspect != suspects_.end()) {
+        suspect->second.isCorrectionUntold_ = false;
       }
     }
     for (const EngineDeath& death : evidence.deaths_) {
@@ -216,15 +281,39 @@
     const bool contradicts =
       !evidence.deaths_.empty() && IsSound(evidence.part_, aNow);
     if (contradicts) {
-      // The sender learns from the next report that the part is sound.
       Suspect& suspect = FindOrAddSuspect(evidence.part_);
+      const bool isDue =
+        aNow - suspect.updatedAt_ >= kCorrectionInterval || !suspect.soundAt_;
+      if (isDue) {
+        suspect.isCorrectionUntold_ = true;
+        suspect.updatedAt_ = aNow;
+      }
       suspect.soundAt_ = soundParts_.Find(evidence.part_);
-      suspect.updatedAt_ = aNow;
     }
   }
+  if (isNew) {
+    CompareSuspects();
+  }
   return isNew;
 }
 
+bool
+PromptQuarantine::HasUntoldCorrections() const
+{
+  return std::any_of(
+    suspects_.begin(), suspects_.end(), [](const auto& aSuspect) {
+      return aSuspect.second.isCorrectionUntold_;
+    });
+}
+
+void
+PromptQuarantine::MarkCorrectionsTold()
+{
+  for (auto& [part, suspect] : suspects_) {
+    suspect.isCorrectionUntold_ = false;
+  }
+}
+
 std::vector<PromptPartEvidence>
 PromptQuarantine::GetEvidence(Time aNow) const
 {
@@ -247,6 +336,23 @@
   return reported;
 }
 
+const PromptQuarantine::Suspect*
+PromptQuarantine::FindBlocking(PromptPartId aPart,
+                               const std::vector<PromptPartId>& aParts) const
+{
+  const auto found = suspects_.find(aPart);
+  if (found == suspects_.end() || !found->second.IsQuarantined()) {
+    return nullptr;
+  }
+  const std::vector<PromptPartId>& companions = found->second.companions_;
+  const bool hasAll = std::all_of(
+    companions.begin(), companions.end(), [&](PromptPartId aCompanion) {
+      return std::find(aParts.begin(), aParts.end(), aCompanion) !=
+             aParts.end();
+    });
+  return hasAll ? &found->second : nullptr;
+}
+
 std::optional<QuarantinedPart>
 PromptQuarantine::FindQuarantined(const std::vector<PromptPartId>& aParts,
                                   Time aNow) const
@@ -255,15 +361,11 @@
     return std::nullopt;
   }
   for (const PromptPartId part : aParts) {
-    const auto found = suspects_.find(part);
-    if (found == suspects_.end() || !found->second.IsQuarantined()) {
-      continue;
-    }
-    const Suspect& suspect = found->second;
-    if (aNow < suspect.trialAt_) {
+    const Suspect* suspect = FindBlocking(part, aParts);
+    if (suspect != nullptr && aNow < suspect->trialAt_) {
       return QuarantinedPart{ part,
-                              suspect.deaths_.size(),
-                              suspect.trialAt_ - aNow };
+                              suspect->deaths_.size(),
+                              suspect->trialAt_ - aNow };
     }
   }
   return std::nullopt;
@@ -276,10 +378,10 @@
     return;
   }
   for (const PromptPartId part : aParts) {
-    const auto found = suspects_.find(part);
-    if (found != suspects_.end() && found->second.IsQuarantined()) {
-      found->second.trialAt_ =
-        aNow + GetTrialDelay(part, found->second.deaths_.size());
+    const Suspect* suspect = FindBlocking(part, aParts);
+    if (suspect != nullptr) {
+      suspects_.at(part).trialAt_ =
+        aNow + GetTrialDelay(part, suspect->deaths_.size());
     }
   }
 }
--- a/modules/azurecross_dispatch/quarantine/PromptQuarantine.h
+++ b/modules/azurecross_dispatch/quarantine/PromptQuarantine.h
@@ -50,8 +50,11 @@
  * begun to answer. An answer proves all parts of its request sound. A part is
  * quarantined after two different engines have died under it without an answer
  * in between or shortly before, so parts that sound requests use are not
- * blamed, and neither are callers, customers or routes. Daemons exchange what
- * they know, since the deaths caused by one part are seen by different daemons.
+ * blamed, and neither are callers, customers or routes. Parts that the same
+ * deaths accuse are told apart by further requests: only a request with all of
+ * them is refused, and a part whose deaths another one explains is acquitted.
+ * Daemons exchange what they know, since the deaths caused by one part are seen
+ * by different daemons.
  *
  * A wrong verdict is corrected by a trial: after a delay, which grows with the
  * number of deaths, one request with the part is let through. Each daemon has a
@@ -89,12 +92,19 @@
                    const EngineDeath& aDeath);
 
   /** Adds the evidence that another daemon has reported.
-   * @returns whether it contains a death that was unknown. */
+   * @returns whether it contains a death that was unknown, or an answer that
+   * acquits a suspect. */
   bool Merge(const std::vector<PromptPartEvidence>& aEvidence, Time aNow);
 
   /** @returns the evidence to report to other daemons. */
   std::vector<PromptPartEvidence> GetEvidence(Time aNow) const;
 
+  /** @returns whether this daemon knows of an answer that acquits a part which
+   * others suspect, and has not told them. */
+  bool HasUntoldCorrections() const;
+  /** Records that the evidence was sent to other daemons. */
+  void MarkCorrectionsTold();
+
   /** @returns the part because of which a request must not be sent now, or
    * nothing if it may be sent. */
   std::optional<QuarantinedPart> FindQuarantined(
@@ -123,6 +133,9 @@
     Time updatedAt_;
     /** From this time on, the next request with the part is let through. */
     Time trialAt_;
+    /** The other parts that the same deaths accuse. */
+    std::vector<PromptPartId> companions_;
+    bool isCorrectionUntold_ = false;
 
     bool IsQuarantined() const { return deaths_.size() >= kFatalDeaths; }
   };
@@ -131,6 +144,15 @@
   /** @returns whether an answer shows the part to be sound at this time. */
   bool IsSound(PromptPartId aPart, Time aAt) const;
   bool AddDeath(PromptPartId aPart, const EngineDeath& aDeath);
+  /** Removes the deaths that another part explains, and finds the parts that
+   * the same deaths accuse. */
+  void CompareSuspects();
+  /** A death has one cause: a part with more deaths is the more likely one. */
+  void RemoveExplainedDeaths(PromptPartId aPart, Suspect& aSuspect);
+  /** @returns the suspect if a request with these parts has to be refused
+   * because of this part. */
+  const Suspect* FindBlocking(PromptPartId aPart,
+                              const std::vector<PromptPartId>& aParts) const;
   void MarkSound(Suspects::iterator aSuspect, Time aAt);
   /** @returns the suspect; the one with the weakest evidence makes room for a
    * new one. */
--- a/modules/azurecross_serving/daemon/ServingDaemon.h
+++ b/modules/azurecross_serving/daemon/ServingDaemon.h
@@ -107,6 +107,8 @@
     state_.SetLoadChangeHandler([this] { ScheduleDispatch(); });
     state_.SetGenerationPlacedHandler(
       [this] { loadExchange_.SchedulePlacementReport(); });
+    state_.SetPromptCorrectionHandler(
+      [this] { loadExchange_.ScheduleCorrection(); });
     // Peers that wait for the store read from a recovered reader at once, and
     // peers that have not yet noticed the loss of the store check their access.
     state_.SetStoreReachabilityHandler([this] { loadExchange_.SendReports(); });
--- a/modules/azurecross_serving/peers/LoadExchange.cpp
+++ b/modules/azurecross_serving/peers/LoadExchange.cpp
@@ -36,6 +36,9 @@
 /** Interval between the summaries of a zone. The two summarizers of a zone
  * halve it, and a summary passes two hops before its load expires. */
 constexpr Duration kSummaryInterval = std::chrono::milliseconds(600);
+/** Many daemons may know at the same time that a part of a prompt is sound;
+ * each one waits for a different part of this time. */
+constexpr Duration kMaxCorrectionDelay = std::chrono::milliseconds(60);
 /** A larger report is sent without its findings. */
 constexpr std::size_t kMaxDatagramBytes = 60000;
 /** Names of the load that summaries cover; no daemon's address has a space. */
@@ -60,6 +63,8 @@
   , zone_(std::move(aZone))
   , name_(GetAddress().Format())
   , topology_(GetAddress(), zone_)
+  , correctionTimer_(aContext)
+  , correctionDelayShare_(Random(HashBytes(name_)).DrawUnit())
 {
   socket_.non_blocking(true);
 }
@@ -184,9 +189,27 @@
   SendOwnReport(topology_.GetOtherZones(), ReportContent::EvidenceAndFindings);
 }
 
+void
+LoadExchange::ScheduleCorrection()
+{
+  if (isCorrectionPending_) {
+    return;
+  }
+  isCorrectionPending_ = true;
+  correctionTimer_.expires_after(
+    FromSeconds(ToSeconds(kMaxCorrectionDelay) * correctionDelayShare_));
+  correctionTimer_.async_wait([this](const boost::system::error_code& aCode) {
+    isCorrectionPending_ = false;
+    if (!aCode && state_.GetQuarantine().HasUntoldCorrections()) {
+      SendEvidence();
+    }
+  });
+}
+
 void
 LoadExchange::SendEvidence()
 {
+  state_.GetQuarantine().MarkCorrectionsTold();
   SendOwnReport(topology_.GetOwnZone(), ReportContent::Evidence);
   SendOwnReport(topology_.GetOtherZones(), ReportContent::Evidence);
 }
--- a/modules/azurecross_serving/peers/LoadExchange.h
+++ b/modules/azurecross_serving/peers/LoadExchange.h
@@ -51,6 +51,10 @@
   /** Sends the evidence about parts of prompts to the same daemons. */
   void SendEvidence();
 
+  /** Schedules a report with the evidence, which acquits a part of a prompt.
+   * The report is skipped if another daemon sends the correction first. */
+  void ScheduleCorrection();
+
   /** Schedules a report about a placement after a short delay. The report is
    * skipped if the budget for such reports is exhausted. */
   void SchedulePlacementReport();
@@ -129,6 +133,10 @@
   std::set<SocketAddress> members_;
   std::array<char, kMaxReportBytes> buffer_{};
   boost::asio::ip::udp::endpoint sender_;
+  boost::asio::steady_timer correctionTimer_;
+  bool isCorrectionPending_ = false;
+  /** This daemon's part of the longest delay of a correction. */
+  double correctionDelayShare_ = 0.0;
 };
 
 } // namespace azurecross
--- a/modules/azurecross_serving/state/ServingState.cpp
+++ b/modules/azurecross_serving/state/ServingState.cpp
@@ -232,6 +232,9 @@
 void
 ServingState::LogQuarantineEvents(Time aNow)
 {
+  if (onPromptCorrection_ && quarantine_.HasUntoldCorrections()) {
+    onPromptCorrection_();
+  }
   for (const QuarantineEvent& event : quarantine_.TakeEvents()) {
     std::string deaths;
     for (const EngineDeath& death : event.evidence_.deaths_) {
--- a/modules/azurecross_serving/state/ServingState.h
+++ b/modules/azurecross_serving/state/ServingState.h
@@ -120,6 +120,12 @@
   {
     onGenerationPlaced_ = std::move(aHandler);
   }
+  /** Sets the callback for an answer that acquits a part of a prompt which
+   * other daemons suspect. */
+  void SetPromptCorrectionHandler(std::function<void()> aHandler)
+  {
+    onPromptCorrection_ = std::move(aHandler);
+  }
   void NotifyRunPlaced(RunId aRun)
   {
     const RunDescription* run = loadTracker_.FindRun(aRun);
@@ -159,6 +165,7 @@
   std::function<void()> onLoadChange_;
   std::function<void()> onStoreReachabilityChange_;
   std::function<void()> onGenerationPlaced_;
+  std::function<void()> onPromptCorrection_;
 };
 
 } // namespace azurecross
--- a/tests/dispatch_tests/QuarantineTests.cpp
+++ b/tests/dispatch_tests/QuarantineTests.cpp
@@ -133,6 +133,46 @@
   BOOST_TEST(!IsQuarantined(mistaken, kRare, 2.2));
 }
 
+// Guards against the refusal of sound requests because of a part that stood
+// beside the fatal one each time.
+BOOST_AUTO_TEST_CASE(PartsAccusedAlikeAreToldApart)
+{
+  PromptQuarantine quarantine(1);
+  quarantine.RecordDeath({ kFatal, kRare }, MakeDeath("e0", 0.0));
+  quarantine.RecordDeath({ kFatal, kRare }, MakeDeath("e1", 1.0));
+  BOOST_TEST(
+    quarantine.FindQuarantined({ kRare, kFatal }, At(1.1)).has_value());
+  BOOST_TEST(!IsQuarantined(quarantine, kRare, 1.1));
+  quarantine.RecordDeath({ kFatal }, MakeDeath("e2", 2.0));
+  BOOST_TEST(IsQuarantined(quarantine, kFatal, 2.1));
+  BOOST_TEST(!IsQuarantined(quarantine, kRare, 2.1));
+  // The deaths that the fatal part explains no longer count.
+  quarantine.RecordDeath({ kRare }, MakeDeath("e3", 3.0));
+  BOOST_TEST(!IsQuarantined(quarantine, kRare, 3.1));
+}
+
+// Guards against corrections that many daemons send at the same time, and
+// against corrections that are never sent.
+BOOST_AUTO_TEST_CASE(CorrectionIsToldOnce)
+{
+  PromptQuarantine mistaken(1);
+  mistaken.RecordDeath({ kRare }, MakeDeath("e0", 1.0));
+  PromptQuarantine first(2);
+  PromptQuarantine second(3);
+  for (PromptQuarantine* informed : { &first, &second }) {
+    informed->RecordAnswer({ kRare }, At(0.5));
+    BOOST_TEST(!informed->HasUntoldCorrections());
+    informed->Merge(mistaken.GetEvidence(At(1.1)), At(1.1));
+    BOOST_TEST(informed->HasUntoldCorrections());
+  }
+  const auto correction = first.GetEvidence(At(1.2));
+  first.MarkCorrectionsTold();
+  second.Merge(correction, At(1.2));
+  BOOST_TEST(!first.HasUntoldCorrections());
+  BOOST_TEST(!second.HasUntoldCorrections());
+  BOOST_TEST(mistaken.Merge(correction, At(1.2)));
+}
+
 // Guards against a wrong verdict that no answer can correct any more.
 BOOST_AUTO_TEST_CASE(OneTrialIsLetThroughAndLiftsAWrongVerdict)
 {
