Try quarantined parts later, report new evidence first, and acquit by successes only

Reports of at most eight parts listed suspects by id, so that many older ones could keep new evidence and corrections out. A whole answer with an error status counted as proof that its prompt is sound. Ruled out: no trial at all, since only an answer can correct a wrong verdict.

--- a/modules/azurecross_dispatch/quarantine/PromptQuarantine.cpp
+++ b/modules/azurecross_dispatch/quarantine/PromptQuarantine.cpp
@@ -27,7 +27,7 @@
 constexpr Duration kQuarantineLifetime = std::chrono::hours(2);
 /** Delay of the trial after the fewest deaths that lead to quarantine. Each
  * further death makes it four times as long, up to the maximum. */
-constexpr Duration kFirstTrialDelay = std::chrono::seconds(15);
+constexpr Duration kFirstTrialDelay = std::chrono::seconds(60);
 constexpr unsigned kTrialDelayFactor = 4;
 constexpr Duration kMaxTrialDelay = std::chrono::minutes(30);
 
@@ -317,21 +317,36 @@
 std::vector<PromptPartEvidence>
 PromptQuarantine::GetEvidence(Time aNow) const
 {
-  std::vector<PromptPartEvidence> reported;
-  for (const auto& [part, suspect] : suspects_) {
-    const bool isSoundNews =
-      suspect.soundAt_ && aNow - suspect.updatedAt_ < kSoundReportTime;
-    if (!suspect.deaths_.empty() || isSoundNews) {
-      reported.push_back({ part, suspect.deaths_, suspect.soundAt_ });
+  std::vector<Suspects::const_pointer> accused;
+  std::vector<Suspects::const_pointer> acquitted;
+  for (const auto& entry : suspects_) {
+    const Suspect& suspect = entry.second;
+    if (!suspect.deaths_.empty()) {
+      accused.push_back(&entry);
+    } else if (suspect.soundAt_ &&
+               aNow - suspect.updatedAt_ < kSoundReportTime) {
+      acquitted.push_back(&entry);
     }
   }
-  std::stable_sort(reported.begin(),
-                   reported.end(),
-                   [](const auto& aLeft, const auto& aRight) {
-                     return aLeft.deaths_.size() > aRight.deaths_.size();
-                   });
-  if (reported.size() > kMaxReportedParts) {
-    reported.resize(kMaxReportedParts);
+  const auto isStronger = [](const auto* aLeft, const auto* aRight) {
+    return std::pair(aLeft->second.deaths_.size(), aLeft->second.updatedAt_) >
+           std::pair(aRight->second.deaths_.size(), aRight->second.updatedAt_);
+  };
+  std::stable_sort(accused.begin(), accused.end(), isStronger);
+  std::stable_sort(acquitted.begin(), acquitted.end(), isStronger);
+  // Neither kind may keep the other out of the report.
+  const std::size_t accusedCount = std::min(
+    accused.size(),
+    kMaxReportedParts - std::min(acquitted.size(), kMaxReportedParts / 2));
+  accused.resize(accusedCount);
+  acquitted.resize(
+    std::min(acquitted.size(), kMaxReportedParts - accusedCount));
+  accused.insert(accused.end(), acquitted.begin(), acquitted.end());
+  std::vector<PromptPartEvidence> reported;
+  reported.reserve(accused.size());
+  for (const auto* entry : accused) {
+    reported.push_back(
+      { entry->first, entry->second.deaths_, entry->second.soundAt_ });
   }
   return reported;
 }
--- a/modules/azurecross_serving/forward/GenerationExchange.cpp
+++ b/modules/azurecross_serving/forward/GenerationExchange.cpp
@@ -104,12 +104,15 @@
     aRun.reservation_.SetEnd(GetRunEnd(*result.error_));
     co_return result;
   }
+  const bool isOk = call_->GetHead().result() == http::status::ok;
   const bool isStream = call_->GetResponseInfo().isEventStream_ &&
-                        call_->GetResponseInfo().isVerified_ &&
-                        call_->GetHead().result() == http::status::ok;
+                        call_->GetResponseInfo().isVerified_ && isOk;
   if (!isStream) {
     result = co_await ReadAndForwardResponse(
       context_, *call_, aRun.reservation_, writer_, false, context_.deadline_);
+    if (!result.error_ && isOk) {
+      RecordAnswer();
+    }
     co_return result;
   }
   generation_ = std::make_shared<ActiveGeneration>(services_.executor_);
