--- a/modules/azurecross_serving/peers/LoadExchange.cpp
+++ b/modules/azurecross_serving/peers/LoadExchange.cpp
@@ -199,8 +199,11 @@
   correctionTimer_.expires_after(
     FromSeconds(ToSeconds(kMaxCorrectionDelay) * correctionDelayShare_));
   correctionTimer_.async_wait([this](const boost::system::error_code& aCode) {
+    if (aCode) {
+      return;
+    }
     isCorrectionPending_ = false;
-    if (!aCode && state_.GetQuarantine().HasUntoldCorrections()) {
+    if (state_.GetQuarantine().HasUntoldCorrections()) {
       SendEvidence();
     }
   });
--- a/tests/serving_tests/ReportTests.cpp
+++ b/tests/serving_tests/ReportTests.cpp
@@ -120,6 +120,50 @@
   }
 }
 
+// Guards against a verdict on a part of a prompt that other zones or a
+// restarted daemon don't learn.
+BOOST_AUTO_TEST_CASE(PromptEvidenceReachesAllZones)
+{
+  constexpr std::uint16_t kPort = 17270;
+  constexpr int kDaemons = 36;
+  constexpr PromptPartId kPart = 0xbad;
+  asio::io_context context(1);
+  const auto members = MakeMembers(kDaemons, 3, kPort);
+  std::vector<std::unique_ptr<Daemon>> daemons;
+  const auto addDaemon = [&](const MemberRecord& aMember) {
+    daemons.push_back(std::make_unique<Daemon>(context, aMember));
+    daemons.back()->exchange_.SetMembers(members);
+    daemons.back()->exchange_.Start();
+  };
+  // The last daemon starts later.
+  for (std::size_t index = 0; index + 1 < members.size(); ++index) {
+    addDaemon(members[index]);
+  }
+  const auto recordDeath = [&](std::size_t aDaemon, const char* aServer) {
+    const bool isNew = daemons[aDaemon]->state_.RecordEngineDeath(
+      { kPart }, BackendServerId(aServer), ReadMonotonicTime());
+    BOOST_TEST(isNew);
+    daemons[aDaemon]->exchange_.SendEvidence();
+  };
+  // Neither daemon is a summarizer, and they are in different zones.
+  recordDeath(20, "e1");
+  recordDeath(25, "e2");
+  context.run_for(100ms);
+  for (auto& daemon : daemons) {
+    BOOST_TEST(daemon->state_.GetQuarantine().CountQuarantined() == 1U);
+  }
+  addDaemon(members.back());
+  context.run_for(1500ms);
+  BOOST_TEST(daemons.back()->state_.GetQuarantine().CountQuarantined() == 1U);
+  // An answer at any daemon lifts the verdict everywhere.
+  daemons[30]->state_.RecordPromptAnswer({ kPart }, ReadMonotonicTime());
+  daemons[30]->exchange_.ScheduleCorrection();
+  context.run_for(200ms);
+  for (auto& daemon : daemons) {
+    BOOST_TEST(daemon->state_.GetQuarantine().CountQuarantined() == 0U);
+  }
+}
+
 // Guards against a zone that disappears with one of its summarizers.
 BOOST_AUTO_TEST_CASE(OtherSummarizerCoversTheZone)
 {
--- a/tests/serving_tests/TestWireProtocol.cpp
+++ b/tests/serving_tests/TestWireProtocol.cpp
@@ -1,5 +1,7 @@
 #include "TestWireProtocol.h"
 
+#include <sstream>
+
 namespace azurecross {
 
 namespace {
@@ -33,6 +35,10 @@
   const std::string outputLimit = FindHeader(aRequest, "X-Output");
   metadata.generation_.outputLimit_ =
     outputLimit.empty() ? 1000 : std::stoul(outputLimit);
+  std::istringstream parts(FindHeader(aRequest, "X-Parts"));
+  for (std::string part; std::getline(parts, part, ',');) {
+    metadata.generation_.sharedParts_.push_back(*ParsePromptPartId(part));
+  }
   return metadata;
 }
 
