Count streams that were cut off as failures

What callers saw: nothing else; operators saw streams break in the log only. `azurecross_forward_failures_total` left out every failure after the first event. Cause: `ForwardPipeline::Run` returned before the count once the answer had begun. Change: the failure is counted before. Requests whose caller left are not counted, as before. Ruled out: a metric of its own for broken streams; the reason `answer_truncated` already tells them apart. Measured: BrokenStreamIsCountedAsFailure failed before the change (no such sample) and passes with it; all 72 tests of serving_tests pass (release).

--- a/modules/azurecross_serving/forward/ForwardPipeline.cpp
+++ b/modules/azurecross_serving/forward/ForwardPipeline.cpp
@@ -65,12 +65,12 @@
   if (!failure || context_.isCallerDisconnected_) {
     co_return;
   }
+  services_.metrics_.CountFailure(failure->code_);
   if (writer_.HasStarted()) {
     // The response is missing its end, so the caller detects the truncation.
     writer_.CloseAfterResponse();
     co_return;
   }
-  services_.metrics_.CountFailure(failure->code_);
   co_await writer_.WriteError(*failure);
 }
 
--- a/modules/azurecross_serving/metrics/ServingMetrics.cpp
+++ b/modules/azurecross_serving/metrics/ServingMetrics.cpp
@@ -82,7 +82,7 @@
   metrics_
     .GetCounter(
       "azurecross_forward_failures_total",
-      "Requests that ended in a failure of this daemon's own",
+      "Requests that were refused or failed, and streams that were cut off",
       { { "reason", std::string(kErrorCodeNames.FindName(aReason)) } })
     .Increment();
 }
--- a/tests/serving_tests/StreamTests.cpp
+++ b/tests/serving_tests/StreamTests.cpp
@@ -85,6 +85,19 @@
   BOOST_TEST(response.body_ == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
 
+// A stream that was cut off must be counted like other failures.
+BOOST_FIXTURE_TEST_CASE(BrokenStreamIsCountedAsFailure, ServingFixture)
+{
+  FakeBackendServer server(
+    MakeUnframedStream("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"));
+  SetTables(MakeTables());
+  AddServer("e1", "engines", server);
+  BOOST_TEST(!Call(MakeRequest("/stream/x")).isWhole_);
+  const std::string metrics = FormatMetrics();
+  BOOST_TEST(metrics.find("azurecross_forward_failures_total{reason=\"answer_"
+                          "truncated\"} 1") != std::string::npos);
+}
+
 // A stream of which only a part of one event arrived must not be a success.
 BOOST_FIXTURE_TEST_CASE(UnframedStreamWithoutWholeEventIsAnError,
                         ServingFixture)
