Tell the cause of requests that the quarantine refused in azurecross trace

What callers saw: nothing; for a refused request operators had to find the evidence by hand. Cause: `RequestTrace` didn't read `prompt_quarantine_changed`, and printed `engine_examined` without using it for the cause. Change: for the reason `prompt_quarantined` the cause names the part, the verdict before the refusal with the number of deaths and the engines, and the first correction after it, all from the log of the daemon that refused; a missing record is told. A request whose engine was examined tells whether the engine was found dead. Ruled out: records of other daemons, which may have had another verdict at that time.

--- a/apps/azurecross/RequestTrace.cpp
+++ b/apps/azurecross/RequestTrace.cpp
@@ -18,6 +18,7 @@
 constexpr std::array<std::string_view, 3> kStoreMessages{ "dependency_lost",
                                                           "dependency_regained",
                                                           "stopping" };
+constexpr std::string_view kQuarantineMessage = "prompt_quarantine_changed";
 constexpr std::array<std::string_view, 3> kServerFields{ "backend_server",
                                                          "from",
                                                          "to" };
@@ -41,6 +42,14 @@
   return std::find(aNames.begin(), aNames.end(), aName) != aNames.end();
 }
 
+/** @returns whether the detail of a refusal names the part of the prompt. */
+bool
+NamesPart(std::string_view aDetail, const std::string& aPart)
+{
+  return !aPart.empty() &&
+         aDetail.find("part " + aPart + " ") != std::string_view::npos;
+}
+
 } // namespace
 
 RequestTrace::RequestTrace(std::string aRequest)
@@ -81,6 +90,7 @@
   if (FindText(record.fields_, "request") == request_) {
     own_.push_back(std::move(record));
   } else if (record.message_ == "server_changed" ||
+             record.message_ == kQuarantineMessage ||
              Contains(kStoreMessages, record.message_)) {
     changes_.push_back(std::move(record));
   }
@@ -106,7 +116,13 @@
     const bool isOfServer =
       record.message_ == "server_changed" &&
       servers.contains(FindText(record.fields_, "backend_server"));
-    if (isOfServer || Contains(kStoreMessages, record.message_)) {
+    const bool isOfPart =
+      record.message_ == kQuarantineMessage &&
+      std::any_of(own_.begin(), own_.end(), [&](const Record& aOwn) {
+        return NamesPart(FindText(aOwn.fields_, "detail"),
+                         FindText(record.fields_, "part"));
+      });
+    if (isOfServer || isOfPart || Contains(kStoreMessages, record.message_)) {
       context.push_back(record);
     }
   }
@@ -162,7 +178,7 @@
   std::string store;
   std::string serverChange;
   for (const Record& record : FindContext()) {
-    if (record.time_ > end->time_) {
+    if (record.time_ > end->time_ || record.message_ == kQuarantineMessage) {
       continue;
     }
     if (record.message_ == "dependency_lost") {
@@ -192,7 +208,66 @@
     cause += "; last move: " + FindText(move->fields_, "step") + " " +
              FindText(move->fields_, "outcome");
   }
-  return cause + serverChange + store;
+  return cause + DescribeExamination() + serverChange + store +
+         DescribeQuarantine(*end);
+}
+
+std::string
+RequestTrace::DescribeExamination() const
+{
+  std::string text;
+  for (const Record& record : own_) {
+    if (record.message_ == "engine_examined") {
+      text += "; engine ";
+      text += FindText(record.fields_, "backend_server");
+      text += " was found ";
+      text += FindText(record.fields_, "outcome");
+      text += " at ";
+      text += record.time_;
+    }
+  }
+  return text;
+}
+
+std::string
+RequestTrace::DescribeQuarantine(const Record& aEnd) const
+{
+  if (FindText(aEnd.fields_, "reason") != "prompt_quarantined") {
+    return {};
+  }
+  // The newest verdict before the refusal, and the first correction after it.
+  const Record* verdict = nullptr;
+  const Record* correction = nullptr;
+  const std::vector<Record> context = FindContext();
+  for (const Record& record : context) {
+    const bool isOfPart = record.message_ == kQuarantineMessage &&
+                          record.source_ == aEnd.source_ &&
+                          NamesPart(FindText(aEnd.fields_, "detail"),
+                                    FindText(record.fields_, "part"));
+    if (!isOfPart) {
+      continue;
+    }
+    const bool isLifted = FindText(record.fields_, "change") == "lifted";
+    if (!isLifted && record.time_ <= aEnd.time_ &&
+        (verdict == nullptr || record.time_ >= verdict->time_)) {
+      verdict = &record;
+    } else if (isLifted && record.time_ >= aEnd.time_ &&
+               (correction == nullptr || record.time_ < correction->time_)) {
+      correction = &record;
+    }
+  }
+  if (verdict == nullptr) {
+    return "; no record of the quarantine of the part: its log is missing";
+  }
+  std::string text =
+    "; part " + FindText(verdict->fields_, "part") + " was " +
+    FindText(verdict->fields_, "change") + " at " + verdict->time_ + " after " +
+    FindText(verdict->fields_, "deaths") +
+    " deaths of engines: " + FindText(verdict->fields_, "engines");
+  if (correction != nullptr) {
+    text += "; lifted at " + correction->time_;
+  }
+  return text;
 }
 
 } // namespace azurecross
--- a/apps/azurecross/RequestTrace.h
+++ b/apps/azurecross/RequestTrace.h
@@ -27,8 +27,9 @@
    * @param aSource its name in the story, such as the file's. */
   void Read(std::istream& aLines, const std::string& aSource);
 
-  /** @returns the request's records, what became of its backend servers, and
-   * outages of the store of its process, one line each in order of time. */
+  /** @returns the request's records, what became of its backend servers,
+   * outages of the store of its process, and changes of the quarantine of a
+   * part of its prompt, one line each in order of time. */
   std::vector<std::string> Describe() const;
 
   /** @returns how the request ended and why, as far as the records tell. */
@@ -50,10 +51,16 @@
   void TakeLine(std::string_view aLine, const std::string& aSource);
   /** @returns the records around the request that explain it. */
   std::vector<Record> FindContext() const;
+  /** @returns whether engines that broke off the request were found dead. */
+  std::string DescribeExamination() const;
+  /** @returns the evidence against the part of the prompt for which the request
+   * was refused, and whether the verdict was lifted later. */
+  std::string DescribeQuarantine(const Record& aEnd) const;
 
   std::string request_;
   std::vector<Record> own_;
-  /** Changes of backend servers and of the store, of all processes. */
+  /** Changes of backend servers, of the store and of the quarantine of parts of
+   * prompts, of all processes. */
   std::vector<Record> changes_;
   std::size_t unreadable_ = 0;
 };
--- a/tests/store_tests/TraceTests.cpp
+++ b/tests/store_tests/TraceTests.cpp
@@ -93,4 +93,56 @@
   BOOST_TEST(Contains(RequestTrace("other").FindCause(), "no record"));
 }
 
+// Guards against a refusal for a part of the prompt without its evidence.
+BOOST_AUTO_TEST_CASE(RefusedPromptNamesThePartAndTheEngines)
+{
+  const std::string quarantined =
+    "{\"time\":\"2\",\"message\":\"prompt_quarantine_changed\",\"part\":"
+    "\"ab1\","
+    "\"change\":\"quarantined\",\"deaths\":2,"
+    "\"engines\":\"e1 1.5 s ago, e2 0.0 s ago\"}\n";
+  const std::string refused =
+    "{\"time\":\"3\",\"message\":\"request_refused\",\"request\":\"r\","
+    "\"reason\":\"prompt_quarantined\",\"verdict\":\"not_run\",\"detail\":"
+    "\"part ab1 of the prompt is in quarantine: 2 engines died before they "
+    "answered requests with it\"}\n";
+  std::istringstream lines(
+    "{\"time\":\"1\",\"message\":\"prompt_quarantine_changed\",\"part\":\"b1\","
+    "\"change\":\"quarantined\",\"deaths\":2,\"engines\":\"e8, e9\"}\n" +
+    quarantined + refused +
+    "{\"time\":\"4\",\"message\":\"prompt_quarantine_changed\",\"part\":"
+    "\"ab1\","
+    "\"change\":\"lifted\",\"deaths\":2,\"engines\":\"e1, e2\"}\n");
+  RequestTrace trace("r");
+  trace.Read(lines, "a");
+  const std::string cause = trace.FindCause();
+  BOOST_TEST(Contains(cause, "request_refused: prompt_quarantined"));
+  BOOST_TEST(Contains(cause,
+                      "part ab1 was quarantined at 2 after 2 deaths of "
+                      "engines: e1 1.5 s ago, e2 0.0 s ago"));
+  BOOST_TEST(Contains(cause, "lifted at 4"));
+  BOOST_TEST(trace.Describe().size() == 3U);
+
+  std::istringstream other(quarantined);
+  std::istringstream own(refused);
+  RequestTrace incomplete("r");
+  incomplete.Read(other, "b");
+  incomplete.Read(own, "a");
+  BOOST_TEST(Contains(incomplete.FindCause(), "its log is missing"));
+}
+
+// Guards against a failed request whose engine died without a word about it.
+BOOST_AUTO_TEST_CASE(FailedRequestTellsWhetherItsEngineDied)
+{
+  std::istringstream lines(
+    "{\"time\":\"1\",\"message\":\"request_failed\",\"request\":\"r\","
+    "\"reason\":\"answer_truncated\",\"verdict\":\"ran\","
+    "\"backend_server\":\"e1\",\"detail\":\"broken off\"}\n"
+    "{\"time\":\"2\",\"message\":\"engine_examined\",\"request\":\"r\","
+    "\"backend_server\":\"e1\",\"outcome\":\"dead\"}\n");
+  RequestTrace trace("r");
+  trace.Read(lines, "a");
+  BOOST_TEST(Contains(trace.FindCause(), "; engine e1 was found dead at 2"));
+}
+
 } // namespace azurecross
