Add no load for a prompt whose stated lengths contradict each other

One request whose cached segments are stated longer than its prompt made an engine look full to all daemons until its first event. Cause: ServerLoadTracker::Start subtracted the cached tokens from the shorter prompt in unsigned numbers. Change: at most the prompt's tokens count as cached. Ruled out: a refusal of such requests, since engines serve them. Measured: ContradictoryPromptLengthsAddNoLoad failed before (4,294,964,316 pending tokens) and passes now.

--- a/modules/azurecross_dispatch/placement/ServerLoadTracker.cpp
+++ b/modules/azurecross_dispatch/placement/ServerLoadTracker.cpp
@@ -231,7 +231,9 @@
     if (aRun.priorOutputTokens_ == 0) {
       const std::uint32_t cached =
         FindCachedTokens(aRun.server_, aRun.demand_, aRun.startedAt_);
-      run.pendingPromptTokens_ = aRun.demand_.promptTokens_ - cached;
+      // The lengths come from the caller and may contradict each other.
+      run.pendingPromptTokens_ = aRun.demand_.promptTokens_ -
+                                 std::min(cached, aRun.demand_.promptTokens_);
       run.promptTokensAhead_ =
         server.GetPendingPromptTokens() + run.pendingPromptTokens_;
       server.ownUsage_.pendingPromptTokens_ += run.pendingPromptTokens_;
--- a/tests/dispatch_tests/LoadTests.cpp
+++ b/tests/dispatch_tests/LoadTests.cpp
@@ -30,6 +30,28 @@
   BOOST_TEST(load->GetMemoryTokens() == 0.0);
 }
 
+// Guards against an engine that is avoided because a caller states more cached
+// tokens than its prompt has.
+BOOST_AUTO_TEST_CASE(ContradictoryPromptLengthsAddNoLoad)
+{
+  ServerLoadTracker tracker;
+  AddEngine(tracker, "e1");
+  PlacementRequest request = MakeGeneration(10);
+  request.demand_.prefixHashes_ = { 1 };
+  request.demand_.prefixTokens_ = { 3000 };
+  for (int run = 0; run < 2; ++run) {
+    tracker.Start({ BackendServerId("e1"),
+                    RouteName("plan"),
+                    CustomerId("c"),
+                    CallKind::Generation,
+                    request.demand_,
+                    0,
+                    At(run) });
+  }
+  const ServerLoad* load = tracker.Find(BackendServerId("e1"));
+  BOOST_TEST(load->GetPendingPromptTokens() <= 20.0);
+}
+
 // Guards against peer totals that drift from the latest reports as reports
 // replace each other and servers are added and removed.
 BOOST_AUTO_TEST_CASE(PeerTotalsMatchTheLatestReports)
