Record and count the closes of callers' connections

Operators saw: nothing. From logs and metrics a request that was discarded after a close, or dropped above the connection limit, could not be told from none. Change: a counter of all closes of the forwarding path by reason and by how much of an unanswered request there was, and a record connection_closed for closes that had bytes of a request or were the daemon's doing, with the bytes, the idle time and limit, and the version and age of the tables. What arrives after the shutdown of a connection is kept up to the read-ahead limit to tell whether a header was whole. Not covered: bytes still unread at an immediate close count as partial, whole or not; the gateway's own connections describe their close, but nothing counts it.

--- a/modules/azurecross_gateway/relay/CallerChannel.cpp
+++ b/modules/azurecross_gateway/relay/CallerChannel.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/read.hpp>
 
 #include <array>
+#include <string_view>
 
 namespace azurecross {
 
@@ -19,6 +20,8 @@
 /** How long a caller may take to read the last answer and close. */
 constexpr Duration kLingerTime = std::chrono::seconds(1);
 
+constexpr std::string_view kHeaderEnd = "\r\n\r\n";
+
 /** @returns whether a read failed because the caller closed or vanished. */
 bool
 IsGone(const boost::system::error_code& aCode)
@@ -76,12 +79,16 @@
                               asio::redirect_error(asio::use_awaitable, code));
   deadline_.Clear();
   isIdle_ = false;
+  idleTime_ = ReadMonotonicTime() - idleSince_;
   boost::system::error_code availability;
   if (timedOut_ && socket_.available(availability) > 0) {
     // A request arrived in the turn of the loop in which the wait ended.
     timedOut_ = false;
     co_return true;
   }
+  if (timedOut_) {
+    SetCloseReason(CloseReason::IdleLimit);
+  }
   co_return !code && socket_.is_open();
 }
 
@@ -101,6 +108,7 @@
   if (!code && !aParser.is_done()) {
     deadline_.Set(ReadMonotonicTime() + limits_.bodyTimeout_);
     if (!co_await Continue(aParser)) {
+      SetCloseReason(CloseReason::CallerLeft);
       co_return ReadOutcome();
     }
     co_await http::async_read(socket_,
@@ -110,7 +118,7 @@
   }
   deadline_.Clear();
   if (code || timedOut_) {
-    co_return Refuse(code);
+    co_return Refuse(aParser, code);
   }
   ReadOutcome done;
   done.end_ = ReadEnd::Done;
@@ -130,7 +138,8 @@
 }
 
 CallerChannel::ReadOutcome
-CallerChannel::Refuse(const boost::system::error_code& aCode)
+CallerChannel::Refuse(const RequestParser& aParser,
+                      const boost::system::error_code& aCode)
 {
   ReadOutcome outcome;
   outcome.end_ = ReadEnd::Refused;
@@ -149,7 +158,14 @@
     outcome.error_.message_ = "the body is larger than the limit";
   } else if (IsGone(aCode)) {
     outcome.end_ = ReadEnd::Closed;
+    SetCloseReason(CloseReason::CallerClosed);
+    if (aParser.is_header_done()) {
+      parsedBytes_ = aParser.get().body().size();
+      hasParsedHead_ = true;
+    }
   }
+  SetCloseReason(timedOut_ ? CloseReason::ReadTimeout
+                           : CloseReason::RequestRefused);
   return outcome;
 }
 
@@ -276,19 +292,69 @@
   boost::system::error_code code;
   socket_.shutdown(asio::socket_base::shutdown_send, code);
   deadline_.Set(ReadMonotonicTime() + kLingerTime);
-  std::array<char, kWatchReadBytes> discarded{};
-  while (!code && !hasLeft_) {
-    co_await socket_.async_read_some(
-      asio::buffer(discarded), asio::redirect_error(asio::use_awaitable, code));
-  }
+  co_await DiscardInput(code);
   Close();
 }
 
+asio::awaitable<void>
+CallerChannel::DiscardInput(boost::system::error_code aCode)
+{
+  std::array<char, kWatchReadBytes> bytes{};
+  while (!aCode && !hasLeft_) {
+    const std::size_t length = co_await socket_.async_read_some(
+      asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, aCode));
+    discardedBytes_ += length;
+    // What the buffer keeps tells whether a whole header was discarded.
+    if (buffer_.size() + length <= limits_.readAheadBytes_) {
+      buffer_.commit(asio::buffer_copy(buffer_.prepare(length),
+                                       asio::buffer(bytes, length)));
+    } else {
+      droppedBytes_ += length;
+    }
+  }
+}
+
+void
+CallerChannel::SetCloseReason(CloseReason aReason)
+{
+  if (!closeReason_) {
+    closeReason_ = aReason;
+  }
+}
+
+ConnectionClose
+CallerChannel::DescribeClose() const
+{
+  ConnectionClose close;
+  close.reason_ = closeReason_.value_or(CloseReason::CallerClosed);
+  close.discardedBytes_ = discardedBytes_;
+  close.idleTime_ = idleTime_;
+  close.idleLimit_ = limits_.idleTimeout_;
+  if (close.reason_ == CloseReason::RequestRefused ||
+      close.reason_ == CloseReason::ReadTimeout) {
+    // The refusal answers the bytes read; later ones are the request's rest.
+    return close;
+  }
+  close.unansweredBytes_ = buffer_.size() + parsedBytes_ + droppedBytes_;
+  const auto kept = buffer_.data();
+  const std::string_view text(static_cast<const char*>(kept.data()),
+                              kept.size());
+  if (hasParsedHead_ || text.find(kHeaderEnd) != std::string_view::npos) {
+    close.request_ = UnansweredRequest::WholeHead;
+  } else if (close.unansweredBytes_ > 0) {
+    close.request_ = UnansweredRequest::Partial;
+  }
+  return close;
+}
+
 void
 CallerChannel::Close()
 {
   deadline_.Clear();
   boost::system::error_code ignored;
+  if (socket_.is_open()) {
+    droppedBytes_ += socket_.available(ignored);
+  }
   socket_.close(ignored);
 }
 
--- a/modules/azurecross_gateway/relay/CallerChannel.h
+++ b/modules/azurecross_gateway/relay/CallerChannel.h
@@ -2,6 +2,7 @@
 
 #include "../server/DeadlineList.h"
 #include "../server/GatewayLimits.h"
+#include "ConnectionClose.h"
 #include "WorkerSocket.h"
 
 #include <azurecross_core/azurecross_core.h>
@@ -13,6 +14,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -84,6 +86,11 @@
   bool HasLeft() const { return hasLeft_; }
   bool IsIdle() const { return isIdle_; }
 
+  /** Keeps the reason of the close; the first one counts. */
+  void SetCloseReason(CloseReason aReason);
+  /** @returns the end of the connection, complete once it is closed. */
+  ConnectionClose DescribeClose() const;
+
   /** Ends the connection in order, so that the last answer arrives. */
   boost::asio::awaitable<void> CloseOrderly();
   /** Ends the connection at once. */
@@ -94,7 +101,10 @@
   void Expire();
   boost::asio::awaitable<bool> WaitForRequest();
   boost::asio::awaitable<bool> Continue(RequestParser& aParser);
-  ReadOutcome Refuse(const boost::system::error_code& aCode);
+  ReadOutcome Refuse(const RequestParser& aParser,
+                     const boost::system::error_code& aCode);
+  /** Reads and drops what the caller sends until it closes. */
+  boost::asio::awaitable<void> DiscardInput(boost::system::error_code aCode);
   void WatchOnce();
   void Leave();
 
@@ -105,6 +115,15 @@
   std::function<void()> onLeft_;
   /** When the current or last wait for a request began. */
   Time idleSince_;
+  Duration idleTime_{ 0 };
+  std::optional<CloseReason> closeReason_;
+  /** Bytes of an unanswered request that its parser has taken. */
+  std::size_t parsedBytes_ = 0;
+  bool hasParsedHead_ = false;
+  /** Bytes that arrived after the close, those kept in the buffer included. */
+  std::size_t discardedBytes_ = 0;
+  /** Bytes that are unanswered and not kept in the buffer. */
+  std::size_t droppedBytes_ = 0;
   bool isIdle_ = false;
   bool isReading_ = false;
   bool isWatched_ = false;
--- a/modules/azurecross_serving/log/DecisionLog.h
+++ b/modules/azurecross_serving/log/DecisionLog.h
@@ -27,6 +27,7 @@
   RequestSent,
   RequestRetried,
   CallerLeft,
+  ConnectionClosed,
   MovePlanned,
   MoveEnded,
   GenerationResumed,
@@ -35,7 +36,7 @@
   RecordsDropped,
 };
 
-inline constexpr NameTable<Decision, 22> kDecisionNames{
+inline constexpr NameTable<Decision, 23> kDecisionNames{
   { { { Decision::Started, "started" },
       { Decision::Stopping, "stopping" },
       { Decision::Stopped, "stopped" },
@@ -52,6 +53,7 @@
       { Decision::RequestSent, "request_sent" },
       { Decision::RequestRetried, "request_retried" },
       { Decision::CallerLeft, "caller_left" },
+      { Decision::ConnectionClosed, "connection_closed" },
       { Decision::MovePlanned, "move_planned" },
       { Decision::MoveEnded, "move_ended" },
       { Decision::GenerationResumed, "generation_resumed" },
--- a/modules/azurecross_serving/metrics/ServingMetrics.cpp
+++ b/modules/azurecross_serving/metrics/ServingMetrics.cpp
@@ -76,6 +76,20 @@
   latency->Observe(ToSeconds(aLatency));
 }
 
+void
+ServingMetrics::CountConnectionClose(CloseReason aReason,
+                                     UnansweredRequest aRequest)
+{
+  metrics_
+    .GetCounter(
+      "azurecross_forward_connections_closed_total",
+      "Closed connections of callers by reason and unanswered request",
+      { { "reason", std::string(kCloseReasonNames.FindName(aReason)) },
+        { "unanswered_request",
+          std::string(kUnansweredRequestNames.FindName(aRequest)) } })
+    .Increment();
+}
+
 void
 ServingMetrics::CountFailure(ErrorCode aReason)
 {
--- a/modules/azurecross_serving/metrics/ServingMetrics.h
+++ b/modules/azurecross_serving/metrics/ServingMetrics.h
@@ -2,6 +2,7 @@
 
 #include <azurecross_core/azurecross_core.h>
 #include <azurecross_dispatch/azurecross_dispatch.h>
+#include <azurecross_gateway/azurecross_gateway.h>
 
 #include <map>
 #include <string>
@@ -25,6 +26,7 @@
                     unsigned aStatus,
                     Verdict aVerdict,
                     Duration aLatency);
+  void CountConnectionClose(CloseReason aReason, UnansweredRequest aRequest);
   void CountFailure(ErrorCode aReason);
   void ObserveFirstEvent(Duration aLatency);
   void ObserveEventGap(Duration aGap);
--- a/modules/azurecross_serving/server/FrontConnection.cpp
+++ b/modules/azurecross_serving/server/FrontConnection.cpp
@@ -30,6 +30,33 @@
     isOpen = co_await ServeRequest();
   }
   co_await channel_->CloseOrderly();
+  RecordClose(services_, channel_->DescribeClose());
+}
+
+void
+FrontConnection::RecordClose(ForwardServices& aServices,
+                             const ConnectionClose& aClose)
+{
+  aServices.metrics_.CountConnectionClose(aClose.reason_, aClose.request_);
+  const bool isOrdinary = aClose.reason_ == CloseReason::CallerClosed ||
+                          aClose.reason_ == CloseReason::CallerLeft ||
+                          aClose.reason_ == CloseReason::AfterResponse;
+  if (isOrdinary && aClose.request_ == UnansweredRequest::None) {
+    return;
+  }
+  const ServingTablesPtr& tables = aServices.state_.GetTables();
+  const auto age = aServices.state_.GetKeyFreshness().GetAge(ReadBootTime());
+  aServices.log_.Write(
+    Decision::ConnectionClosed,
+    { { "reason", kCloseReasonNames.FindName(aClose.reason_) },
+      { "unanswered_request",
+        kUnansweredRequestNames.FindName(aClose.request_) },
+      { "unanswered_bytes", aClose.unansweredBytes_ },
+      { "discarded_bytes", aClose.discardedBytes_ },
+      { "idle_s", ToSeconds(aClose.idleTime_) },
+      { "idle_limit_s", ToSeconds(aClose.idleLimit_) },
+      { "tables_version", tables ? tables->GetVersion() : 0 },
+      { "tables_proof_age_s", age ? ToSeconds(*age) : -1.0 } });
 }
 
 asio::awaitable<bool>
@@ -60,10 +87,15 @@
   const bool isTruncated = context.isTimedOut_ && writer.HasStarted() &&
                            !writer.KeepsAlive() && context.status_ != 0;
   if (isTruncated) {
+    channel_->SetCloseReason(CloseReason::ResponseCut);
     channel_->Close();
     co_return false;
   }
   const bool isOpen = writer.KeepsAlive() && !channel_->HasLeft();
+  if (!isOpen) {
+    channel_->SetCloseReason(channel_->HasLeft() ? CloseReason::CallerLeft
+                                                 : CloseReason::AfterResponse);
+  }
   co_return isOpen;
 }
 
@@ -84,6 +116,7 @@
 FrontConnection::CloseIfIdle()
 {
   if (!isBusy_ && channel_->IsIdle()) {
+    channel_->SetCloseReason(CloseReason::Shutdown);
     channel_->Close();
   }
 }
@@ -94,6 +127,7 @@
   if (onDisconnect_) {
     onDisconnect_();
   }
+  channel_->SetCloseReason(CloseReason::Shutdown);
   channel_->Close();
 }
 
--- a/modules/azurecross_serving/server/FrontConnection.h
+++ b/modules/azurecross_serving/server/FrontConnection.h
@@ -31,6 +31,10 @@
   void CloseIfIdle();
   /** Cancels a request in progress and closes the connection. */
   void Close();
+  /** Counts the end of a connection, and logs it if it had bytes of an
+   * unanswered request or was not the caller's doing. */
+  static void RecordClose(ForwardServices& aServices,
+                          const ConnectionClose& aClose);
   /** @returns whether a request is in progress. */
   bool IsBusy() const { return isBusy_; }
 
--- a/modules/azurecross_serving/server/FrontServer.cpp
+++ b/modules/azurecross_serving/server/FrontServer.cpp
@@ -77,6 +77,14 @@
 FrontServer::ServeConnection(WorkerSocket aSocket)
 {
   if (connectionCount_ >= services_.limits_.connectionLimit_) {
+    boost::system::error_code ignored;
+    ConnectionClose close;
+    close.reason_ = CloseReason::ConnectionLimit;
+    close.unansweredBytes_ = aSocket.available(ignored);
+    close.request_ = close.unansweredBytes_ > 0 ? UnansweredRequest::Partial
+                                                : UnansweredRequest::None;
+    close.idleLimit_ = services_.limits_.idleTimeout_;
+    FrontConnection::RecordClose(services_, close);
     return;
   }
   SetKeepAlive(aSocket.native_handle());
--- a/tests/serving_tests/IdleTests.cpp
+++ b/tests/serving_tests/IdleTests.cpp
@@ -23,6 +23,23 @@
   return ServingFixture::MakeRequest("/nowhere/x");
 }
 
+/** @returns whether one such close is counted within 3 s. */
+bool
+WaitForClose(const std::string& aReason,
+             const std::string& aRequest,
+             ServingFixture& aFixture)
+{
+  const std::string line = "closed_total{reason=\"" + aReason +
+                           "\",unanswered_request=\"" + aRequest + "\"} 1\n";
+  for (int wait = 0; wait < 300; ++wait) {
+    if (aFixture.SerializeMetrics().find(line) != std::string::npos) {
+      return true;
+    }
+    std::this_thread::sleep_for(10ms);
+  }
+  return false;
+}
+
 } // namespace
 
 // A raised idle limit must apply to connections that already wait: they were
@@ -68,4 +85,38 @@
   BOOST_TEST(caller.ReadAnswer().status_ == 404U);
 }
 
+// A request that is discarded after the close must be visible to operators: it
+// could not be told from a connection that closed without one.
+BOOST_FIXTURE_TEST_CASE(DiscardedRequestIsCounted, ServingFixture)
+{
+  SetTables(MakeTables());
+  TestCaller caller = Connect();
+  caller.Send(MakeRequest("/nowhere/x", "Connection: close\r\n"));
+  BOOST_TEST(caller.ReadAnswer().status_ == 404U);
+  std::this_thread::sleep_for(kSettleTime);
+  caller.Send(MakeUnroutedRequest());
+  BOOST_TEST(WaitForClose("after_response", "whole_head", *this));
+}
+
+// A connection that the daemon closes at its idle limit must be counted, as one
+// without a request.
+BOOST_FIXTURE_TEST_CASE(IdleCloseIsCountedWithoutRequest, ServingFixture)
+{
+  SetTables(MakeTables());
+  Run([this] { GetServices().limits_.idleTimeout_ = kShortIdleLimit; });
+  TestCaller caller = Connect();
+  BOOST_TEST(caller.WaitForClose());
+  caller.Close();
+  BOOST_TEST(WaitForClose("idle_limit", "none", *this));
+}
+
+// Connections above the limit were dropped without a trace.
+BOOST_FIXTURE_TEST_CASE(RefusedConnectionIsCounted, ServingFixture)
+{
+  Run([this] { GetServices().limits_.connectionLimit_ = 0; });
+  TestCaller caller = Connect();
+  BOOST_TEST(caller.WaitForClose());
+  BOOST_TEST(WaitForClose("connection_limit", "none", *this));
+}
+
 } // namespace azurecross
--- a/tests/serving_tests/ServingFixture.h
+++ b/tests/serving_tests/ServingFixture.h
@@ -60,6 +60,8 @@
   TestCaller Connect() { return TestCaller(front_->GetAddress()); }
 
   ServingState& GetState() { return state_; }
+  /** @returns all metrics as text. */
+  std::string SerializeMetrics() { return registry_.Serialize(); }
   ForwardServices& GetServices() { return *services_; }
   /** @returns the metrics as text. */
   std::string FormatMetrics() const { return registry_.Serialize(); }
