Destroy the coroutines of a daemon before the members that they use

What callers saw: nothing of its own; a daemon whose grace time ends with requests in progress writes `stopped` and can then end with a fatal signal in place of status 0. Cause: the program's io_context outlives the daemon, and its destructor destroys the coroutines that are still suspended. The destructor of GenerationExchange then uses the mover, and that of RunReservation the load tracker, after their destruction. A comment in ServingDaemon assumed the opposite order. Change: ServingDaemon takes a DaemonContext, and its destructor destroys all pending coroutines and handlers while the members exist. Ruled out: the cause of an exit beside a change of the configuration; this fault needs a stop with requests in progress.

--- a/modules/azurecross_serving/daemon/ServingDaemon.h
+++ b/modules/azurecross_serving/daemon/ServingDaemon.h
@@ -8,8 +8,8 @@
 #include "../quarantine/EngineDeathProbe.h"
 #include "../server/FrontServer.h"
 #include "../state/StateSync.h"
+#include "DaemonContext.h"
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -36,7 +36,7 @@
    * the reason. */
   using SettingsLoader = std::function<std::optional<ServingSettings>()>;
 
-  ServingDaemon(boost::asio::io_context& aContext,
+  ServingDaemon(DaemonContext& aContext,
                 ServingSettings aSettings,
                 const WireProtocol& aWire,
                 Source& aSource,
@@ -121,6 +121,10 @@
       });
   }
 
+  // The coroutines of cut requests, of moves and of the synchronization use the
+  // members.
+  ~ServingDaemon() { context_.DestroyPending(); }
+
   ServingDaemon(const ServingDaemon&) = delete;
   ServingDaemon& operator=(const ServingDaemon&) = delete;
 
@@ -306,14 +310,12 @@
     }
   }
 
-  boost::asio::io_context& context_;
+  DaemonContext& context_;
   ServingSettings settings_;
   SettingsLoader loadSettings_;
   Metrics metrics_;
   DecisionLog log_;
   ServingMetrics servingMetrics_;
-  // Coroutines that are still suspended when the context is destroyed use the
-  // following members.
   DeadlineList deadlines_;
   BackendPool connections_;
   GatewayLimits limits_;
