Test that sound parts leave the quarantine in a fleet with many crashes

An engine ends each 0.1 s for 15 s, so that both attempts of some requests meet a death. Bounds: no part with two deaths is refused after 30 s, and at most half of the sound requests are refused.

--- a/tests/dispatch_tests/QuarantineFleetTests.cpp
+++ b/tests/dispatch_tests/QuarantineFleetTests.cpp
@@ -112,6 +112,29 @@
   }
 }
 
+// Guards against sound parts that stay in quarantine: the engines of both
+// attempts of some requests die for other reasons.
+BOOST_AUTO_TEST_CASE(SoundPartsLeaveTheQuarantine)
+{
+  QuarantineOutcome sum;
+  for (const std::uint64_t seed : { 1U, 2U, 3U }) {
+    QuarantineConfig config;
+    config.fatalShare_ = 0.0;
+    config.crashIntervalSeconds_ = 0.1;
+    config.crashesUntilSeconds_ = 15.0;
+    config.seconds_ = 46.0;
+    config.seed_ = seed;
+    const QuarantineOutcome outcome = Simulate(config).front();
+    BOOST_TEST(outcome.lateSoundRefusals_ == 0);
+    // Sound requests start at least half as often as before.
+    BOOST_TEST(outcome.soundRefusals_ <= outcome.soundRequests_ / 2);
+    sum.soundRefusals_ += outcome.soundRefusals_;
+    sum.soundLifts_ += outcome.soundLifts_;
+  }
+  BOOST_TEST(sum.soundRefusals_ > 0);
+  BOOST_TEST(sum.soundLifts_ > 0);
+}
+
 // Guards against restarted daemons that send a fatal part until they have seen
 // deaths themselves.
 BOOST_AUTO_TEST_CASE(RestartedDaemonsLearnTheVerdict)
