Keep the bytes that a caller sends ahead within the buffer

All connections of a daemon would have ended with it. Cause: with a header limit below 4096 bytes the buffer of a connection holds fewer bytes than the read-ahead limit and one more read; its prepare() then threw std::length_error out of a handler. Change: a read asks for at most the room that is left. Ruled out: a larger buffer, which would let a caller hold more memory.

--- a/modules/azurecross_gateway/relay/CallerChannel.cpp
+++ b/modules/azurecross_gateway/relay/CallerChannel.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
 #include <array>
 #include <string_view>
 
@@ -248,7 +249,8 @@
   }
   isReading_ = true;
   socket_.async_read_some(
-    buffer_.prepare(kWatchReadBytes),
+    buffer_.prepare(
+      std::min(kWatchReadBytes, buffer_.max_size() - buffer_.size())),
     [self = shared_from_this()](const boost::system::error_code& aCode,
                                 std::size_t aLength) {
       self->isReading_ = false;
--- a/tests/serving_tests/IdleTests.cpp
+++ b/tests/serving_tests/IdleTests.cpp
@@ -119,4 +119,24 @@
   BOOST_TEST(WaitForClose("connection_limit", "none", *this));
 }
 
+// Bytes that a caller sends ahead must not end the daemon when the limit of a
+// header is small.
+BOOST_FIXTURE_TEST_CASE(BytesSentAheadStayWithinTheBuffer, ServingFixture)
+{
+  FakeBackendServer server([](FakeConnection& aConnection) {
+    if (!aConnection.ReadRequest().empty()) {
+      aConnection.WaitForClose();
+    }
+  });
+  SetTables(MakeTables());
+  AddServer("e1", "engines", server);
+  Run([this] { GetServices().limits_.headerLimitBytes_ = 1024; });
+  TestCaller caller = Connect();
+  caller.Send(MakeRequest("/stream/x"));
+  std::this_thread::sleep_for(kSettleTime);
+  caller.Send(std::string(std::size_t{ 63 } * 1024, 'x'));
+  std::this_thread::sleep_for(kSettleTime);
+  BOOST_TEST(Call(MakeUnroutedRequest()).status_ == 404U);
+}
+
 } // namespace azurecross
