Count engines that die at the same moment as one death

Cause: two deaths within 2 ms counted as two independent pieces of evidence, although they had a common cause outside. Change: deaths within 50 ms of each other count once. The evidence is still kept and told.

--- a/modules/azurecross_dispatch/quarantine/PromptQuarantine.cpp
+++ b/modules/azurecross_dispatch/quarantine/PromptQuarantine.cpp
@@ -18,6 +18,9 @@
 /** Shortest time between two corrections of the same part, while reports that
  * were sent before the first one still arrive. */
 constexpr Duration kCorrectionInterval = std::chrono::milliseconds(300);
+/** Engines that die within this time of each other are taken to have a common
+ * cause, such as the loss of a rack. */
+constexpr Duration kCommonCauseTime = std::chrono::milliseconds(50);
 /** A process under the same id cannot die again within this time: it has to
  * start first. Used where the start time is unknown. */
 constexpr Duration kShortestEngineLife = std::chrono::seconds(2);
@@ -81,6 +84,18 @@
   return part;
 }
 
+bool
+PromptQuarantine::Suspect::IsQuarantined() const
+{
+  std::size_t moments = 0;
+  std::optional<Time> previous;
+  for (const EngineDeath& death : deaths_) {
+    moments += !previous || death.at_ - *previous > kCommonCauseTime ? 1 : 0;
+    previous = death.at_;
+  }
+  return moments >= kFatalDeaths;
+}
+
 PromptQuarantine::PromptQuarantine(std::uint64_t aSeed)
   : seed_(aSeed)
 {
@@ -213,6 +228,7 @@
   suspect.updatedAt_ = std::max(suspect.updatedAt_, aDeath.at_);
   suspect.soundAt_.reset();
   if (!suspect.IsQuarantined()) {
+    quarantinedCount_ -= wasQuarantined ? 1 : 0;
     return true;
   }
   quarantinedCount_ += wasQuarantined ? 0 : 1;
--- a/modules/azurecross_dispatch/quarantine/PromptQuarantine.h
+++ b/modules/azurecross_dispatch/quarantine/PromptQuarantine.h
@@ -66,7 +66,8 @@
 class PromptQuarantine
 {
 public:
-  /** Parts are quarantined from this number of deaths on. */
+  /** Parts are quarantined from this number of deaths on. Engines that die at
+   * the same moment count once, because they have a common cause. */
   static constexpr std::size_t kFatalDeaths = 2;
   /** Parts under suspicion; more than a few at a time are not expected. */
   static constexpr std::size_t kMaxSuspects = 64;
@@ -137,7 +138,7 @@
     std::vector<PromptPartId> companions_;
     bool isCorrectionUntold_ = false;
 
-    bool IsQuarantined() const { return deaths_.size() >= kFatalDeaths; }
+    bool IsQuarantined() const;
   };
   using Suspects = std::map<PromptPartId, Suspect>;
 
