--- a/modules/azurecross_serving/peers/LoadReport.cpp
+++ b/modules/azurecross_serving/peers/LoadReport.cpp
@@ -28,7 +28,7 @@
  * time in milliseconds, the age of the death in milliseconds. */
 constexpr std::size_t kDeathFieldCount = 3;
 /** Evidence is forgotten after hours; an older age is an invalid report. */
-constexpr std::int64_t kMaxAgeMs = 24 * 3600 * 1000;
+constexpr std::int64_t kMaxAgeMs = std::int64_t{ 24 } * 3600 * 1000;
 
 void
 AppendMean(json::array& aFields, const DecayedMean& aMean)
