--- a/modules/azurecross_dispatch/quarantine/PromptQuarantine.cpp
+++ b/modules/azurecross_dispatch/quarantine/PromptQuarantine.cpp
@@ -182,7 +182,8 @@
 PromptQuarantine::RemoveExplainedDeaths(PromptPartId aPart, Suspect& aSuspect)
 {
   const Suspect before = aSuspect;
-  for (const auto& [otherPart, other] : suspects_) {
+  for (const auto& entry : suspects_) {
+    const Suspect& other = entry.second;
     const bool isMoreLikely =
       other.IsQuarantined() && other.deaths_.size() > before.deaths_.size();
     if (isMoreLikely) {
