--- a/modules/azurecross_gateway/relay/CallerChannel.cpp
+++ b/modules/azurecross_gateway/relay/CallerChannel.cpp
@@ -272,11 +272,17 @@
   }
 }
 
-asio::awaitable<void>
-CallerChannel::StopWatch()
+void
+CallerChannel::ForgetWatcher()
 {
   isWatched_ = false;
   onLeft_ = nullptr;
+}
+
+asio::awaitable<void>
+CallerChannel::StopWatch()
+{
+  ForgetWatcher();
   if (isReading_) {
     boost::system::error_code ignored;
     socket_.cancel(ignored);
--- a/modules/azurecross_gateway/relay/CallerChannel.h
+++ b/modules/azurecross_gateway/relay/CallerChannel.h
@@ -81,6 +81,9 @@
   void StartWatch(std::function<void()> aOnLeft);
   /** Ends the watch, so that the next request can be read. */
   boost::asio::awaitable<void> StopWatch();
+  /** Drops the callback of the watch at once; the connection can't be used for
+   * another request afterwards. */
+  void ForgetWatcher();
 
   /** @returns whether the caller is gone. */
   bool HasLeft() const { return hasLeft_; }
--- a/modules/azurecross_gateway/server/CallerConnection.cpp
+++ b/modules/azurecross_gateway/server/CallerConnection.cpp
@@ -61,6 +61,11 @@
     }
   };
   channel_->StartWatch(leave_);
+  // Both refer to the context.
+  const ScopeGuard forgetContext([this] {
+    leave_ = nullptr;
+    channel_->ForgetWatcher();
+  });
   RequestPipeline pipeline(services_, context, writer, registration);
   co_await pipeline.Run();
   leave_ = nullptr;
--- a/modules/azurecross_serving/forward/ForwardPipeline.cpp
+++ b/modules/azurecross_serving/forward/ForwardPipeline.cpp
@@ -52,7 +52,7 @@
 asio::awaitable<void>
 ForwardPipeline::Run()
 {
-  Failure failure = co_await Process();
+  Failure failure = co_await ProcessSafely();
   timeout_.Clear();
   if (failure && context_.isTimedOut_ && !context_.isCallerDisconnected_) {
     failure =
@@ -74,6 +74,23 @@
   co_await writer_.WriteError(*failure);
 }
 
+asio::awaitable<ForwardPipeline::Failure>
+ForwardPipeline::ProcessSafely()
+{
+  try {
+    co_return co_await Process();
+  } catch (const std::exception& exception) {
+    WriteLog(LogLevel::Error,
+             "an exception ended a request",
+             { { "request", context_.metadata_.attemptId_ },
+               { "reason", exception.what() } });
+  }
+  const Verdict verdict = context_.sendCount_ > 0
+                            ? std::max(context_.verdict_, Verdict::MayHaveRun)
+                            : Verdict::NotRun;
+  co_return Error{ ErrorCode::Internal, verdict, "internal error", {} };
+}
+
 asio::awaitable<ForwardPipeline::Failure>
 ForwardPipeline::Process()
 {
--- a/modules/azurecross_serving/forward/ForwardPipeline.h
+++ b/modules/azurecross_serving/forward/ForwardPipeline.h
@@ -40,6 +40,9 @@
    * server if no attempt did better.
    */
   boost::asio::awaitable<Failure> Process();
+  /** Processes the request; an exception becomes a failure, so that the caller
+   * is answered. */
+  boost::asio::awaitable<Failure> ProcessSafely();
   /**
    * Sends the request to one backend server after another until an attempt
    * succeeds or must not be retried.
--- a/modules/azurecross_serving/server/FrontConnection.cpp
+++ b/modules/azurecross_serving/server/FrontConnection.cpp
@@ -81,6 +81,11 @@
   ForwardPipeline pipeline(services_, context, writer);
   onDisconnect_ = [&pipeline] { pipeline.HandleCallerDisconnect(); };
   channel_->StartWatch(onDisconnect_);
+  // Both refer to the pipeline.
+  const ScopeGuard forgetPipeline([this] {
+    onDisconnect_ = nullptr;
+    channel_->ForgetWatcher();
+  });
   co_await pipeline.Run();
   onDisconnect_ = nullptr;
   co_await channel_->StopWatch();
--- a/tests/serving_tests/CallTests.cpp
+++ b/tests/serving_tests/CallTests.cpp
@@ -306,4 +306,18 @@
   BOOST_TEST(ToSeconds(ReadMonotonicTime() - startTime) < 1.0);
 }
 
+// An exception in the code that handles a request closed the connection without
+// an answer, and the watch of the connection then used a destroyed object.
+BOOST_FIXTURE_TEST_CASE(ExceptionInARequestIsAnswered, ServingFixture)
+{
+  SetTables(MakeTables());
+  TestCaller caller = Connect();
+  caller.Send(MakeRequest("/once/x", "X-Time-Ms: malformed\r\n"));
+  const CallerAnswer response = caller.ReadAnswer();
+  BOOST_TEST(response.status_ == 503U);
+  BOOST_TEST(response.FindHeader("X-Azurecross-Verdict") == "not_run");
+  caller.Send(MakeRequest("/nowhere/x"));
+  BOOST_TEST(caller.ReadAnswer().status_ == 404U);
+}
+
 } // namespace azurecross
