--- a/modules/azurecross_dispatch/quarantine/PromptQuarantine.cpp
+++ b/modules/azurecross_dispatch/quarantine/PromptQuarantine.cpp
@@ -18,9 +18,6 @@
 /** Shortest time between two corrections of the same part, while reports that
  * were sent before the first one still arrive. */
 constexpr Duration kCorrectionInterval = std::chrono::milliseconds(300);
-/** Engines that die within this time of each other are taken to have a common
- * cause, such as the loss of a rack. */
-constexpr Duration kCommonCauseTime = std::chrono::milliseconds(50);
 /** A process under the same id cannot die again within this time: it has to
  * start first. Used where the start time is unknown. */
 constexpr Duration kShortestEngineLife = std::chrono::seconds(2);
--- a/modules/azurecross_dispatch/quarantine/PromptQuarantine.h
+++ b/modules/azurecross_dispatch/quarantine/PromptQuarantine.h
@@ -69,6 +69,9 @@
   /** Parts are quarantined from this number of deaths on. Engines that die at
    * the same moment count once, because they have a common cause. */
   static constexpr std::size_t kFatalDeaths = 2;
+  /** Engines that die within this time of each other are taken to have a common
+   * cause, such as the loss of a rack. */
+  static constexpr Duration kCommonCauseTime = std::chrono::milliseconds(50);
   /** Parts under suspicion; more than a few at a time are not expected. */
   static constexpr std::size_t kMaxSuspects = 64;
   /** Deaths that are kept for each part. */
--- a/tests/serving_tests/QuarantineTests.cpp
+++ b/tests/serving_tests/QuarantineTests.cpp
@@ -138,6 +138,7 @@
   AddCrashingEngine("e1", first);
   BOOST_TEST(CallWithParts("c0,bad").status_ == 502U);
   BOOST_TEST(WaitForDeaths(kFatal, 1));
+  std::this_thread::sleep_for(2 * PromptQuarantine::kCommonCauseTime);
   const CrashingEngine second(kUnfinishedStream);
   AddCrashingEngine("e2", second);
   BOOST_TEST(CallWithParts("c0,bad").status_ == 502U);
--- a/tests/serving_tests/ReportTests.cpp
+++ b/tests/serving_tests/ReportTests.cpp
@@ -147,6 +147,7 @@
   };
   // Neither daemon is a summarizer, and they are in different zones.
   recordDeath(20, "e1");
+  context.run_for(2 * PromptQuarantine::kCommonCauseTime);
   recordDeath(25, "e2");
   context.run_for(100ms);
   for (auto& daemon : daemons) {
