--- a/modules/azurecross_dispatch/quarantine/PromptQuarantine.cpp
+++ b/modules/azurecross_dispatch/quarantine/PromptQuarantine.cpp
@@ -85,10 +85,12 @@
 PromptQuarantine::Suspect::IsQuarantined() const
 {
   std::size_t moments = 0;
-  std::optional<Time> previous;
+  std::optional<Time> momentStart;
   for (const EngineDeath& death : deaths_) {
-    moments += !previous || death.at_ - *previous > kCommonCauseTime ? 1 : 0;
-    previous = death.at_;
+    if (!momentStart || death.at_ - *momentStart > kCommonCauseTime) {
+      ++moments;
+      momentStart = death.at_;
+    }
   }
   return moments >= kFatalDeaths;
 }
@@ -207,8 +209,9 @@
     std::any_of(deaths.begin(), deaths.end(), [&](const EngineDeath& aKnown) {
       return IsSameDeath(aKnown, aDeath);
     });
-  const bool isTooOld =
-    deaths.size() >= kMaxDeaths && aDeath.at_ <= deaths.front().at_;
+  const bool isTooOld = deaths.size() >= kMaxDeaths &&
+                        aDeath.at_ >= deaths.front().at_ &&
+                        aDeath.at_ <= deaths[1].at_;
   if (isKnown || isTooOld) {
     return false;
   }
@@ -221,7 +224,8 @@
                                  }),
                 aDeath);
   if (deaths.size() > kMaxDeaths) {
-    deaths.erase(deaths.begin());
+    // The oldest one stays: the newest may all belong to one moment.
+    deaths.erase(deaths.begin() + 1);
   }
   suspect.updatedAt_ = std::max(suspect.updatedAt_, aDeath.at_);
   suspect.soundAt_.reset();
--- a/modules/azurecross_dispatch/quarantine/PromptQuarantine.h
+++ b/modules/azurecross_dispatch/quarantine/PromptQuarantine.h
@@ -130,7 +130,7 @@
 private:
   struct Suspect
   {
-    /** The newest deaths, the oldest of them first. */
+    /** The first death and the newest ones, in the order of their times. */
     std::vector<EngineDeath> deaths_;
     std::optional<Time> soundAt_;
     /** Time of the newest death or of the proof that the part is sound. */
--- a/tests/dispatch_tests/QuarantineTests.cpp
+++ b/tests/dispatch_tests/QuarantineTests.cpp
@@ -92,6 +92,36 @@
   BOOST_TEST(IsQuarantined(quarantine, kRare, 2.1));
 }
 
+// Guards against a flood of fatal requests whose deaths follow each other so fast
+// that they all count as one.
+BOOST_AUTO_TEST_CASE(ManyDeathsInARowAreNotOneMoment)
+{
+  constexpr double kGapSeconds = 0.01;
+  PromptQuarantine quarantine(1);
+  double now = 0.0;
+  int engines = 0;
+  for (; !IsQuarantined(quarantine, kFatal, now) && engines < 30; ++engines) {
+    now = engines * kGapSeconds;
+    quarantine.RecordDeath({ kFatal },
+                           MakeDeath("e" + std::to_string(engines), now));
+  }
+  BOOST_TEST(now <= ToSeconds(PromptQuarantine::kCommonCauseTime) +
+                      2 * kGapSeconds);
+}
+
+// Guards against reports of old deaths that count as news again and again.
+BOOST_AUTO_TEST_CASE(DroppedDeathsAreNoNews)
+{
+  PromptQuarantine quarantine =
+    MakeQuarantine(2 * static_cast<int>(PromptQuarantine::kMaxDeaths));
+  BOOST_TEST(!quarantine.RecordDeath({ kFatal }, MakeDeath("e0", 0.0)));
+  BOOST_TEST(!quarantine.RecordDeath({ kFatal }, MakeDeath("e1", 1.0)));
+  BOOST_TEST(!quarantine.RecordDeath({ kFatal }, MakeDeath("e4", 4.0)));
+  const auto evidence = quarantine.GetEvidence(At(10.0));
+  BOOST_REQUIRE(evidence.size() == 1U);
+  BOOST_TEST(evidence.front().deaths_.size() == PromptQuarantine::kMaxDeaths);
+}
+
 // Guards against one death that counts again for each daemon that saw it.
 BOOST_AUTO_TEST_CASE(DeathOfOneProcessCountsOnce)
 {
