--- a/tests/dispatch_tests/QuarantineTests.cpp
+++ b/tests/dispatch_tests/QuarantineTests.cpp
@@ -92,8 +92,8 @@
   BOOST_TEST(IsQuarantined(quarantine, kRare, 2.1));
 }
 
-// Guards against a flood of fatal requests whose deaths follow each other so fast
-// that they all count as one.
+// Guards against a flood of fatal requests whose deaths follow each other so
+// fast that they all count as one.
 BOOST_AUTO_TEST_CASE(ManyDeathsInARowAreNotOneMoment)
 {
   constexpr double kGapSeconds = 0.01;
@@ -105,8 +105,8 @@
     quarantine.RecordDeath({ kFatal },
                            MakeDeath("e" + std::to_string(engines), now));
   }
-  BOOST_TEST(now <= ToSeconds(PromptQuarantine::kCommonCauseTime) +
-                      2 * kGapSeconds);
+  BOOST_TEST(now <=
+             ToSeconds(PromptQuarantine::kCommonCauseTime) + 2 * kGapSeconds);
 }
 
 // Guards against reports of old deaths that count as news again and again.
