--- a/modules/azurecross_serving/peers/LoadReport.cpp
+++ b/modules/azurecross_serving/peers/LoadReport.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <cmath>
 
 namespace azurecross {
@@ -27,7 +28,8 @@
 /** JSON array of the death of an engine: the server, its start time as a Unix
  * time in milliseconds, the age of the death in milliseconds. */
 constexpr std::size_t kDeathFieldCount = 3;
-/** Evidence is forgotten after hours; an older age is an invalid report. */
+/** A part that stays fatal keeps its first death for any time. Older ages are
+ * sent as this one; a report with an older age is invalid. */
 constexpr std::int64_t kMaxAgeMs = std::int64_t{ 24 } * 3600 * 1000;
 
 void
@@ -116,8 +118,9 @@
 std::int64_t
 FormatAge(Time aTime, Time aNow)
 {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aNow - aTime)
-    .count();
+  const auto age =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aNow - aTime);
+  return std::clamp<std::int64_t>(age.count(), 0, kMaxAgeMs);
 }
 
 std::optional<Time>
--- a/tests/serving_tests/StateTests.cpp
+++ b/tests/serving_tests/StateTests.cpp
@@ -145,4 +145,29 @@
   }
 }
 
+// Guards against load reports that all daemons drop because a part of a prompt
+// has been fatal for more than a day.
+BOOST_AUTO_TEST_CASE(OldDeathLeavesTheLoadReportValid)
+{
+  const Time now = Time(std::chrono::hours(100));
+  const Time first = now - std::chrono::hours(25);
+  const Time newest = now - std::chrono::minutes(20);
+  LoadReport report;
+  report.sender_ = "10.0.0.1:7200";
+  report.leaving_ = { BackendServerId("e2") };
+  report.promptEvidence_ = { { 0xbad,
+                               { { BackendServerId("e1"), 77, first },
+                                 { BackendServerId("e3"), 78, newest } },
+                               {} } };
+  const auto parsed = ParseLoadReport(FormatLoadReport(report, now), now);
+  BOOST_REQUIRE(parsed.has_value());
+  BOOST_TEST(parsed->leaving_.size() == 1U);
+  BOOST_REQUIRE(parsed->promptEvidence_.size() == 1U);
+  const std::vector<EngineDeath>& deaths = parsed->promptEvidence_[0].deaths_;
+  BOOST_REQUIRE(deaths.size() == 2U);
+  BOOST_TEST(deaths[0].startedUnixMs_ == 77);
+  BOOST_TEST((deaths[0].at_ < newest));
+  BOOST_TEST((deaths[1].at_ == newest));
+}
+
 } // namespace azurecross
