--- a/modules/azurecross_serving/forward/GenerationExchange.cpp
+++ b/modules/azurecross_serving/forward/GenerationExchange.cpp
@@ -167,11 +167,11 @@
       result = FailStream();
       co_return result;
     }
-    if (outcome == ReadOutcome::Complete && IsCutInsideEvent()) {
+    if (outcome == ReadOutcome::Complete && IsCutOff()) {
       readError_ = Error{ ErrorCode::AnswerTruncated,
                           Verdict::Ran,
                           "the stream of " + generation_->address_.Format() +
-                            " without framing ended inside an event",
+                            " without framing ended inside or before an event",
                           {} };
       outcome = ReadOutcome::Broken;
     }
@@ -221,11 +221,12 @@
 }
 
 bool
-GenerationExchange::IsCutInsideEvent() const
+GenerationExchange::IsCutOff() const
 {
   // With a length or chunks, the engine has declared the end of the stream, and
   // its bytes are passed on unchanged.
-  return call_->GetConnection().IsUnframed() && buffer_.GetSize() > 0;
+  return call_->GetConnection().IsUnframed() &&
+         (buffer_.GetSize() > 0 || !writer_.HasStarted());
 }
 
 asio::awaitable<GenerationExchange::ReadOutcome>
--- a/modules/azurecross_serving/forward/GenerationExchange.h
+++ b/modules/azurecross_serving/forward/GenerationExchange.h
@@ -87,8 +87,8 @@
   /** @returns whether the end of the stream may have been caused by a move. */
   bool IsEndAmbiguous() const;
   /** @returns whether a stream that ends with its connection ended inside an
-   * event. */
-  bool IsCutInsideEvent() const;
+   * event or without any. */
+  bool IsCutOff() const;
   /** Sets a deadline for the rest of a stream that its engine has stopped. */
   void HandleStopped();
 
--- a/tests/serving_tests/StreamTests.cpp
+++ b/tests/serving_tests/StreamTests.cpp
@@ -110,6 +110,17 @@
   BOOST_TEST(response.FindHeader("X-Azurecross-Verdict") == "ran");
 }
 
+// A stream that broke off before its first event must not be an empty success.
+BOOST_FIXTURE_TEST_CASE(UnframedStreamWithoutEventsIsAnError, ServingFixture)
+{
+  FakeBackendServer server(MakeUnframedStream(""));
+  SetTables(MakeTables());
+  AddServer("e1", "engines", server);
+  const CallerAnswer response = Call(MakeRequest("/stream/x"));
+  BOOST_TEST(response.status_ == 502U);
+  BOOST_TEST(response.FindHeader("X-Azurecross-Verdict") == "ran");
+}
+
 // The last event of a stream must not be missed because no length was sent.
 BOOST_FIXTURE_TEST_CASE(UnframedStreamThatEndsAfterAnEventIsComplete,
                         ServingFixture)
