Let an old answer excuse only the deaths that it is recent for (BUDGET)

What callers would see: a late or repeated report of an answer cleared all deaths of a part on the daemons that it reached, also those more than 30 s after the answer, so that a part which had become fatal went on ending engines; and a report of an older answer replaced the time of a newer one, so that a sound part was blamed. Cause: Merge recorded the reported time whatever was known, and MarkSound removed all deaths. RecordDeath applies the bound of 30 s, so two daemons with the same evidence decided differently. Change: an older answer is ignored, and an answer removes the deaths that it excuses by the same bound. An answer that excuses nothing is no news. Ruled out: dropping reports with answers older than 30 s, which still excuse the deaths of their time. Measured: OlderAnswerDoesNotReplaceANewerOne and OldAnswerDoesNotClearLaterDeaths fail without the change (three checks) and pass with it, as do the 28 quarantine cases of dispatch_tests, the simulated fleet included.

--- a/modules/azurecross_dispatch/quarantine/PromptQuarantine.cpp
+++ b/modules/azurecross_dispatch/quarantine/PromptQuarantine.cpp
@@ -126,21 +126,29 @@
   }
 }
 
-void
+bool
 PromptQuarantine::MarkSound(Suspects::iterator aSuspect, Time aAt)
 {
   Suspect& suspect = aSuspect->second;
-  if (suspect.IsQuarantined()) {
-    AddEvent(QuarantineChange::Lifted, aSuspect->first, suspect);
-    --quarantinedCount_;
+  const Suspect before = suspect;
+  // A report can bring an old answer, after which the part became fatal.
+  std::erase_if(suspect.deaths_, [&](const EngineDeath& aDeath) {
+    return aAt + kSoundLifetime > aDeath.at_;
+  });
+  if (suspect.deaths_.empty()) {
+    suspect.soundAt_ = std::max(before.soundAt_.value_or(aAt), aAt);
   }
-  if (!suspect.deaths_.empty()) {
-    suspect.updatedAt_ = std::max(suspect.updatedAt_, aAt);
-    suspect.isCorrectionUntold_ = true;
+  if (suspect.deaths_.size() == before.deaths_.size()) {
+    return false;
+  }
+  suspect.updatedAt_ = std::max(suspect.updatedAt_, aAt);
+  suspect.isCorrectionUntold_ = true;
+  if (before.IsQuarantined() && !suspect.IsQuarantined()) {
+    AddEvent(QuarantineChange::Lifted, aSuspect->first, before);
+    --quarantinedCount_;
   }
-  suspect.deaths_.clear();
-  suspect.soundAt_ = aAt;
   CompareSuspects();
+  return true;
 }
 
 bool
@@ -283,13 +291,8 @@
     if (evidence.soundAt_) {
       soundParts_.Record(evidence.part_, *evidence.soundAt_);
       const auto suspect = suspects_.find(evidence.part_);
-      const bool isNews =
-        suspect != suspects_.end() && !suspect->second.deaths_.empty();
-      if (isNews) {
-        MarkSound(suspect, *evidence.soundAt_);
-        isNew = true;
-      }
       if (suspect != suspects_.end()) {
+        isNew = MarkSound(suspect, *evidence.soundAt_) || isNew;
         suspect->second.isCorrectionUntold_ = false;
       }
     }
--- a/modules/azurecross_dispatch/quarantine/PromptQuarantine.h
+++ b/modules/azurecross_dispatch/quarantine/PromptQuarantine.h
@@ -157,7 +157,9 @@
    * because of this part. */
   const Suspect* FindBlocking(PromptPartId aPart,
                               const std::vector<PromptPartId>& aParts) const;
-  void MarkSound(Suspects::iterator aSuspect, Time aAt);
+  /** Removes the deaths that an answer at this time excuses.
+   * @returns whether there were any. */
+  bool MarkSound(Suspects::iterator aSuspect, Time aAt);
   /** @returns the suspect; the one with the weakest evidence makes room for a
    * new one. */
   Suspect& FindOrAddSuspect(PromptPartId aPart);
--- a/modules/azurecross_dispatch/quarantine/SoundParts.cpp
+++ b/modules/azurecross_dispatch/quarantine/SoundParts.cpp
@@ -3,13 +3,17 @@
 namespace azurecross {
 
 void
-SoundParts::Record(PromptPartId aPart, Time aNow)
+SoundParts::Record(PromptPartId aPart, Time aAt)
 {
+  const auto known = Find(aPart);
+  if (known && *known >= aAt) {
+    return;
+  }
   if (recent_.size() >= kMaxRecentParts && !recent_.contains(aPart)) {
     older_ = std::move(recent_);
     recent_.clear();
   }
-  recent_[aPart] = aNow;
+  recent_[aPart] = aAt;
 }
 
 std::optional<Time>
--- a/modules/azurecross_dispatch/quarantine/SoundParts.h
+++ b/modules/azurecross_dispatch/quarantine/SoundParts.h
@@ -13,7 +13,8 @@
 class SoundParts
 {
 public:
-  void Record(PromptPartId aPart, Time aNow);
+  /** Records an answer; an older one than the last recorded one is ignored. */
+  void Record(PromptPartId aPart, Time aAt);
 
   /** @returns when the part was last recorded, if it is still remembered. */
   std::optional<Time> Find(PromptPartId aPart) const;
--- a/tests/dispatch_tests/QuarantineTests.cpp
+++ b/tests/dispatch_tests/QuarantineTests.cpp
@@ -217,6 +217,35 @@
   BOOST_TEST(mistaken.Merge(correction, At(1.2)));
 }
 
+// Guards against deaths that count although a later answer than the reported
+// one shows the part to be sound.
+BOOST_AUTO_TEST_CASE(OlderAnswerDoesNotReplaceANewerOne)
+{
+  PromptQuarantine quarantine(1);
+  quarantine.RecordAnswer({ kRare }, At(40.0));
+  quarantine.Merge({ { kRare, {}, At(12.0) } }, At(40.1));
+  BOOST_TEST(!quarantine.RecordDeath({ kRare }, MakeDeath("e0", 45.0)));
+}
+
+// Guards against a late report of an old answer that clears a part which has
+// become fatal since.
+BOOST_AUTO_TEST_CASE(OldAnswerDoesNotClearLaterDeaths)
+{
+  PromptQuarantine quarantine(1);
+  quarantine.RecordDeath({ kFatal }, MakeDeath("e0", 20.0));
+  quarantine.RecordDeath({ kFatal }, MakeDeath("e1", 40.0));
+  quarantine.RecordDeath({ kFatal }, MakeDeath("e2", 41.0));
+  quarantine.Merge({ { kFatal, {}, At(5.0) } }, At(41.1));
+  BOOST_TEST(IsQuarantined(quarantine, kFatal, 41.2));
+  const auto evidence = quarantine.GetEvidence(At(41.2));
+  BOOST_REQUIRE(evidence.size() == 1U);
+  BOOST_TEST(evidence[0].deaths_.size() == 2U);
+  BOOST_TEST(!quarantine.Merge({ { kFatal, {}, At(5.0) } }, At(41.3)));
+  quarantine.Merge({ { kFatal, {}, At(15.0) } }, At(41.4));
+  BOOST_TEST(!IsQuarantined(quarantine, kFatal, 41.5));
+  BOOST_TEST(quarantine.CountQuarantined() == 0U);
+}
+
 // Guards against a wrong verdict that no answer can correct any more.
 BOOST_AUTO_TEST_CASE(OneTrialIsLetThroughAndLiftsAWrongVerdict)
 {
