--- a/modules/azurecross_dispatch/quarantine/PromptQuarantine.cpp
+++ b/modules/azurecross_dispatch/quarantine/PromptQuarantine.cpp
@@ -146,6 +146,7 @@
   if (before.IsQuarantined() && !suspect.IsQuarantined()) {
     AddEvent(QuarantineChange::Lifted, aSuspect->first, before);
     --quarantinedCount_;
+    suspect.trialAt_ = Time();
   }
   CompareSuspects();
   return true;
@@ -201,6 +202,7 @@
   }
   if (before.IsQuarantined() && !aSuspect.IsQuarantined()) {
     --quarantinedCount_;
+    aSuspect.trialAt_ = Time();
     AddEvent(QuarantineChange::Lifted, aPart, before);
   }
 }
@@ -217,9 +219,11 @@
     std::any_of(deaths.begin(), deaths.end(), [&](const EngineDeath& aKnown) {
       return IsSameDeath(aKnown, aDeath);
     });
-  const bool isTooOld = deaths.size() >= kMaxDeaths &&
-                        aDeath.at_ >= deaths.front().at_ &&
-                        aDeath.at_ <= deaths[1].at_;
+  // Daemons place deaths of about the same time in different orders. Once the
+  // part is quarantined, an older death adds nothing.
+  const bool isTooOld =
+    deaths.size() >= kMaxDeaths && aDeath.at_ <= deaths[1].at_ &&
+    (suspect.IsQuarantined() || aDeath.at_ >= deaths.front().at_);
   if (isKnown || isTooOld) {
     return false;
   }
@@ -242,7 +246,10 @@
     return true;
   }
   quarantinedCount_ += wasQuarantined ? 0 : 1;
-  suspect.trialAt_ = deaths.back().at_ + GetTrialDelay(aPart, deaths.size());
+  // An old death that is reported late must not make another trial due.
+  suspect.trialAt_ =
+    std::max(suspect.trialAt_,
+             deaths.back().at_ + GetTrialDelay(aPart, deaths.size()));
   AddEvent(wasQuarantined ? QuarantineChange::Confirmed
                           : QuarantineChange::Quarantined,
            aPart,
--- a/tests/dispatch_tests/QuarantineTests.cpp
+++ b/tests/dispatch_tests/QuarantineTests.cpp
@@ -272,6 +272,50 @@
   BOOST_TEST(IsQuarantined(quarantine, kFatal, 58.0 * minutes));
 }
 
+// Guards against a second trial right after the first, because a report brings
+// an old death or a lifted verdict left its trial behind.
+BOOST_AUTO_TEST_CASE(LateEvidenceDoesNotHastenTheTrial)
+{
+  const double trial = 3700.0;
+  PromptQuarantine quarantine = MakeQuarantine(5);
+  BOOST_TEST(!IsQuarantined(quarantine, kFatal, trial));
+  quarantine.RecordSend({ kFatal }, At(trial));
+  quarantine.Merge(
+    { { kFatal, { MakeDeath("a", -2.0), MakeDeath("b", 2.5) }, {} } },
+    At(trial + 0.5));
+  BOOST_TEST(IsQuarantined(quarantine, kFatal, trial + 1.0));
+  quarantine.RecordAnswer({ kFatal }, At(trial + 2.0));
+  quarantine.RecordDeath({ kFatal }, MakeDeath("c", trial + 40.0));
+  quarantine.RecordDeath({ kFatal }, MakeDeath("d", trial + 41.0));
+  BOOST_TEST(IsQuarantined(quarantine, kFatal, trial + 100.0));
+  BOOST_TEST(!IsQuarantined(quarantine, kFatal, trial + 162.0));
+}
+
+// Guards against daemons that report the first death of a part to each other
+// for ever, because several deaths were at about the same time.
+BOOST_AUTO_TEST_CASE(OlderDeathsAreNoNewsForAFullList)
+{
+  PromptQuarantine quarantine =
+    MakeQuarantine(static_cast<int>(PromptQuarantine::kMaxDeaths));
+  quarantine.TakeEvents();
+  BOOST_TEST(!quarantine.RecordDeath({ kFatal }, MakeDeath("x", -0.001)));
+  BOOST_TEST(quarantine.TakeEvents().empty());
+  BOOST_TEST(quarantine.RecordDeath({ kFatal }, MakeDeath("y", 5.0)));
+}
+
+// Guards against an older death that is ignored although the newer ones are all
+// of one moment.
+BOOST_AUTO_TEST_CASE(OlderDeathCountsBesideOneMoment)
+{
+  PromptQuarantine quarantine(1);
+  for (int engine = 0; engine < 6; ++engine) {
+    quarantine.RecordDeath({ kFatal },
+                           MakeDeath("e" + std::to_string(engine), 1.0));
+  }
+  BOOST_TEST(quarantine.RecordDeath({ kFatal }, MakeDeath("older", 0.0)));
+  BOOST_TEST(IsQuarantined(quarantine, kFatal, 1.1));
+}
+
 // Guards against trials of all daemons at the same time.
 BOOST_AUTO_TEST_CASE(TrialsOfDaemonsAreStaggered)
 {
