--- a/modules/azurecross_dispatch/quarantine/PromptQuarantine.cpp
+++ b/modules/azurecross_dispatch/quarantine/PromptQuarantine.cpp
@@ -30,6 +30,9 @@
 constexpr Duration kFirstTrialDelay = std::chrono::seconds(60);
 constexpr unsigned kTrialDelayFactor = 4;
 constexpr Duration kMaxTrialDelay = std::chrono::minutes(30);
+/** Dropped deaths that are remembered for each part: more engines than one
+ * burst of requests is expected to end. */
+constexpr std::size_t kMaxDroppedDeaths = 32;
 
 bool
 IsSameDeath(const EngineDeath& aLeft, const EngineDeath& aRight)
@@ -137,6 +140,7 @@
   });
   if (suspect.deaths_.empty()) {
     suspect.soundAt_ = std::max(before.soundAt_.value_or(aAt), aAt);
+    suspect.droppedDeaths_.clear();
   }
   if (suspect.deaths_.size() == before.deaths_.size()) {
     return false;
@@ -215,10 +219,8 @@
   }
   Suspect& suspect = FindOrAddSuspect(aPart);
   std::vector<EngineDeath>& deaths = suspect.deaths_;
-  const bool isKnown =
-    std::any_of(deaths.begin(), deaths.end(), [&](const EngineDeath& aKnown) {
-      return IsSameDeath(aKnown, aDeath);
-    });
+  const bool isKnown = ContainsDeaths(deaths, { aDeath }) ||
+                       ContainsDeaths(suspect.droppedDeaths_, { aDeath });
   // Daemons place deaths of about the same time in different orders. Once the
   // part is quarantined, an older death adds nothing.
   const bool isTooOld =
@@ -237,6 +239,10 @@
                 aDeath);
   if (deaths.size() > kMaxDeaths) {
     // The oldest one stays: the newest may all belong to one moment.
+    suspect.droppedDeaths_.push_back(deaths[1]);
+    if (suspect.droppedDeaths_.size() > kMaxDroppedDeaths) {
+      suspect.droppedDeaths_.erase(suspect.droppedDeaths_.begin());
+    }
     deaths.erase(deaths.begin() + 1);
   }
   suspect.updatedAt_ = std::max(suspect.updatedAt_, aDeath.at_);
@@ -247,9 +253,8 @@
   }
   quarantinedCount_ += wasQuarantined ? 0 : 1;
   // An old death that is reported late must not make another trial due.
-  suspect.trialAt_ =
-    std::max(suspect.trialAt_,
-             deaths.back().at_ + GetTrialDelay(aPart, deaths.size()));
+  suspect.trialAt_ = std::max(
+    suspect.trialAt_, deaths.back().at_ + GetTrialDelay(aPart, deaths.size()));
   AddEvent(wasQuarantined ? QuarantineChange::Confirmed
                           : QuarantineChange::Quarantined,
            aPart,
--- a/modules/azurecross_dispatch/quarantine/PromptQuarantine.h
+++ b/modules/azurecross_dispatch/quarantine/PromptQuarantine.h
@@ -132,6 +132,9 @@
   {
     /** The first death and the newest ones, in the order of their times. */
     std::vector<EngineDeath> deaths_;
+    /** Deaths that made room for newer ones. Other daemons may still report
+     * them, and a delayed report makes them look newer than they are. */
+    std::vector<EngineDeath> droppedDeaths_;
     std::optional<Time> soundAt_;
     /** Time of the newest death or of the proof that the part is sound. */
     Time updatedAt_;
--- a/tests/dispatch_tests/QuarantineTests.cpp
+++ b/tests/dispatch_tests/QuarantineTests.cpp
@@ -303,6 +303,20 @@
   BOOST_TEST(quarantine.RecordDeath({ kFatal }, MakeDeath("y", 5.0)));
 }
 
+// Guards against a dropped death that a delayed report brings back as a newer
+// one, which drops another death that comes back in turn.
+BOOST_AUTO_TEST_CASE(DroppedDeathsStayKnown)
+{
+  PromptQuarantine quarantine =
+    MakeQuarantine(static_cast<int>(PromptQuarantine::kMaxDeaths) + 1);
+  quarantine.TakeEvents();
+  BOOST_TEST(!quarantine.RecordDeath({ kFatal }, MakeDeath("e1", 5.5)));
+  BOOST_TEST(quarantine.TakeEvents().empty());
+  // An answer ends that memory, since the engines may have changed.
+  quarantine.RecordAnswer({ kFatal }, At(6.0));
+  BOOST_TEST(quarantine.RecordDeath({ kFatal }, MakeDeath("e1", 60.0)));
+}
+
 // Guards against an older death that is ignored although the newer ones are all
 // of one moment.
 BOOST_AUTO_TEST_CASE(OlderDeathCountsBesideOneMoment)
