--- a/modules/azurecross_gateway/relay/CallerChannel.cpp
+++ b/modules/azurecross_gateway/relay/CallerChannel.cpp
@@ -295,6 +295,10 @@
 asio::awaitable<void>
 CallerChannel::CloseOrderly()
 {
+  if (endCompletesResponse_) {
+    Close();
+    co_return;
+  }
   // Closing with unread bytes resets the connection, which can discard the
   // last answer before the caller has read it.
   boost::system::error_code code;
@@ -362,6 +366,9 @@
   boost::system::error_code ignored;
   if (socket_.is_open()) {
     droppedBytes_ += socket_.available(ignored);
+    if (endCompletesResponse_) {
+      socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
   }
   socket_.close(ignored);
 }
--- a/modules/azurecross_gateway/relay/CallerChannel.h
+++ b/modules/azurecross_gateway/relay/CallerChannel.h
@@ -89,12 +89,19 @@
   bool HasLeft() const { return hasLeft_; }
   bool IsIdle() const { return isIdle_; }
 
+  /**
+   * Says whether the end of the connection would complete the response that is
+   * being written. While it would, closing resets the connection, so that a cut
+   * response doesn't look complete.
+   */
+  void SetEndCompletesResponse(bool aDoes) { endCompletesResponse_ = aDoes; }
   /** Keeps the reason of the close; the first one counts. */
   void SetCloseReason(CloseReason aReason);
   /** @returns the end of the connection, complete once it is closed. */
   ConnectionClose DescribeClose() const;
 
-  /** Ends the connection in order, so that the last answer arrives. */
+  /** Ends the connection in order, so that the last answer arrives, or at once
+   * if its end would complete a response. */
   boost::asio::awaitable<void> CloseOrderly();
   /** Ends the connection at once. */
   void Close();
@@ -132,6 +139,7 @@
   bool isWatched_ = false;
   bool timedOut_ = false;
   bool hasLeft_ = false;
+  bool endCompletesResponse_ = false;
 };
 
 } // namespace azurecross
--- a/modules/azurecross_gateway/relay/ConnectionClose.h
+++ b/modules/azurecross_gateway/relay/ConnectionClose.h
@@ -18,7 +18,7 @@
   RequestRefused,
   /** The response or its request said that the connection closes. */
   AfterResponse,
-  /** A response was cut because its time was over. */
+  /** A response was cut: its time was over, or its server broke it off. */
   ResponseCut,
   Shutdown,
   ConnectionLimit,
--- a/modules/azurecross_serving/forward/ForwardPipeline.cpp
+++ b/modules/azurecross_serving/forward/ForwardPipeline.cpp
@@ -68,7 +68,7 @@
   services_.metrics_.CountFailure(failure->code_);
   if (writer_.HasStarted()) {
     // The response is missing its end, so the caller detects the truncation.
-    writer_.CloseAfterResponse();
+    writer_.CutResponse();
     co_return;
   }
   co_await writer_.WriteError(*failure);
--- a/modules/azurecross_serving/forward/ResponseWriter.cpp
+++ b/modules/azurecross_serving/forward/ResponseWriter.cpp
@@ -166,6 +166,7 @@
   std::string prefix = std::move(pendingHead_);
   pendingHead_.clear();
   if (!isChunked_) {
+    caller_.SetEndCompletesResponse(true);
     co_return co_await Write(prefix, aPart, {});
   }
   prefix += FormatChunkHeader(aPart.size());
@@ -180,7 +181,10 @@
   if (isChunked_) {
     end += "0\r\n\r\n";
   }
-  co_await Write(end, {}, {});
+  const bool isSent = co_await Write(end, {}, {});
+  if (isSent) {
+    caller_.SetEndCompletesResponse(false);
+  }
 }
 
 } // namespace azurecross
--- a/modules/azurecross_serving/forward/ResponseWriter.h
+++ b/modules/azurecross_serving/forward/ResponseWriter.h
@@ -47,6 +47,14 @@
   bool KeepsAlive() const { return keepAlive_; }
   /** Closes the connection after this response. */
   void CloseAfterResponse() { keepAlive_ = false; }
+  /** Closes the connection without the rest of this response. */
+  void CutResponse()
+  {
+    isCut_ = true;
+    keepAlive_ = false;
+  }
+  /** @returns whether the response was left without its end. */
+  bool IsCut() const { return isCut_; }
 
 private:
   /**
@@ -69,6 +77,7 @@
   bool isChunked_;
   bool keepAlive_;
   bool hasStarted_ = false;
+  bool isCut_ = false;
 };
 
 } // namespace azurecross
--- a/modules/azurecross_serving/server/FrontConnection.cpp
+++ b/modules/azurecross_serving/server/FrontConnection.cpp
@@ -89,17 +89,12 @@
   co_await pipeline.Run();
   onDisconnect_ = nullptr;
   co_await channel_->StopWatch();
-  const bool isTruncated = context.isTimedOut_ && writer.HasStarted() &&
-                           !writer.KeepsAlive() && context.status_ != 0;
-  if (isTruncated) {
-    channel_->SetCloseReason(CloseReason::ResponseCut);
-    channel_->Close();
-    co_return false;
-  }
   const bool isOpen = writer.KeepsAlive() && !channel_->HasLeft();
   if (!isOpen) {
+    const CloseReason ending =
+      writer.IsCut() ? CloseReason::ResponseCut : CloseReason::AfterResponse;
     channel_->SetCloseReason(channel_->HasLeft() ? CloseReason::CallerLeft
-                                                 : CloseReason::AfterResponse);
+                                                 : ending);
   }
   co_return isOpen;
 }
--- a/tests/serving_tests/IdleTests.cpp
+++ b/tests/serving_tests/IdleTests.cpp
@@ -23,23 +23,6 @@
   return ServingFixture::MakeRequest("/nowhere/x");
 }
 
-/** @returns whether one such close is counted within 3 s. */
-bool
-WaitForClose(const std::string& aReason,
-             const std::string& aRequest,
-             ServingFixture& aFixture)
-{
-  const std::string line = "closed_total{reason=\"" + aReason +
-                           "\",unanswered_request=\"" + aRequest + "\"} 1\n";
-  for (int wait = 0; wait < 300; ++wait) {
-    if (aFixture.SerializeMetrics().find(line) != std::string::npos) {
-      return true;
-    }
-    std::this_thread::sleep_for(10ms);
-  }
-  return false;
-}
-
 } // namespace
 
 // A raised idle limit must apply to connections that already wait: they were
@@ -95,7 +78,7 @@
   BOOST_TEST(caller.ReadAnswer().status_ == 404U);
   std::this_thread::sleep_for(kSettleTime);
   caller.Send(MakeUnroutedRequest());
-  BOOST_TEST(WaitForClose("after_response", "whole_head", *this));
+  BOOST_TEST(WaitForClose("after_response", "whole_head"));
 }
 
 // A connection that the daemon closes at its idle limit must be counted, as one
@@ -107,7 +90,7 @@
   TestCaller caller = Connect();
   BOOST_TEST(caller.WaitForClose());
   caller.Close();
-  BOOST_TEST(WaitForClose("idle_limit", "none", *this));
+  BOOST_TEST(WaitForClose("idle_limit", "none"));
 }
 
 // Connections above the limit were dropped without a trace.
@@ -116,7 +99,7 @@
   Run([this] { GetServices().limits_.connectionLimit_ = 0; });
   TestCaller caller = Connect();
   BOOST_TEST(caller.WaitForClose());
-  BOOST_TEST(WaitForClose("connection_limit", "none", *this));
+  BOOST_TEST(WaitForClose("connection_limit", "none"));
 }
 
 // Bytes that a caller sends ahead must not end the daemon when the limit of a
--- a/tests/serving_tests/ServingFixture.cpp
+++ b/tests/serving_tests/ServingFixture.cpp
@@ -85,7 +85,7 @@
 
 ServingFixture::~ServingFixture()
 {
-  Run([this] { front_->Stop(); });
+  StopServer();
   asio::post(context_, [this] { context_.stop(); });
   thread_.join();
 }
@@ -114,6 +114,12 @@
   done.get_future().wait();
 }
 
+void
+ServingFixture::StopServer()
+{
+  Run([this] { front_->Stop(); });
+}
+
 void
 ServingFixture::SetTables(ServingTables::Content aTables)
 {
@@ -172,6 +178,21 @@
          "Content-Length: 4\r\n\r\nbody";
 }
 
+bool
+ServingFixture::WaitForClose(const std::string& aReason,
+                             const std::string& aRequest)
+{
+  const std::string line = "closed_total{reason=\"" + aReason +
+                           "\",unanswered_request=\"" + aRequest + "\"} 1\n";
+  for (int wait = 0; wait < 300; ++wait) {
+    if (SerializeMetrics().find(line) != std::string::npos) {
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return false;
+}
+
 CallerAnswer
 ServingFixture::Call(const std::string& aRequest)
 {
--- a/tests/serving_tests/ServingFixture.h
+++ b/tests/serving_tests/ServingFixture.h
@@ -51,6 +51,9 @@
                    const std::string& aPool,
                    const FakeBackendServer& aServer);
 
+  /** Cuts the requests in progress and closes all connections. */
+  void StopServer();
+
   /** @returns the text of a request with the given path and headers. */
   static std::string MakeRequest(const std::string& aPath,
                                  const std::string& aHeaders = {});
@@ -63,6 +66,9 @@
   /** @returns all metrics as text. */
   std::string SerializeMetrics() { return registry_.Serialize(); }
   ForwardServices& GetServices() { return *services_; }
+  /** @returns whether one connection that closed for this reason, with this
+   * much of an unanswered request, is counted within 3 s. */
+  bool WaitForClose(const std::string& aReason, const std::string& aRequest);
   /** @returns the metrics as text. */
   std::string FormatMetrics() const { return registry_.Serialize(); }
 
--- a/tests/test_support/TestCaller.cpp
+++ b/tests/test_support/TestCaller.cpp
@@ -1,5 +1,6 @@
 #include "TestCaller.h"
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -94,6 +95,14 @@
   return buffer_;
 }
 
+CallerRemainder
+TestCaller::ReadToEnd()
+{
+  boost::system::error_code code;
+  asio::read(socket_, asio::dynamic_buffer(buffer_), code);
+  return { std::move(buffer_), code == asio::error::eof };
+}
+
 bool
 TestCaller::WaitForClose(Duration aTime)
 {
--- a/tests/test_support/TestCaller.h
+++ b/tests/test_support/TestCaller.h
@@ -25,6 +25,15 @@
   int Count(std::string_view aText) const;
 };
 
+/** What a caller read up to the end of its connection. */
+struct CallerRemainder
+{
+  std::string bytes_;
+  /** Whether the peer closed the connection, and neither reset it nor kept it
+   * open for 5 s. */
+  bool isClosedOrderly_ = false;
+};
+
 /** A caller's connection; its calls block, reads for 5 s at most. */
 class TestCaller
 {
@@ -36,6 +45,8 @@
   CallerAnswer ReadAnswer(bool aIsHeadRequest = false);
   /** Reads until the text has arrived; @returns all bytes so far. */
   std::string ReadUntil(std::string_view aText);
+  /** Reads to the end of the connection; @returns all bytes not yet taken. */
+  CallerRemainder ReadToEnd();
   /** @returns whether the peer closes within this time. */
   bool WaitForClose(Duration aTime = std::chrono::seconds(3));
   void Close();
