--- a/modules/azurecross_serving/forward/Admission.cpp
+++ b/modules/azurecross_serving/forward/Admission.cpp
@@ -64,11 +64,6 @@
   if (auto error = FindRoute()) {
     co_return error;
   }
-  const Duration timeout = std::min(
-    context_.metadata_.remainingTime_.value_or(context_.route_->timeout_),
-    context_.route_->timeout_);
-  context_.deadline_ = context_.arrival_ + timeout;
-  context_.priority_ = context_.route_->priority_;
   std::optional<Error> refusal = co_await CheckApiKey();
   if (!refusal) {
     refusal = CheckShutdown();
@@ -103,13 +98,24 @@
     return MakeRetryableError(ErrorCode::NoBackendServer,
                               "the pool of the route does not exist");
   }
+  const Duration timeout = std::min(
+    context_.metadata_.remainingTime_.value_or(context_.route_->timeout_),
+    context_.route_->timeout_);
+  context_.deadline_ = context_.arrival_ + timeout;
+  context_.priority_ = context_.route_->priority_;
   return std::nullopt;
 }
 
+bool
+Admission::NeedsApiKey() const
+{
+  return context_.tables_->HasCustomers() && !context_.route_->isPublic_;
+}
+
 asio::awaitable<std::optional<Error>>
 Admission::CheckApiKey()
 {
-  if (!context_.tables_->HasCustomers() || context_.route_->isPublic_) {
+  if (!NeedsApiKey()) {
     co_return std::nullopt;
   }
   if (!services_.state_.GetKeyFreshness().IsFresh(context_.arrivalBootTime_)) {
@@ -133,6 +139,9 @@
     if (auto error = FindRoute()) {
       co_return error;
     }
+    if (!NeedsApiKey()) {
+      co_return std::nullopt;
+    }
   }
   const ServingCustomer* customer =
     context_.tables_->FindCustomer(context_.metadata_.apiKey_);
--- a/modules/azurecross_serving/forward/Admission.h
+++ b/modules/azurecross_serving/forward/Admission.h
@@ -36,8 +36,11 @@
    * does not exist.
    */
   bool AreTablesRecent() const;
-  /** Selects the route and draws one of its pools by weight. */
+  /** Selects the route, with its deadline and priority, and draws one of its
+   * pools by weight. */
   std::optional<Error> FindRoute();
+  /** @returns whether the request needs an API key. */
+  bool NeedsApiKey() const;
   /** Finds the customer of the API key; waits for fresh tables if necessary. */
   boost::asio::awaitable<std::optional<Error>> CheckApiKey();
   /** Rejects a request that a planned shutdown would cut off. */
--- a/tests/serving_tests/AdmissionTests.cpp
+++ b/tests/serving_tests/AdmissionTests.cpp
@@ -26,6 +26,26 @@
   return tables;
 }
 
+/** Applies tables of which it isn't known whether they are the newest, and
+ * replaces them while a request waits for the check of its key. */
+void
+ReplaceTablesDuringKeyCheck(ServingFixture& aFixture,
+                            const ServingTables::Content& aBefore,
+                            const ServingTables::Content& aAfter)
+{
+  aFixture.Run([&aFixture, aBefore, aAfter] {
+    ServingState& state = aFixture.GetState();
+    state.ApplyTables(aBefore, ReadMonotonicTime());
+    state.SetStoreReachable(true);
+    aFixture.GetServices().awaitFreshTables_ =
+      [&state, aAfter](Duration) -> boost::asio::awaitable<bool> {
+      state.ApplyTables(aAfter, ReadMonotonicTime());
+      state.ConfirmTables(ReadBootTime());
+      co_return true;
+    };
+  });
+}
+
 } // namespace
 
 // A daemon without tables must not answer 404: the route may exist.
@@ -105,6 +125,52 @@
   BOOST_TEST(requests == 0);
 }
 
+// A request whose tables are replaced during the check of its key must end at
+// the time limit of the new tables: it was held to the old one.
+BOOST_FIXTURE_TEST_CASE(ReplacedTablesLimitTheRequest, ServingFixture)
+{
+  FakeBackendServer server([](FakeConnection& aConnection) {
+    if (!aConnection.ReadRequest().empty()) {
+      aConnection.WaitForClose();
+    }
+  });
+  AddServer("s1", "desk", server);
+  ServingTables::Content after = MakeTablesWithKeys(2, { "k1" });
+  after.routes_[0].timeout_ = std::chrono::milliseconds(200);
+  ReplaceTablesDuringKeyCheck(*this, MakeTablesWithKeys(1, { "k1" }), after);
+  const Time startTime = ReadMonotonicTime();
+  BOOST_TEST(Call(MakeRequest("/once/x", "X-Key: k1\r\n")).status_ == 504U);
+  BOOST_TEST(ToSeconds(ReadMonotonicTime() - startTime) < 1.0);
+}
+
+// A request whose tables are replaced during the check of its key must go on
+// with the priority of the new tables.
+BOOST_FIXTURE_TEST_CASE(ReplacedTablesSetThePriority, ServingFixture)
+{
+  FakeBackendServer server([](FakeConnection& aConnection) {
+    while (!aConnection.ReadRequest().empty()) {
+      aConnection.Answer(200, aConnection.FindHeader("X-Priority"));
+    }
+  });
+  AddServer("s1", "desk", server);
+  ServingTables::Content after = MakeTablesWithKeys(2, { "k1" });
+  after.routes_[0].priority_ = 2;
+  ReplaceTablesDuringKeyCheck(*this, MakeTablesWithKeys(1, { "k1" }), after);
+  BOOST_TEST(Call(MakeRequest("/once/x", "X-Key: k1\r\n")).body_ == "2");
+}
+
+// A request without a key whose route becomes public during the check was
+// refused with 401.
+BOOST_FIXTURE_TEST_CASE(RouteThatBecamePublicNeedsNoKey, ServingFixture)
+{
+  FakeBackendServer server(MakeCustomerEcho());
+  AddServer("s1", "desk", server);
+  ServingTables::Content after = MakeTablesWithKeys(2, { "k1" });
+  after.routes_[0].isPublic_ = true;
+  ReplaceTablesDuringKeyCheck(*this, MakeTablesWithKeys(1, { "k1" }), after);
+  BOOST_TEST(Call(MakeRequest("/once/x")).status_ == 200U);
+}
+
 // While the store is unreachable, callers must be rejected without a wait and
 // with a retry delay that suits an outage.
 BOOST_FIXTURE_TEST_CASE(UnreachableStoreRejectsWithoutDelay, ServingFixture)
--- a/tests/serving_tests/TestWireProtocol.cpp
+++ b/tests/serving_tests/TestWireProtocol.cpp
@@ -53,6 +53,7 @@
   head +=
     "X-Customer: " + aOptions.customer_.value_or(CustomerId()).GetValue() +
     "\r\n";
+  head += "X-Priority: " + std::to_string(aOptions.priority_) + "\r\n";
   if (aOptions.copy_) {
     head += "X-Copy: " + aOptions.copy_->handle_ + "\r\n";
     head += "Last-Event-Id: " + aOptions.lastEventId_ + "\r\n";
