--- a/modules/azurecross_serving/peers/StateFeed.cpp
+++ b/modules/azurecross_serving/peers/StateFeed.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <set>
 
 namespace azurecross {
@@ -18,6 +19,9 @@
 constexpr std::size_t kMaxServerEntries = 20000;
 /** The largest tables that are accepted from another daemon. */
 constexpr std::size_t kMaxTablesBytes = std::size_t{ 32 } << 20;
+/** The largest age of tables that is accepted from another daemon, a day. Much
+ * larger ones overflow when they are converted to nanoseconds. */
+constexpr std::uint64_t kMaxAgeMicroseconds = 86'400'000'000;
 /** Longest time for which a request may wait for a change. */
 constexpr std::chrono::milliseconds kMaxWait{ 20000 };
 
@@ -26,16 +30,20 @@
 {
   const std::string text = aRequest.FindQueryValue(aName);
   std::uint64_t number = 0;
-  std::from_chars(text.data(), text.data() + text.size(), number);
-  return number;
+  const auto parsed =
+    std::from_chars(text.data(), text.data() + text.size(), number);
+  return parsed.ec == std::errc::result_out_of_range
+           ? std::numeric_limits<std::uint64_t>::max()
+           : number;
 }
 
 Duration
 ParseWaitTime(const HttpRequest& aRequest)
 {
-  const auto wait =
-    std::chrono::milliseconds(ParseQueryNumber(aRequest, "wait"));
-  return std::min<Duration>(wait, kMaxWait);
+  // Limited before the conversion to nanoseconds, which can overflow.
+  constexpr auto kMaxCount = static_cast<std::uint64_t>(kMaxWait.count());
+  return std::chrono::milliseconds(
+    std::min(ParseQueryNumber(aRequest, "wait"), kMaxCount));
 }
 
 std::optional<json::object>
@@ -131,7 +139,8 @@
     object ? FindUnsignedField(*object, "version") : std::nullopt;
   const auto age = object ? FindUnsignedField(*object, "age_us") : std::nullopt;
   const json::value* encoded = object ? object->if_contains("tables") : nullptr;
-  if (!version || !age || encoded == nullptr || !encoded->is_string()) {
+  if (!version || !age || *age > kMaxAgeMicroseconds || encoded == nullptr ||
+      !encoded->is_string()) {
     return std::nullopt;
   }
   TablesFeedResponse tables;
--- a/tests/serving_tests/FeedTests.cpp
+++ b/tests/serving_tests/FeedTests.cpp
@@ -380,6 +380,40 @@
   BOOST_TEST(members->front().linkMbps_ == 20U);
 }
 
+// Guards against an age that overflows: tables of any age could be taken for
+// ones confirmed in the future, with keys that have been removed since.
+BOOST_AUTO_TEST_CASE(OverflowingAgesAreRejected)
+{
+  for (const char* age : { "9300000000000000", "18446744073709551615" }) {
+    const std::string text =
+      R"({"version":1,"age_us":)" + std::string(age) + R"(,"tables":""})";
+    BOOST_TEST(!ParseTablesFeedResponse(text).has_value());
+  }
+}
+
+// Guards against a wait that overflows: a peer that was ready to wait for a
+// very long time got its response at once, and repeated the request without a
+// pause.
+BOOST_FIXTURE_TEST_CASE(LongWaitsAreLimited, FeedFixture)
+{
+  Daemon& reader = *readers_[0];
+  BOOST_TEST(Read(reader).has_value());
+  HttpClient client(context_.get_executor());
+  for (const char* wait : { "9300000000000", "99999999999999999999999999" }) {
+    HttpRequest request;
+    request.target_ =
+      "/feed/tables?tables=0&known=" + std::to_string(reader.store_.version_) +
+      "&wait=" + wait;
+    auto response = asio::co_spawn(
+      context_, client.Send(reader.address_, request), asio::use_future);
+    BOOST_TEST((response.wait_for(std::chrono::milliseconds(200)) ==
+                std::future_status::timeout));
+    ++reader.store_.version_;
+    BOOST_TEST(Read(reader).has_value());
+    BOOST_TEST(response.get().has_value());
+  }
+}
+
 // Guards against a lost or damaged transfer that is taken for the tables, and
 // against a small response that fills the memory when it is decompressed.
 BOOST_AUTO_TEST_CASE(CompressedTextsAreBounded)
