--- a/modules/azurecross_serving/forward/BackendCall.cpp
+++ b/modules/azurecross_serving/forward/BackendCall.cpp
@@ -168,6 +168,8 @@
   if (!connection_ || !connection_->IsReusable()) {
     return;
   }
+  // A move may have limited the wait for the end of the stream.
+  connection_->GetDeadline().Clear();
   const Duration idle =
     info_.keepAliveTimeout_
       ? FromSeconds(kIdleTimeFraction * ToSeconds(*info_.keepAliveTimeout_))
--- a/tests/serving_tests/MoveTests.cpp
+++ b/tests/serving_tests/MoveTests.cpp
@@ -101,6 +101,48 @@
   BOOST_TEST(resumes == 1);
 }
 
+// A stop response just before the end of a generation left its time limit on
+// the connection, which was closed while it waited for its next request.
+BOOST_FIXTURE_TEST_CASE(StopBeforeTheEndKeepsTheConnection, ServingFixture)
+{
+  std::atomic<bool> isStopped = false;
+  std::atomic<bool> isClosed = false;
+  std::atomic<int> resumes = 0;
+  FakeBackendServer source([&](FakeConnection& aConnection) {
+    const std::string request = aConnection.ReadRequest();
+    if (IsMoveRequest(request)) {
+      RespondToMove(aConnection, 200, "h1");
+      isStopped = isStopped || IsFinalMoveRequest(request);
+      return;
+    }
+    if (!request.starts_with("POST /stream")) {
+      // The copy that isn't needed is released.
+      return;
+    }
+    aConnection.StartStream();
+    aConnection.SendChunk(MakeEvent(1));
+    WaitForFlag(isStopped);
+    // The stop response arrives before the end of the stream.
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    aConnection.SendChunk(MakeEvent(2));
+    aConnection.Send("0\r\n\r\n");
+    isClosed = aConnection.WaitForClose();
+  });
+  FakeBackendServer target(MakeTarget(2, 2, resumes));
+  SetTables(MakeTables());
+  AddServer("e1", "engines", source);
+  TestCaller caller = Connect();
+  caller.Send(MakeRequest("/stream/x"));
+  caller.ReadUntil(MakeEvent(1));
+  AddServer("e2", "engines", target);
+  SetDraining("e1", "engines", source);
+  BOOST_TEST(caller.ReadUntil("0\r\n\r\n").find(MakeEvent(2)) !=
+             std::string::npos);
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  BOOST_TEST(!isClosed);
+  BOOST_TEST(resumes == 0);
+}
+
 // A generation that has ended must not be resumed. The last events came twice
 // when the stream had no framing and the engine answered the stop request with
 // "no such run".
