--- a/modules/azurecross_serving/daemon/ServingDaemon.h
+++ b/modules/azurecross_serving/daemon/ServingDaemon.h
@@ -215,13 +215,14 @@
   void Tick()
   {
     const Time now = ReadMonotonicTime();
+    // Before the deadlines, which are set again from raised limits.
+    ApplyCallerLimits();
     deadlines_.Tick(now);
     connections_.Tick(now);
     dispatch_.Tick();
     state_.Tick(now, ReadBootTime());
     log_.Tick(now);
     servingMetrics_.SetSuppressedLogRecords(log_.CountSuppressedRecords());
-    ApplyCallerLimits();
     if (services_.shutdownTime_) {
       CheckShutdown(now);
     }
--- a/tests/serving_tests/DaemonTests.cpp
+++ b/tests/serving_tests/DaemonTests.cpp
@@ -6,6 +6,7 @@
 
 #include <unistd.h>
 
+#include <atomic>
 #include <csignal>
 
 namespace azurecross {
@@ -75,6 +76,33 @@
   std::vector<MemberRecord> members_;
 };
 
+/** A fake store whose tables raise the idle limit once it is told to. Reading
+ * the new tables takes longer than the old limit, as large ones do on a daemon
+ * with little processor time. */
+struct RaisingStore : UnchangingStore
+{
+  static constexpr Duration kIdleLimit = 1s;
+  static constexpr Duration kRaisedIdleLimit = 10s;
+
+  asio::awaitable<AsyncResult<TablesSnapshot>> ReadTables()
+  {
+    TablesSnapshot result;
+    result.content_ = ServingFixture::MakeTables(version_);
+    result.content_->limits_.idleTimeout_ = kIdleLimit;
+    result.revision_ = 5;
+    if (isRaised_) {
+      std::this_thread::sleep_for(version_ == 1 ? kIdleLimit : 0s);
+      version_ = 2;
+      result.content_->version_ = version_;
+      result.content_->limits_.idleTimeout_ = kRaisedIdleLimit;
+    }
+    co_return result;
+  }
+
+  std::uint64_t version_ = 1;
+  std::atomic<bool> isRaised_ = false;
+};
+
 ServingSettings
 MakeSettings()
 {
@@ -93,6 +121,22 @@
   return settings;
 }
 
+/** Repeats a request without a route until the daemon knows its tables.
+ * @returns the connection of the last one. */
+std::unique_ptr<TestCaller>
+AwaitTables(const SocketAddress& aDaemon)
+{
+  for (int attempts = 0; attempts < 100; ++attempts) {
+    auto caller = std::make_unique<TestCaller>(aDaemon);
+    caller->Send(ServingFixture::MakeRequest("/nowhere/x"));
+    if (caller->ReadAnswer().status_ == 404U) {
+      return caller;
+    }
+    std::this_thread::sleep_for(50ms);
+  }
+  return nullptr;
+}
+
 /** Repeats a request until its stream has begun.
  * @returns the connection of the stream. */
 std::unique_ptr<TestCaller>
@@ -149,4 +193,35 @@
   BOOST_TEST(requestsCut == 1U);
 }
 
+// Guards against a daemon that closes at the old idle limit after it has read
+// tables with a higher one.
+BOOST_AUTO_TEST_CASE(RaisedIdleLimitAppliesBeforeTheNextDeadline)
+{
+  RaisingStore store;
+  const TestWireProtocol wire;
+  DaemonContext context;
+  ServingDaemon<RaisingStore> daemon(context, MakeSettings(), wire, store, [] {
+    return std::optional<ServingSettings>();
+  });
+  const SocketAddress address = daemon.GetFrontServer().GetAddress();
+  unsigned status = 0;
+  std::thread thread([&] {
+    const auto caller = AwaitTables(address);
+    // The next tick applies the first limit to the waits that begin after it.
+    std::this_thread::sleep_for(100ms);
+    for (const Duration wait : { Duration(0s), 2 * RaisingStore::kIdleLimit }) {
+      std::this_thread::sleep_for(wait);
+      if (caller) {
+        caller->Send(ServingFixture::MakeRequest("/nowhere/x"));
+        status = caller->ReadAnswer().status_;
+        store.isRaised_ = true;
+      }
+    }
+    kill(getpid(), SIGTERM);
+  });
+  daemon.Run();
+  thread.join();
+  BOOST_TEST(status != 0U);
+}
+
 } // namespace azurecross
