--- a/modules/azurecross_gateway/relay/CallerChannel.cpp
+++ b/modules/azurecross_gateway/relay/CallerChannel.cpp
@@ -66,6 +66,23 @@
   socket_.cancel(ignored);
 }
 
+bool
+CallerChannel::HasUnreadBytes() const
+{
+  boost::system::error_code ignored;
+  return buffer_.size() > 0 || socket_.available(ignored) > 0;
+}
+
+void
+CallerChannel::StopReading()
+{
+  if (isParsing_) {
+    timedOut_ = true;
+    boost::system::error_code ignored;
+    socket_.cancel(ignored);
+  }
+}
+
 asio::awaitable<bool>
 CallerChannel::WaitForRequest()
 {
@@ -100,6 +117,8 @@
   if (hasLeft_ || !co_await WaitForRequest()) {
     co_return ReadOutcome();
   }
+  isParsing_ = true;
+  const ScopeGuard markParsed([this] { isParsing_ = false; });
   aParser.header_limit(limits_.headerLimitBytes_);
   aParser.body_limit(limits_.bodyLimitBytes_);
   boost::system::error_code code;
--- a/modules/azurecross_gateway/relay/CallerChannel.h
+++ b/modules/azurecross_gateway/relay/CallerChannel.h
@@ -87,7 +87,15 @@
 
   /** @returns whether the caller is gone. */
   bool HasLeft() const { return hasLeft_; }
-  bool IsIdle() const { return isIdle_; }
+  /** @returns whether the connection waits for its next request and has no
+   * unread bytes of it. */
+  bool IsIdle() const { return isIdle_ && !HasUnreadBytes(); }
+  /** @returns how long the connection has been waiting for its next request. */
+  Duration GetIdleTime(Time aNow) const { return aNow - idleSince_; }
+
+  /** Ends the reading of an incomplete request, which is then refused. Has no
+   * effect while no request is being read. */
+  void StopReading();
 
   /**
    * Says whether the end of the connection would complete the response that is
@@ -107,6 +115,9 @@
   void Close();
 
 private:
+  /** @returns whether bytes have arrived that no request has been parsed from.
+   */
+  bool HasUnreadBytes() const;
   /** Ends the current wait unless its limit has been raised meanwhile. */
   void Expire();
   boost::asio::awaitable<bool> WaitForRequest();
@@ -135,6 +146,8 @@
   /** Bytes that are unanswered and not kept in the buffer. */
   std::size_t droppedBytes_ = 0;
   bool isIdle_ = false;
+  /** Whether a request has begun to arrive and is incomplete. */
+  bool isParsing_ = false;
   bool isReading_ = false;
   bool isWatched_ = false;
   bool timedOut_ = false;
--- a/modules/azurecross_serving/daemon/ServingDaemon.h
+++ b/modules/azurecross_serving/daemon/ServingDaemon.h
@@ -151,9 +151,9 @@
     WaitForSignal();
     ScheduleTick();
     context_.run();
-    log_.Write(Decision::Stopped,
-               { { "entry", settings_.entryId_ },
-                 { "requests_cut", frontServer_.CountActiveRequests() } });
+    log_.Write(
+      Decision::Stopped,
+      { { "entry", settings_.entryId_ }, { "requests_cut", requestsCut_ } });
   }
 
   /** @returns whether the daemon accepts requests. */
@@ -169,11 +169,15 @@
   static constexpr Duration kTickInterval = std::chrono::milliseconds(20);
   /** Responses that are being read may take this part of the memory. */
   static constexpr std::size_t kResponseMemoryDivisor = 4;
-  /** Subtracted from the grace period to leave time for the last writes. */
+  /** Time before the end of the grace period from which on the daemon accepts
+   * no connections and refuses all requests. */
   static constexpr Duration kShutdownMargin = std::chrono::milliseconds(700);
-  /** The load balancer checks the readiness every second and removes a daemon
-   * after two failed checks. Requests keep arriving until then. */
-  static constexpr Duration kMinShutdownTime = std::chrono::milliseconds(3500);
+  /** Time before the end of the grace period at which requests in progress are
+   * ended with an error. */
+  static constexpr Duration kRequestEndMargin = std::chrono::milliseconds(300);
+  /** Time before the end of the grace period at which the daemon exits even if
+   * connections are open. */
+  static constexpr Duration kExitMargin = std::chrono::milliseconds(200);
   /** Time without requests before the shutdown ends: callers that were told to
    * close their connections may still send their next request. */
   static constexpr Duration kIdleTime = std::chrono::milliseconds(200);
@@ -304,8 +308,36 @@
       idleSince_ = aNow;
     }
     const bool isIdle = idleSince_ && aNow - *idleSince_ >= kIdleTime &&
-                        aNow - shutdownStart_ >= kMinShutdownTime;
+                        aNow - shutdownStart_ >= settings_.minShutdownTime_;
     if (isIdle || aNow >= *services_.shutdownTime_) {
+      frontServer_.StopAccepting();
+      isClosing_ = true;
+    }
+    if (isClosing_) {
+      CloseConnections(aNow);
+    }
+  }
+
+  /** Closes connections as they become idle, and ends the daemon once none may
+   * still be served. */
+  void CloseConnections(Time aNow)
+  {
+    const Time graceEnd = *services_.shutdownTime_ + kShutdownMargin;
+    frontServer_.CloseIdle(kIdleTime);
+    if (aNow >= graceEnd - kRequestEndMargin && !hasEndedRequests_) {
+      hasEndedRequests_ = true;
+      requestsCut_ = frontServer_.CountActiveRequests();
+      frontServer_.EndRequests();
+    }
+    if (frontServer_.CountOpenConnections() > 0) {
+      closedSince_.reset();
+    } else if (!closedSince_) {
+      closedSince_ = aNow;
+    }
+    // Callers that have just been answered may still read.
+    const bool isClosed = frontServer_.CountConnections() == 0 ||
+                          (closedSince_ && aNow - *closedSince_ >= kIdleTime);
+    if (isClosed || aNow >= graceEnd - kExitMargin) {
       frontServer_.Stop();
       context_.stop();
     }
@@ -341,6 +373,12 @@
   bool isDispatchPosted_ = false;
   Time shutdownStart_;
   std::optional<Time> idleSince_;
+  /** Whether the last connections are being closed. */
+  bool isClosing_ = false;
+  bool hasEndedRequests_ = false;
+  /** Requests that the end of the shutdown interrupted. */
+  std::size_t requestsCut_ = 0;
+  std::optional<Time> closedSince_;
 };
 
 } // namespace azurecross
--- a/modules/azurecross_serving/forward/ForwardContext.h
+++ b/modules/azurecross_serving/forward/ForwardContext.h
@@ -31,6 +31,8 @@
   std::function<void()> cancel_;
   bool isCallerDisconnected_ = false;
   bool isTimedOut_ = false;
+  /** Whether the request was ended by the end of the daemon's shutdown. */
+  bool isShutDown_ = false;
   /**
    * The strongest verdict of the attempts so far on whether the request ran.
    */
@@ -45,7 +47,10 @@
   {
     return route_->kind_ == CallKind::IdempotentCall;
   }
-  bool IsAborted() const { return isCallerDisconnected_ || isTimedOut_; }
+  bool IsAborted() const
+  {
+    return isCallerDisconnected_ || isTimedOut_ || isShutDown_;
+  }
   std::string_view GetPath() const
   {
     const std::string_view target(request_.target().data(),
--- a/modules/azurecross_serving/forward/ForwardPipeline.cpp
+++ b/modules/azurecross_serving/forward/ForwardPipeline.cpp
@@ -49,6 +49,15 @@
   }
 }
 
+void
+ForwardPipeline::HandleShutdown()
+{
+  context_.isShutDown_ = true;
+  if (context_.cancel_) {
+    context_.cancel_();
+  }
+}
+
 asio::awaitable<void>
 ForwardPipeline::Run()
 {
@@ -60,6 +69,11 @@
              context_.verdict_,
              "no response before the deadline of the caller or the route",
              {} };
+  } else if (failure && context_.isShutDown_) {
+    failure = Error{ ErrorCode::Draining,
+                     context_.verdict_,
+                     "the daemon's shutdown ended the request",
+                     {} };
   }
   LogResult(failure);
   if (!failure || context_.isCallerDisconnected_) {
--- a/modules/azurecross_serving/forward/ForwardPipeline.h
+++ b/modules/azurecross_serving/forward/ForwardPipeline.h
@@ -32,6 +32,9 @@
    */
   void HandleCallerDisconnect();
 
+  /** Ends the request because the daemon's shutdown ends. */
+  void HandleShutdown();
+
 private:
   using Failure = std::optional<Error>;
 
--- a/modules/azurecross_serving/server/FrontConnection.cpp
+++ b/modules/azurecross_serving/server/FrontConnection.cpp
@@ -25,9 +25,8 @@
 FrontConnection::Run()
 {
   // GCC 12 generates a trap for `while (co_await ...)` with an empty body.
-  bool isOpen = true;
-  while (isOpen) {
-    isOpen = co_await ServeRequest();
+  while (isOpen_) {
+    isOpen_ = co_await ServeRequest();
   }
   co_await channel_->CloseOrderly();
   RecordClose(services_, channel_->DescribeClose());
@@ -80,14 +79,17 @@
   ResponseWriter writer(services_, context, *channel_);
   ForwardPipeline pipeline(services_, context, writer);
   onDisconnect_ = [&pipeline] { pipeline.HandleCallerDisconnect(); };
+  onShutdown_ = [&pipeline] { pipeline.HandleShutdown(); };
   channel_->StartWatch(onDisconnect_);
   // Both refer to the pipeline.
   const ScopeGuard forgetPipeline([this] {
     onDisconnect_ = nullptr;
+    onShutdown_ = nullptr;
     channel_->ForgetWatcher();
   });
   co_await pipeline.Run();
   onDisconnect_ = nullptr;
+  onShutdown_ = nullptr;
   co_await channel_->StopWatch();
   const bool isOpen = writer.KeepsAlive() && !channel_->HasLeft();
   if (!isOpen) {
@@ -113,14 +115,25 @@
 }
 
 void
-FrontConnection::CloseIfIdle()
+FrontConnection::CloseIfIdle(Duration aMinIdleTime)
 {
-  if (!isBusy_ && channel_->IsIdle()) {
+  if (!isBusy_ && channel_->IsIdle() &&
+      channel_->GetIdleTime(ReadMonotonicTime()) >= aMinIdleTime) {
     channel_->SetCloseReason(CloseReason::Shutdown);
     channel_->Close();
   }
 }
 
+void
+FrontConnection::EndRequest()
+{
+  if (onShutdown_) {
+    onShutdown_();
+  } else {
+    channel_->StopReading();
+  }
+}
+
 void
 FrontConnection::Close()
 {
--- a/modules/azurecross_serving/server/FrontConnection.h
+++ b/modules/azurecross_serving/server/FrontConnection.h
@@ -27,8 +27,12 @@
   /** Serves requests until the connection closes. */
   boost::asio::awaitable<void> Run();
 
-  /** Closes the connection if no request is in progress. */
-  void CloseIfIdle();
+  /** Closes the connection if it has been without a request, read or unread,
+   * for this time. */
+  void CloseIfIdle(Duration aMinIdleTime);
+  /** Refuses a request that is in progress or incomplete. A stream that has
+   * begun is cut. */
+  void EndRequest();
   /** Cancels a request in progress and closes the connection. */
   void Close();
   /** Counts the end of a connection, and logs it if it had bytes of an
@@ -37,6 +41,8 @@
                           const ConnectionClose& aClose);
   /** @returns whether a request is in progress. */
   bool IsBusy() const { return isBusy_; }
+  /** @returns whether requests may still be served. */
+  bool IsOpen() const { return isOpen_; }
 
 private:
   /**
@@ -51,7 +57,10 @@
   std::shared_ptr<CallerChannel> channel_;
   /** Cancels the request in progress; empty if there is none. */
   std::function<void()> onDisconnect_;
+  /** The same at the end of a shutdown. */
+  std::function<void()> onShutdown_;
   bool isBusy_ = false;
+  bool isOpen_ = true;
 };
 
 } // namespace azurecross
--- a/modules/azurecross_serving/server/FrontServer.cpp
+++ b/modules/azurecross_serving/server/FrontServer.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 
+#include <algorithm>
+
 namespace azurecross {
 
 namespace asio = boost::asio;
@@ -46,22 +48,53 @@
 FrontServer::Accept()
 {
   acceptor_.async_accept(
-    context_, [this](const boost::system::error_code& aCode, auto aSocket) {
+    context_.get_executor(),
+    [this](const boost::system::error_code& aCode, WorkerSocket aSocket) {
       if (aCode == asio::error::operation_aborted) {
         return;
       }
       if (aCode) {
         return RetryAccept();
       }
-      boost::system::error_code code;
-      const auto handle = aSocket.release(code);
-      WorkerSocket socket(context_.get_executor());
-      socket.assign(acceptor_.local_endpoint().protocol(), handle, code);
-      ServeConnection(std::move(socket));
-      Accept();
+      ServeConnection(std::move(aSocket));
+      // The accept may have succeeded just before the acceptor was closed.
+      if (acceptor_.is_open()) {
+        Accept();
+      }
     });
 }
 
+void
+FrontServer::AcceptBacklog()
+{
+  boost::system::error_code code;
+  acceptor_.non_blocking(true, code);
+  for (int count = 0; count < asio::socket_base::max_listen_connections;
+       ++count) {
+    WorkerSocket socket = acceptor_.accept(context_.get_executor(), code);
+    if (code == asio::error::connection_aborted) {
+      continue;
+    }
+    if (code) {
+      return;
+    }
+    ServeConnection(std::move(socket));
+  }
+}
+
+void
+FrontServer::StopAccepting()
+{
+  if (!acceptor_.is_open()) {
+    return;
+  }
+  // Closing the acceptor resets the connections in its backlog.
+  AcceptBacklog();
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  timer_.cancel();
+}
+
 void
 FrontServer::RetryAccept()
 {
@@ -120,11 +153,28 @@
   return busy;
 }
 
+std::size_t
+FrontServer::CountOpenConnections() const
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(connections_, [](const FrontConnection& aConnection) {
+      return aConnection.IsOpen();
+    }));
+}
+
+void
+FrontServer::CloseIdle(Duration aMinIdleTime)
+{
+  for (FrontConnection& connection : connections_) {
+    connection.CloseIfIdle(aMinIdleTime);
+  }
+}
+
 void
-FrontServer::CloseIdle()
+FrontServer::EndRequests()
 {
   for (FrontConnection& connection : connections_) {
-    connection.CloseIfIdle();
+    connection.EndRequest();
   }
 }
 
--- a/modules/azurecross_serving/server/FrontServer.h
+++ b/modules/azurecross_serving/server/FrontServer.h
@@ -24,8 +24,14 @@
 
   /** Starts accepting connections. */
   void Start();
-  /** Closes the connections without a request in progress. */
-  void CloseIdle();
+  /** Accepts the connections that already wait in the backlog, then no more. */
+  void StopAccepting();
+  /** Closes the connections that have been without a request, read or unread,
+   * for this time. */
+  void CloseIdle(Duration aMinIdleTime);
+  /** Refuses the requests that are in progress or incomplete. Streams that have
+   * begun are cut. */
+  void EndRequests();
   /** Stops accepting and closes all connections. */
   void Stop();
 
@@ -36,9 +42,13 @@
   std::size_t CountConnections() const { return connectionCount_; }
   /** @returns the number of requests in progress. */
   std::size_t CountActiveRequests() const;
+  /** @returns the number of connections that may still be served. */
+  std::size_t CountOpenConnections() const;
 
 private:
   void Accept();
+  /** Serves the connections in the backlog without waiting for more. */
+  void AcceptBacklog();
   /** Accepts again after a delay. */
   void RetryAccept();
   /**
--- a/modules/azurecross_serving/state/ServingSettings.h
+++ b/modules/azurecross_serving/state/ServingSettings.h
@@ -32,6 +32,10 @@
   Duration maxKeyRevocationDelay_ = std::chrono::seconds(5);
   /** Time between SIGTERM and SIGKILL. */
   Duration shutdownGracePeriod_ = std::chrono::seconds(8);
+  /** Shortest time from SIGTERM to the end of a shutdown. The load balancer
+   * checks the readiness every second and removes a daemon after two failed
+   * checks; requests keep arriving until then. */
+  Duration minShutdownTime_ = std::chrono::milliseconds(3500);
   RetryAllowance::Bounds retryBounds_;
   /** Parts of prompts that are never quarantined. */
   std::set<PromptPartId> exemptPromptParts_;
--- a/tests/serving_tests/DaemonTests.cpp
+++ b/tests/serving_tests/DaemonTests.cpp
@@ -1,4 +1,4 @@
-#include "ServingFixture.h"
+#include "UnchangingStore.h"
 
 #include "azurecross_serving/daemon/ServingDaemon.h"
 
@@ -13,69 +13,8 @@
 
 namespace {
 
-namespace asio = boost::asio;
 using namespace std::chrono_literals;
 
-/** A fake store with one engine whose state doesn't change. */
-struct UnchangingStore
-{
-  asio::awaitable<AsyncResult<TablesSnapshot>> ReadTables()
-  {
-    TablesSnapshot result;
-    result.content_ = ServingFixture::MakeTables();
-    result.revision_ = 5;
-    co_return result;
-  }
-  asio::awaitable<AsyncResult<TablesSnapshot>> WatchTables(std::uint64_t)
-  {
-    co_await WaitForever();
-    co_return TablesSnapshot();
-  }
-  asio::awaitable<AsyncResult<ServersUpdate>> ListServers()
-  {
-    ServersUpdate result;
-    result.revision_ = 5;
-    ServerEvent event;
-    event.id_ = engine_.id_;
-    event.record_ = engine_;
-    result.servers_.push_back(event);
-    co_return result;
-  }
-  asio::awaitable<AsyncResult<ServersUpdate>> WatchServers(std::uint64_t)
-  {
-    co_await WaitForever();
-    co_return ServersUpdate();
-  }
-  asio::awaitable<AsyncResult<bool>> Register(MemberRecord aMember)
-  {
-    members_ = { aMember };
-    co_return true;
-  }
-  asio::awaitable<AsyncResult<bool>> KeepAlive() { co_return true; }
-  asio::awaitable<AsyncResult<std::vector<MemberRecord>>> ListMembers(bool)
-  {
-    co_return members_;
-  }
-  AsyncResult<ServingTables::Content> ParseTables(const std::string&) const
-  {
-    return ServingFixture::MakeTables();
-  }
-  std::optional<ServerRecord> ParseServer(const std::string&,
-                                          const std::string&) const
-  {
-    return std::nullopt;
-  }
-
-  static asio::awaitable<void> WaitForever()
-  {
-    asio::steady_timer timer(co_await asio::this_coro::executor, 1h);
-    co_await timer.async_wait(asio::use_awaitable);
-  }
-
-  ServerRecord engine_;
-  std::vector<MemberRecord> members_;
-};
-
 /** A fake store whose tables raise the idle limit once it is told to. Reading
  * the new tables takes longer than the old limit, as large ones do on a daemon
  * with little processor time. */
@@ -84,7 +23,7 @@
   static constexpr Duration kIdleLimit = 1s;
   static constexpr Duration kRaisedIdleLimit = 10s;
 
-  asio::awaitable<AsyncResult<TablesSnapshot>> ReadTables()
+  boost::asio::awaitable<AsyncResult<TablesSnapshot>> ReadTables()
   {
     TablesSnapshot result;
     result.content_ = ServingFixture::MakeTables(version_);
@@ -103,24 +42,6 @@
   std::atomic<bool> isRaised_ = false;
 };
 
-ServingSettings
-MakeSettings()
-{
-  ServingSettings settings;
-  settings.entryId_ = "entry";
-  settings.zone_ = AvailabilityZone("a");
-  for (SocketAddress* address : { &settings.listen_,
-                                  &settings.readinessListen_,
-                                  &settings.metricsListen_,
-                                  &settings.peerListen_ }) {
-    *address = { "127.0.0.1", 0 };
-  }
-  // Less than the margin for the last writes, so that the daemon cuts its
-  // requests at once.
-  settings.shutdownGracePeriod_ = 100ms;
-  return settings;
-}
-
 /** Repeats a request without a route until the daemon knows its tables.
  * @returns the connection of the last one. */
 std::unique_ptr<TestCaller>
@@ -168,15 +89,13 @@
     }
   });
   UnchangingStore store;
-  store.engine_.id_ = BackendServerId("e1");
-  store.engine_.pool_ = PoolName("engines");
-  store.engine_.address_ = engine.GetAddress();
-  store.engine_.zone_ = AvailabilityZone("a");
-  store.engine_.slots_ = 4;
+  store.AddServer("e1", "engines", engine);
   const TestWireProtocol wire;
   DaemonContext context;
+  // Less than the margin for the last writes, so that the daemon cuts its
+  // requests at once.
   auto daemon = std::make_unique<ServingDaemon<UnchangingStore>>(
-    context, MakeSettings(), wire, store, [] {
+    context, MakeDaemonSettings(100ms), wire, store, [] {
       return std::optional<ServingSettings>();
     });
   const SocketAddress address = daemon->GetFrontServer().GetAddress();
@@ -200,9 +119,10 @@
   RaisingStore store;
   const TestWireProtocol wire;
   DaemonContext context;
-  ServingDaemon<RaisingStore> daemon(context, MakeSettings(), wire, store, [] {
-    return std::optional<ServingSettings>();
-  });
+  ServingDaemon<RaisingStore> daemon(
+    context, MakeDaemonSettings(100ms), wire, store, [] {
+      return std::optional<ServingSettings>();
+    });
   const SocketAddress address = daemon.GetFrontServer().GetAddress();
   unsigned status = 0;
   std::thread thread([&] {
--- a/tests/serving_tests/ServingFixture.h
+++ b/tests/serving_tests/ServingFixture.h
@@ -63,6 +63,8 @@
   TestCaller Connect() { return TestCaller(front_->GetAddress()); }
 
   ServingState& GetState() { return state_; }
+  /** Used on the serving thread only. */
+  FrontServer& GetFrontServer() { return *front_; }
   /** @returns all metrics as text. */
   std::string SerializeMetrics() { return registry_.Serialize(); }
   ForwardServices& GetServices() { return *services_; }
