--- a/tests/dispatch_tests/QuarantinePropertyTests.cpp
+++ b/tests/dispatch_tests/QuarantinePropertyTests.cpp
@@ -327,7 +327,7 @@
                  }
                });
     }
-    Schedule(FromSeconds(2.5 + 3.0 * random_.DrawUnit()), [this, &aEngine] {
+    Schedule(FromSeconds(2.5 + 3.0 * random_.DrawUnit()), [&aEngine] {
       aEngine.isUp_ = true;
       ++aEngine.startedUnixMs_;
     });
