--- a/modules/azurecross_dispatch/quarantine/PromptQuarantine.cpp
+++ b/modules/azurecross_dispatch/quarantine/PromptQuarantine.cpp
@@ -207,10 +207,30 @@
   if (before.IsQuarantined() && !aSuspect.IsQuarantined()) {
     --quarantinedCount_;
     aSuspect.trialAt_ = Time();
-    AddEvent(QuarantineChange::Lifted, aPart, before);
+    RecordExplained(aPart, before);
   }
 }
 
+void
+PromptQuarantine::RecordExplained(PromptPartId aPart, const Suspect& aBefore)
+{
+  const auto isOfPart = [&](const QuarantineEvent& aEvent) {
+    return aEvent.evidence_.part_ == aPart;
+  };
+  const auto verdict = std::find_if(
+    events_.begin(), events_.end(), [&](const QuarantineEvent& aEvent) {
+      return isOfPart(aEvent) &&
+             aEvent.change_ == QuarantineChange::Quarantined;
+    });
+  if (verdict == events_.end()) {
+    AddEvent(QuarantineChange::Lifted, aPart, aBefore);
+    return;
+  }
+  // The verdict came with the same report and was never in force.
+  events_.erase(std::remove_if(verdict, events_.end(), isOfPart),
+                events_.end());
+}
+
 bool
 PromptQuarantine::AddDeath(PromptPartId aPart, const EngineDeath& aDeath)
 {
--- a/modules/azurecross_dispatch/quarantine/PromptQuarantine.h
+++ b/modules/azurecross_dispatch/quarantine/PromptQuarantine.h
@@ -13,7 +13,8 @@
 {
   /** Requests with the part are refused from now on. */
   Quarantined,
-  /** An engine has answered a request with the part. */
+  /** An engine has answered a request with the part, or another part explains
+   * its deaths. */
   Lifted,
   /** A further engine died under a request with a quarantined part. */
   Confirmed,
@@ -156,6 +157,8 @@
   void CompareSuspects();
   /** A death has one cause: a part with more deaths is the more likely one. */
   void RemoveExplainedDeaths(PromptPartId aPart, Suspect& aSuspect);
+  /** Records that another part explains the deaths of a quarantined part. */
+  void RecordExplained(PromptPartId aPart, const Suspect& aBefore);
   /** @returns the suspect if a request with these parts has to be refused
    * because of this part. */
   const Suspect* FindBlocking(PromptPartId aPart,
--- a/tests/dispatch_tests/QuarantineTests.cpp
+++ b/tests/dispatch_tests/QuarantineTests.cpp
@@ -416,6 +416,28 @@
   BOOST_TEST(quarantine.TakeEvents().empty());
 }
 
+// Guards against records of a verdict that was never in force, one for each
+// report of a daemon that does not yet know the explanation.
+BOOST_AUTO_TEST_CASE(ExplainedVerdictLeavesNoRecord)
+{
+  const EngineDeath first = MakeDeath("e0", 0.0);
+  const EngineDeath second = MakeDeath("e1", 1.0);
+  PromptQuarantine quarantine(1);
+  quarantine.RecordDeath({ kFatal, kRare }, first);
+  quarantine.RecordDeath({ kFatal, kRare }, second);
+  BOOST_TEST(quarantine.TakeEvents().size() == 2U);
+  quarantine.RecordDeath({ kFatal }, MakeDeath("e2", 2.0));
+  const auto events = quarantine.TakeEvents();
+  BOOST_REQUIRE(events.size() == 2U);
+  BOOST_TEST((events.back().change_ == QuarantineChange::Lifted));
+  BOOST_TEST(events.back().evidence_.part_ == kRare);
+  quarantine.Merge(
+    { { kFatal, { first, second }, {} }, { kRare, { first, second }, {} } },
+    At(2.1));
+  BOOST_TEST(quarantine.TakeEvents().empty());
+  BOOST_TEST(quarantine.CountQuarantined() == 1U);
+}
+
 // Guards against requests that reach an engine because they were queued before
 // the verdict.
 BOOST_AUTO_TEST_CASE(QueuedRequestsAreRefusedAtOnce)
