Trust a zone that answers although two of its engines are unreachable

Requests avoided all engines of another zone for a second when two of its engines ended at about the same time.

Cause: two failed connections within a second count as a sign of a zone that is cut off, whatever the other servers of the zone say.

Events, complete answers and rejections now end the suspicion of their zone, and failures count together only with no answer in between. A zone that is cut off gives no answers, so it stays the last choice.

ZoneThatAnswersIsNotSuspect fails without the change; UnreachableZoneIsLastChoice guards the zone that is cut off.

--- a/modules/azurecross_dispatch/placement/ServerLoadTracker.cpp
+++ b/modules/azurecross_dispatch/placement/ServerLoadTracker.cpp
@@ -92,6 +92,23 @@
   }
 }
 
+/** Forgets the failures of a zone after an answer, which shows that the zone is
+ * reachable: servers that end refuse connections, and so do some networks on
+ * behalf of servers that are cut off. */
+template<typename ZoneFailures>
+void
+ForgetEarlierFailure(ZoneFailures& aFailures,
+                     const AvailabilityZone& aZone,
+                     Time aAnsweredAt)
+{
+  const auto failure = aFailures.find(aZone);
+  const bool isEarlier =
+    failure != aFailures.end() && failure->second.at_ < aAnsweredAt;
+  if (isEarlier) {
+    aFailures.erase(failure);
+  }
+}
+
 } // namespace
 
 double
@@ -272,6 +289,7 @@
       since / (aTokens - run.tokens_));
   }
   server.consecutiveFailures_ = 0;
+  ForgetEarlierFailure(zoneFailures_, server.record_.zone_, aNow);
   run.lastEvent_ = aNow;
   run.tokens_ = std::max(run.tokens_, aTokens);
   if (run.tokens_ >= run.recordedTokens_ + kGrowthStepTokens) {
@@ -317,6 +335,11 @@
   } else if (aEnd != RunOutcome::Withdrawn) {
     ObserveFailure(server, aEnd, aNow);
   }
+  const bool hasAnswered =
+    aEnd == RunOutcome::Completed || aEnd == RunOutcome::Rejected;
+  if (hasAnswered) {
+    ForgetEarlierFailure(zoneFailures_, server.record_.zone_, aNow);
+  }
   runs_.erase(found);
 }
 
--- a/tests/dispatch_tests/PlacementTests.cpp
+++ b/tests/dispatch_tests/PlacementTests.cpp
@@ -84,6 +84,43 @@
   BOOST_TEST(later->server_.GetValue() != "near");
 }
 
+// Guards against avoiding a zone that answers, because two of its engines have
+// ended at about the same time and refuse connections.
+BOOST_AUTO_TEST_CASE(ZoneThatAnswersIsNotSuspect)
+{
+  ServerLoadTracker tracker;
+  AddEngine(tracker, "near", "a");
+  AddEngine(tracker, "far1", "b");
+  AddEngine(tracker, "far2", "b");
+  AddEngine(tracker, "far3", "b");
+  for (int run = 0; run < 4; ++run) {
+    StartGeneration(tracker, "near", 3000);
+  }
+  const RunId stream = StartGeneration(tracker, "far3", 100);
+  const auto fail = [&](const char* aId, double aSeconds) {
+    const RunId run = StartGeneration(tracker, aId, 100);
+    tracker.Finish(run, RunOutcome::Unreachable, At(aSeconds));
+  };
+  const AvailabilityZone zone("b");
+  fail("far1", 1);
+  fail("far2", 1);
+  BOOST_TEST(tracker.IsZoneSuspect(zone, At(1)));
+  tracker.ObserveEvent(stream, 2, At(1.05));
+  BOOST_TEST(!tracker.IsZoneSuspect(zone, At(1.05)));
+  ServerPlacement placement(AvailabilityZone("a"), 1);
+  const auto choice = placement.Choose(tracker, MakeGeneration(1000), At(1.1));
+  BOOST_TEST(choice->server_.GetValue() == "far3");
+
+  fail("far1", 2);
+  tracker.ObserveEvent(stream, 4, At(2.05));
+  fail("far2", 2.1);
+  BOOST_TEST(!tracker.IsZoneSuspect(zone, At(2.1)));
+  fail("far1", 2.2);
+  BOOST_TEST(tracker.IsZoneSuspect(zone, At(2.2)));
+  tracker.Finish(stream, RunOutcome::Rejected, At(2.3));
+  BOOST_TEST(!tracker.IsZoneSuspect(zone, At(2.3)));
+}
+
 // Guards against new requests on a server that is draining or excluded.
 BOOST_AUTO_TEST_CASE(DrainingAndExcludedServersAreNotChosen)
 {
