--- a/modules/azurecross_serving/forward/GenerationExchange.cpp
+++ b/modules/azurecross_serving/forward/GenerationExchange.cpp
@@ -84,6 +84,7 @@
                                      context_.server_,
                                      aEngine,
                                      promptParts_,
+                                     brokenAt_.value_or(ReadMonotonicTime()),
                                      isUnproved });
   }
 }
@@ -196,11 +197,13 @@
       co_return result;
     }
     if (outcome != ReadOutcome::Data) {
+      brokenAt_ = ReadMonotonicTime();
       const bool hasResumed = co_await Resume();
       if (!hasResumed) {
         result = FailStream();
         co_return result;
       }
+      brokenAt_.reset();
       outcome = call_->GetConnection().IsDone() ? ReadOutcome::Complete
                                                 : ReadOutcome::Data;
       continue;
--- a/modules/azurecross_serving/forward/GenerationExchange.h
+++ b/modules/azurecross_serving/forward/GenerationExchange.h
@@ -106,6 +106,8 @@
   bool isAnswered_ = false;
   /** The answer was short and ended with its connection. */
   bool isEndUnproved_ = false;
+  /** When the stream broke off, if it has not been resumed. */
+  std::optional<Time> brokenAt_;
 };
 
 } // namespace azurecross
--- a/modules/azurecross_serving/quarantine/EngineDeathProbe.cpp
+++ b/modules/azurecross_serving/quarantine/EngineDeathProbe.cpp
@@ -60,7 +60,7 @@
     co_return;
   }
   const bool isNew = services_.state_.RecordEngineDeath(
-    aRun.parts_, aRun.server_, ReadMonotonicTime());
+    aRun.parts_, aRun.server_, aRun.brokenAt_, ReadMonotonicTime());
   if (isNew) {
     peers_.SendEvidence();
   }
--- a/modules/azurecross_serving/quarantine/EngineDeathProbe.h
+++ b/modules/azurecross_serving/quarantine/EngineDeathProbe.h
@@ -21,6 +21,8 @@
   SocketAddress address_;
   /** The parts of the prompt that other requests can share. */
   std::vector<PromptPartId> parts_;
+  /** When the connection broke. */
+  Time brokenAt_;
   /** The answer looks whole: it is one if the engine is alive. */
   bool mayBeWhole_ = false;
 };
--- a/modules/azurecross_serving/state/ServingState.cpp
+++ b/modules/azurecross_serving/state/ServingState.cpp
@@ -210,11 +210,13 @@
 bool
 ServingState::RecordEngineDeath(const std::vector<PromptPartId>& aParts,
                                 const BackendServerId& aServer,
+                                Time aDiedAt,
                                 Time aNow)
 {
   const ServerRecord* server = directory_.Find(aServer);
   const bool isNew = quarantine_.RecordDeath(
-    aParts, { aServer, server == nullptr ? 0 : server->startedUnixMs_, aNow });
+    aParts,
+    { aServer, server == nullptr ? 0 : server->startedUnixMs_, aDiedAt });
   LogQuarantineEvents(aNow);
   return isNew;
 }
--- a/modules/azurecross_serving/state/ServingState.h
+++ b/modules/azurecross_serving/state/ServingState.h
@@ -75,9 +75,11 @@
   void RecordPromptAnswer(const std::vector<PromptPartId>& aParts, Time aNow);
   /** Records that an engine died before it began to answer a request with these
    * parts.
+   * @param aDiedAt when the connection to the engine broke.
    * @returns whether other daemons should be told. */
   bool RecordEngineDeath(const std::vector<PromptPartId>& aParts,
                          const BackendServerId& aServer,
+                         Time aDiedAt,
                          Time aNow);
   /** Adds the evidence about parts of prompts that another daemon reported.
    * @returns whether it contains a death that was unknown. */
--- a/tests/serving_tests/QuarantineTests.cpp
+++ b/tests/serving_tests/QuarantineTests.cpp
@@ -75,11 +75,16 @@
   }
 
   void AddCrashingEngine(const std::string& aId, const CrashingEngine& aEngine)
+  {
+    AddEngine(aId, aEngine.GetAddress());
+  }
+
+  void AddEngine(const std::string& aId, const SocketAddress& aAddress)
   {
     ServerRecord record;
     record.id_ = BackendServerId(aId);
     record.pool_ = PoolName("engines");
-    record.address_ = aEngine.GetAddress();
+    record.address_ = aAddress;
     record.zone_ = AvailabilityZone("a");
     record.slots_ = 4;
     Run([&] {
@@ -94,19 +99,26 @@
     return Call(MakeRequest("/stream/x", "X-Parts: " + aParts + "\r\n"));
   }
 
-  std::size_t CountDeaths(PromptPartId aPart)
+  std::vector<EngineDeath> GetDeaths(PromptPartId aPart)
   {
-    std::size_t deaths = 0;
+    std::vector<EngineDeath> deaths;
     Run([&] {
       const auto evidence =
         GetState().GetQuarantine().GetEvidence(ReadMonotonicTime());
       for (const PromptPartEvidence& entry : evidence) {
-        deaths += entry.part_ == aPart ? entry.deaths_.size() : 0;
+        if (entry.part_ == aPart) {
+          deaths = entry.deaths_;
+        }
       }
     });
     return deaths;
   }
 
+  std::size_t CountDeaths(PromptPartId aPart)
+  {
+    return GetDeaths(aPart).size();
+  }
+
   /** @returns whether so many deaths are known within a second. */
   bool WaitForDeaths(PromptPartId aPart, std::size_t aDeaths)
   {
@@ -120,6 +132,16 @@
   std::unique_ptr<EngineDeathProbe> probe_;
 };
 
+/** @returns an address at which nothing listens. */
+SocketAddress
+FindClosedAddress()
+{
+  asio::io_context context;
+  const asio::ip::tcp::acceptor acceptor(
+    context, { asio::ip::make_address("127.0.0.1"), 0 });
+  return { "127.0.0.1", acceptor.local_endpoint().port() };
+}
+
 constexpr PromptPartId kFatal = 0xbad;
 
 constexpr const char* kUnfinishedStream =
@@ -165,6 +187,21 @@
   BOOST_TEST(requests == 1);
 }
 
+// Guards against two engines that end at the same moment and count as two
+// events, because one of their streams waited for a move before it failed.
+BOOST_FIXTURE_TEST_CASE(DeathHasTheTimeOfTheBreak, QuarantineFixture)
+{
+  const SocketAddress address = FindClosedAddress();
+  AddEngine("e1", address);
+  const Time brokenAt = ReadMonotonicTime() - std::chrono::milliseconds(1800);
+  Run([&] {
+    probe_->Examine(
+      { "r1", BackendServerId("e1"), address, { kFatal }, brokenAt });
+  });
+  BOOST_REQUIRE(WaitForDeaths(kFatal, 1));
+  BOOST_TEST((GetDeaths(kFatal)[0].at_ == brokenAt));
+}
+
 // Guards against a verdict because of an engine that only broke a connection.
 BOOST_FIXTURE_TEST_CASE(LivingEngineIsNoEvidence, QuarantineFixture)
 {
@@ -220,8 +257,8 @@
                         QuarantineFixture)
 {
   Run([this] {
-    GetState().RecordEngineDeath(
-      { kFatal }, BackendServerId("e0"), ReadMonotonicTime());
+    const Time now = ReadMonotonicTime();
+    GetState().RecordEngineDeath({ kFatal }, BackendServerId("e0"), now, now);
   });
   FakeBackendServer server([](FakeConnection& aConnection) {
     if (!aConnection.ReadRequest().empty()) {
--- a/tests/serving_tests/ReportTests.cpp
+++ b/tests/serving_tests/ReportTests.cpp
@@ -140,8 +140,9 @@
     addDaemon(members[index]);
   }
   const auto recordDeath = [&](std::size_t aDaemon, const char* aServer) {
+    const Time now = ReadMonotonicTime();
     const bool isNew = daemons[aDaemon]->state_.RecordEngineDeath(
-      { kPart }, BackendServerId(aServer), ReadMonotonicTime());
+      { kPart }, BackendServerId(aServer), now, now);
     BOOST_TEST(isNew);
     daemons[aDaemon]->exchange_.SendEvidence();
   };
