--- a/modules/azurecross_serving/quarantine/EngineDeathProbe.cpp
+++ b/modules/azurecross_serving/quarantine/EngineDeathProbe.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <variant>
 
 namespace azurecross {
@@ -18,6 +19,8 @@
 
 /** A VM that is reachable refuses a connection within a few milliseconds. */
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+/** Several servers of a zone may have ended at the same moment. */
+constexpr std::size_t kMaxWitnesses = 3;
 
 } // namespace
 
@@ -47,18 +50,27 @@
 EngineDeathProbe::Probe(UnansweredRun aRun)
 {
   const std::optional<bool> isListening = co_await IsListening(aRun.address_);
-  const bool isDead = isListening == false;
+  const bool isRefused = isListening == false;
+  const bool isDead = isRefused && co_await IsZoneReachable(aRun.server_);
   services_.log_.Write(Decision::EngineExamined,
                        { { "request", aRun.attemptId_ },
                          { "backend_server", aRun.server_ },
                          { "address", aRun.address_.Format() },
-                         { "outcome", isDead ? "dead" : "not dead" } });
+                         { "outcome",
+                           isDead      ? "dead"
+                           : isRefused ? "zone unreachable"
+                                       : "not dead" } });
   if (isListening == true && aRun.mayBeWhole_) {
     services_.state_.RecordPromptAnswer(aRun.parts_, ReadMonotonicTime());
   }
   if (!isDead) {
     co_return;
   }
+  const ServerLoad* engine =
+    services_.state_.GetLoadTracker().Find(aRun.server_);
+  if (engine != nullptr) {
+    deadEngines_[aRun.server_] = engine->record_.startedUnixMs_;
+  }
   const bool isNew = services_.state_.RecordEngineDeath(
     aRun.parts_, aRun.server_, aRun.brokenAt_, ReadMonotonicTime());
   if (isNew) {
@@ -66,6 +78,53 @@
   }
 }
 
+asio::awaitable<bool>
+EngineDeathProbe::IsZoneReachable(BackendServerId aEngine)
+{
+  const std::vector<SocketAddress> witnesses = SelectWitnesses(aEngine);
+  for (const SocketAddress& witness : witnesses) {
+    const auto isListening = co_await IsListening(witness);
+    if (isListening == true) {
+      co_return true;
+    }
+  }
+  co_return witnesses.empty();
+}
+
+std::vector<SocketAddress>
+EngineDeathProbe::SelectWitnesses(const BackendServerId& aEngine)
+{
+  const ServerLoadTracker& tracker = services_.state_.GetLoadTracker();
+  std::erase_if(deadEngines_, [&](const auto& aDead) {
+    const ServerLoad* server = tracker.Find(aDead.first);
+    return server == nullptr || server->record_.startedUnixMs_ != aDead.second;
+  });
+  std::vector<const ServerLoad*> servers;
+  const ServerLoad* engine = tracker.Find(aEngine);
+  for (const auto& [id, server] : tracker.GetServers()) {
+    const bool isWitness = engine != nullptr && id != aEngine &&
+                           server.record_.zone_ == engine->record_.zone_ &&
+                           server.record_.state_ == ServerState::Ready &&
+                           !deadEngines_.contains(id);
+    if (isWitness) {
+      servers.push_back(&server);
+    }
+  }
+  std::stable_sort(servers.begin(),
+                   servers.end(),
+                   [](const ServerLoad* aLeft, const ServerLoad* aRight) {
+                     return aLeft->consecutiveFailures_ <
+                            aRight->consecutiveFailures_;
+                   });
+  servers.resize(std::min(servers.size(), kMaxWitnesses));
+  std::vector<SocketAddress> witnesses;
+  witnesses.reserve(servers.size());
+  for (const ServerLoad* server : servers) {
+    witnesses.push_back(server->record_.address_);
+  }
+  return witnesses;
+}
+
 asio::awaitable<std::optional<bool>>
 EngineDeathProbe::IsListening(SocketAddress aAddress)
 {
--- a/modules/azurecross_serving/quarantine/EngineDeathProbe.h
+++ b/modules/azurecross_serving/quarantine/EngineDeathProbe.h
@@ -6,6 +6,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -32,7 +34,8 @@
  * generation has died, and then reports the parts of the prompt as evidence to
  * the quarantine and to the other daemons. Connections also break on engines
  * that are alive, so only an engine that refuses a new connection counts as
- * dead.
+ * dead. A network may also refuse on behalf of living engines that are cut off,
+ * so another server of the engine's zone has to accept a connection.
  *
  * @see PromptQuarantine
  */
@@ -51,6 +54,12 @@
 
 private:
   boost::asio::awaitable<void> Probe(UnansweredRun aRun);
+  /** @returns whether another server of the engine's zone accepts a connection,
+   * or none is left to ask. */
+  boost::asio::awaitable<bool> IsZoneReachable(BackendServerId aEngine);
+  /** @returns servers of the engine's zone which are not known to be dead,
+   * those that answered their last request first. */
+  std::vector<SocketAddress> SelectWitnesses(const BackendServerId& aEngine);
   /** @returns whether something listens at the address, or nothing if that
    * can't be found out. */
   boost::asio::awaitable<std::optional<bool>> IsListening(
@@ -59,6 +68,8 @@
   boost::asio::io_context& context_;
   ForwardServices& services_;
   LoadExchange& peers_;
+  /** The engines that were found dead, with the start of their processes. */
+  std::map<BackendServerId, std::int64_t> deadEngines_;
 };
 
 } // namespace azurecross
--- a/tests/serving_tests/QuarantineTests.cpp
+++ b/tests/serving_tests/QuarantineTests.cpp
@@ -202,6 +202,32 @@
   BOOST_TEST((GetDeaths(kFatal)[0].at_ == brokenAt));
 }
 
+// Guards against blame for the prompts of living engines whose zone is cut off
+// by a network that resets connections and refuses new ones.
+BOOST_FIXTURE_TEST_CASE(CutZoneIsNoEvidence, QuarantineFixture)
+{
+  const SocketAddress engine = FindClosedAddress();
+  AddEngine("e1", engine);
+  AddEngine("e2", FindClosedAddress());
+  const auto examine = [&] {
+    Run([&] {
+      probe_->Examine({ "r1",
+                        BackendServerId("e1"),
+                        engine,
+                        { kFatal },
+                        ReadMonotonicTime() });
+    });
+  };
+  examine();
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  BOOST_TEST(CountDeaths(kFatal) == 0U);
+
+  FakeBackendServer other([](FakeConnection&) {});
+  AddServer("e3", "engines", other);
+  examine();
+  BOOST_TEST(WaitForDeaths(kFatal, 1));
+}
+
 // Guards against a verdict because of an engine that only broke a connection.
 BOOST_FIXTURE_TEST_CASE(LivingEngineIsNoEvidence, QuarantineFixture)
 {
