--- a/modules/azurecross_serving/peers/RelayedStateSource.h
+++ b/modules/azurecross_serving/peers/RelayedStateSource.h
@@ -41,6 +41,7 @@
     , readerSelector_(std::move(aSelf))
     , client_(aExecutor, MakeLimits(kCallTimeout))
     , watchClient_(aExecutor, MakeLimits(kWatchTimeout + kCallTimeout))
+    , listClient_(aExecutor, MakeLimits(kListTimeout))
     , tablesReceived_(aExecutor)
   {
   }
@@ -60,7 +61,7 @@
 
   boost::asio::awaitable<AsyncResult<TablesSnapshot>> ReadTables()
   {
-    co_await AwaitReaderStart(knownVersion_ > 0);
+    co_await AwaitReaderStart(knownVersion_ > 0, "&tables=1");
     // The selector skips each reader that has failed.
     auto reader = readerSelector_.SelectReader(ReadMonotonicTime());
     for (int attempts = 0; reader && attempts < kMaxReaderAttempts;
@@ -118,16 +119,20 @@
 
   boost::asio::awaitable<AsyncResult<ServersUpdate>> ListServers()
   {
-    co_await AwaitReaderStart(hasServerList_);
-    const auto reader = readerSelector_.SelectReader(ReadMonotonicTime());
-    if (reader) {
+    co_await AwaitReaderStart(hasServerList_, "");
+    // A complete list takes many pages at the store: a starting daemon also
+    // tries the other readers first.
+    const int maxAttempts = hasServerList_ ? 1 : kMaxReaderAttempts;
+    auto reader = readerSelector_.SelectReader(ReadMonotonicTime());
+    for (int attempts = 0; reader && attempts < maxAttempts; ++attempts) {
       serversEpoch_ = 0;
       std::optional<ServersUpdate> result =
-        co_await FetchServers(client_, *reader, Duration::zero());
+        co_await FetchServers(listClient_, *reader, Duration::zero());
       if (result) {
         hasServerList_ = true;
         co_return std::move(*result);
       }
+      reader = readerSelector_.SelectReader(ReadMonotonicTime());
     }
     AsyncResult<ServersUpdate> result = co_await store_.ListServers();
     RecordStoreResult(result);
@@ -204,10 +209,20 @@
 private:
   /** A reachable daemon responds within a few milliseconds. */
   static constexpr Duration kCallTimeout = std::chrono::milliseconds(400);
+  /** Longest transfer of a complete list of servers. After a common start, a
+   * relay sends it to all its subscribers at the same time. */
+  static constexpr Duration kListTimeout = std::chrono::milliseconds(1500);
   /** After its start, a daemon waits this long for a reader that was started at
-   * the same time, instead of reading the store like all others. */
-  static constexpr Duration kMaxReaderStartWait =
+   * the same time, instead of reading the store like all others. A store reader
+   * needs 0.8 s to list 10,000 servers, and relays wait for it in turn. */
+  static constexpr Duration kMaxReaderStartWait = std::chrono::seconds(3);
+  /** Wait after the start for a reader that the store doesn't answer. */
+  static constexpr Duration kMaxSuspendedReaderWait =
     std::chrono::milliseconds(700);
+  /** Time for which a reader holds the question whether it is ready; shorter
+   * than `kCallTimeout`. */
+  static constexpr Duration kReaderStartPollTime =
+    std::chrono::milliseconds(250);
   static constexpr Duration kReaderStartPollInterval =
     std::chrono::milliseconds(60);
   /** Readers tried before the store. In a zone that is cut off, each attempt
@@ -327,27 +342,43 @@
     }
   }
 
-  /** Waits until the reader of this daemon serves its feed. Ends at once if
-   * this daemon has had state before, if it has no reader or if the reader
+  /** Waits until a reader of this daemon serves its feed. Tables don't wait for
+   * the servers: their confirmation would be too old by then. Ends at once if
+   * this daemon has had state before, if it has no reader or if its readers
    * can't be reached. */
-  boost::asio::awaitable<void> AwaitReaderStart(bool aHasState)
+  boost::asio::awaitable<void> AwaitReaderStart(bool aHasState,
+                                                std::string_view aQuery)
   {
-    const auto reader = readerSelector_.SelectReader(ReadMonotonicTime());
-    if (reader && !readerStartDeadline_) {
-      readerStartDeadline_ = ReadMonotonicTime() + kMaxReaderStartWait;
-    }
-    bool isReady = aHasState || !reader;
-    while (!isReady && ReadMonotonicTime() < *readerStartDeadline_) {
+    int unreachableReaders = 0;
+    while (!aHasState && unreachableReaders < kMaxReaderAttempts) {
+      const Time now = ReadMonotonicTime();
+      const auto reader = readerSelector_.SelectReader(now);
+      if (!reader) {
+        co_return;
+      }
+      readerWaitStart_ = readerWaitStart_.value_or(now);
       HttpRequest request;
-      request.target_ = "/feed/ready";
+      request.target_ = "/feed/ready?wait=" +
+                        std::to_string(ToMilliseconds(kReaderStartPollTime)) +
+                        std::string(aQuery);
       const AsyncResult<HttpResponse> response =
         co_await client_.Send(*reader, std::move(request));
+      if (!response) {
+        RecordReaderFailure(*reader);
+        ++unreachableReaders;
+        continue;
+      }
       constexpr unsigned kUnavailable = 503;
-      isReady = !response || response->status_ != kUnavailable;
-      if (!isReady) {
-        boost::asio::steady_timer timer(executor_, kReaderStartPollInterval);
-        co_await timer.async_wait(boost::asio::use_awaitable);
+      const Duration maxWait = IsStartingFeedResponse(response->body_)
+                                 ? kMaxReaderStartWait
+                                 : kMaxSuspendedReaderWait;
+      const bool isWaiting = response->status_ == kUnavailable &&
+                             ReadMonotonicTime() - *readerWaitStart_ < maxWait;
+      if (!isWaiting) {
+        co_return;
       }
+      boost::asio::steady_timer timer(executor_, kReaderStartPollInterval);
+      co_await timer.async_wait(boost::asio::use_awaitable);
     }
   }
 
@@ -445,7 +476,7 @@
       aClient,
       aReader,
       "/feed/servers?epoch=" + std::to_string(serversEpoch_) +
-        "&known=" + std::to_string(serversLastChange_) +
+        "&known=" + std::to_string(serversLastChange_) + "&compressed=1" +
         "&wait=" + std::to_string(ToMilliseconds(aWait)));
     if (aWait > Duration::zero() &&
         cancellationsBefore != watchCancellations_) {
@@ -486,14 +517,16 @@
   ReaderSelector readerSelector_;
   HttpClient client_;
   HttpClient watchClient_;
+  /** Client for complete lists of servers. */
+  HttpClient listClient_;
   std::uint64_t knownVersion_ = 0;
   /** Notified when tables have been received from a reader. */
   AsyncCondition tablesReceived_;
   bool isReaderWatchPending_ = false;
   bool areTablesFromStore_ = false;
   bool hasServerList_ = false;
-  /** The end of the wait for readers that were started with this daemon. */
-  std::optional<Time> readerStartDeadline_;
+  /** The start of the wait for readers that were started with this daemon. */
+  std::optional<Time> readerWaitStart_;
   /** The time before which the tables are not read from the store. */
   Time nextStoreReadAt_;
   /** The epoch of the reader's change numbers; 0 if the servers were read
--- a/modules/azurecross_serving/peers/StateFeed.cpp
+++ b/modules/azurecross_serving/peers/StateFeed.cpp
@@ -17,8 +17,8 @@
 /** Number of entries above which removed registrations are discarded. A peer
  * that missed such a removal finds the server missing in a complete list. */
 constexpr std::size_t kMaxServerEntries = 20000;
-/** The largest tables that are accepted from another daemon. */
-constexpr std::size_t kMaxTablesBytes = std::size_t{ 32 } << 20;
+/** The largest text that is accepted from another daemon. */
+constexpr std::size_t kMaxTextBytes = std::size_t{ 32 } << 20;
 /** The largest age of tables that is accepted from another daemon, a day. Much
  * larger ones overflow when they are converted to nanoseconds. */
 constexpr std::uint64_t kMaxAgeMicroseconds = 86'400'000'000;
@@ -69,13 +69,20 @@
   return code ? std::nullopt : std::optional(number);
 }
 
-/** @returns the tables in the encoding of the feed. */
+/** @returns a long text in the encoding of the feed. */
 std::string
-EncodeTables(const std::string& aText)
+EncodeText(const std::string& aText)
 {
   return EncodeBase64(CompressText(aText));
 }
 
+std::optional<std::string>
+DecodeText(const json::string& aEncodedText)
+{
+  const auto stream = DecodeBase64(std::string(aEncodedText));
+  return stream ? DecompressText(*stream, kMaxTextBytes) : std::nullopt;
+}
+
 std::string
 FormatTables(std::uint64_t aVersion,
              Duration aAge,
@@ -128,7 +135,7 @@
   return FormatTables(aTables.version_,
                       aTables.age_,
                       aTables.text_.empty() ? std::string()
-                                            : EncodeTables(aTables.text_));
+                                            : EncodeText(aTables.text_));
 }
 
 std::optional<TablesFeedResponse>
@@ -147,9 +154,7 @@
   tables.version_ = *version;
   tables.age_ = std::chrono::microseconds(*age);
   if (!encoded->get_string().empty()) {
-    const auto stream = DecodeBase64(std::string(encoded->get_string()));
-    auto text =
-      stream ? DecompressText(*stream, kMaxTablesBytes) : std::nullopt;
+    auto text = DecodeText(encoded->get_string());
     if (!text) {
       return std::nullopt;
     }
@@ -192,7 +197,8 @@
 }
 
 std::string
-FormatServersFeedResponse(const ServersFeedResponse& aServers)
+FormatServersFeedResponse(const ServersFeedResponse& aServers,
+                          bool aIsCompressed)
 {
   json::array servers;
   for (const auto& [id, text] : aServers.servers_) {
@@ -202,10 +208,34 @@
   object["epoch"] = aServers.epoch_;
   object["last"] = aServers.lastChange_;
   object["whole"] = aServers.isComplete_;
-  object["servers"] = std::move(servers);
+  if (aIsCompressed) {
+    object["compressed"] = EncodeText(json::serialize(servers));
+  } else {
+    object["servers"] = std::move(servers);
+  }
   return json::serialize(object);
 }
 
+namespace {
+
+/** @returns the registrations in a response, compressed or not, or null. */
+json::value
+FindServers(const json::object& aObject)
+{
+  if (const json::value* list = aObject.if_contains("servers")) {
+    return *list;
+  }
+  const json::value* encoded = aObject.if_contains("compressed");
+  const auto text = encoded != nullptr && encoded->is_string()
+                      ? DecodeText(encoded->get_string())
+                      : std::nullopt;
+  boost::system::error_code code;
+  json::value list = text ? json::parse(*text, code) : json::value();
+  return code ? json::value() : list;
+}
+
+} // namespace
+
 std::optional<ServersFeedResponse>
 ParseServersFeedResponse(std::string_view aText)
 {
@@ -216,16 +246,16 @@
     object ? FindUnsignedField(*object, "last") : std::nullopt;
   const json::value* isComplete =
     object ? object->if_contains("whole") : nullptr;
-  const json::value* list = object ? object->if_contains("servers") : nullptr;
+  const json::value list = object ? FindServers(*object) : json::value();
   if (!epoch || !lastChange || isComplete == nullptr ||
-      !isComplete->is_bool() || list == nullptr || !list->is_array()) {
+      !isComplete->is_bool() || !list.is_array()) {
     return std::nullopt;
   }
   ServersFeedResponse servers;
   servers.epoch_ = *epoch;
   servers.lastChange_ = *lastChange;
   servers.isComplete_ = isComplete->get_bool();
-  for (const json::value& entry : list->get_array()) {
+  for (const json::value& entry : list.get_array()) {
     const json::array* pair = entry.if_array();
     if (pair == nullptr || pair->size() != 2 || !(*pair)[0].is_string() ||
         !(*pair)[1].is_string()) {
@@ -237,6 +267,13 @@
   return servers;
 }
 
+bool
+IsStartingFeedResponse(std::string_view aText)
+{
+  const auto object = ParseObject(aText);
+  return object && object->contains("starting");
+}
+
 StateFeed::StateFeed(asio::io_context& aContext,
                      const SocketAddress& aAddress,
                      std::uint64_t aEpoch)
@@ -264,7 +301,12 @@
 void
 StateFeed::ConfirmTables(Time aSentAt)
 {
+  const bool isFirst = !confirmedAt_;
   confirmedAt_ = aSentAt;
+  isSuspended_ = false;
+  if (isFirst) {
+    changed_.Notify();
+  }
 }
 
 void
@@ -276,6 +318,7 @@
 void
 StateFeed::Suspend()
 {
+  isSuspended_ = true;
   if (confirmedAt_) {
     confirmedAt_.reset();
     changed_.Notify();
@@ -349,7 +392,7 @@
   } else if (request.GetPath() == "/feed/members") {
     response = HandleMembersRequest();
   } else if (request.GetPath() == "/feed/ready") {
-    response = HandleReadyRequest();
+    response = co_await HandleReadyRequest(std::move(request));
   }
   co_await aExchange.Respond(std::move(response));
 }
@@ -369,7 +412,7 @@
   const bool includesTables =
     version_ != known && aRequest.FindQueryValue("tables") != "0";
   if (includesTables && encodedTables_.empty()) {
-    encodedTables_ = EncodeTables(tables_);
+    encodedTables_ = EncodeText(tables_);
   }
   co_return MakeJsonResponse(
     200,
@@ -378,11 +421,30 @@
                  includesTables ? encodedTables_ : std::string()));
 }
 
-HttpResponse
-StateFeed::HandleReadyRequest() const
+bool
+StateFeed::IsReady() const
 {
-  const bool isReady = version_ != 0 && hasServerList_ && confirmedAt_;
-  return isReady ? MakeJsonResponse(200, "{}") : MakeUnavailableResponse();
+  return version_ != 0 && hasServerList_ && confirmedAt_;
+}
+
+asio::awaitable<HttpResponse>
+StateFeed::HandleReadyRequest(HttpRequest aRequest)
+{
+  const Time deadline = ReadMonotonicTime() + ParseWaitTime(aRequest);
+  // Daemons of an older version wait for tables and servers together.
+  const bool needsTablesOnly = aRequest.FindQueryValue("tables") == "1";
+  const auto isReady = [&] {
+    return needsTablesOnly ? version_ != 0 && confirmedAt_.has_value()
+                           : IsReady();
+  };
+  while (!isReady() && !isSuspended_ && ReadMonotonicTime() < deadline) {
+    co_await changed_.Wait(deadline - ReadMonotonicTime());
+  }
+  if (isReady()) {
+    co_return MakeJsonResponse(200, "{}");
+  }
+  co_return isSuspended_ ? MakeUnavailableResponse()
+                         : MakeJsonResponse(503, R"({"starting":true})");
 }
 
 HttpResponse
@@ -407,8 +469,23 @@
   if (!hasServerList_ || !confirmedAt_) {
     co_return MakeUnavailableResponse();
   }
+  if (epoch != epoch_ && aRequest.FindQueryValue("compressed") == "1") {
+    co_return MakeJsonResponse(200, GetCompleteServersText());
+  }
   co_return MakeJsonResponse(
-    200, FormatServersFeedResponse(MakeServersResponse(epoch, known)));
+    200, FormatServersFeedResponse(MakeServersResponse(epoch, known), false));
+}
+
+const std::string&
+StateFeed::GetCompleteServersText()
+{
+  if (completeServersText_.empty() || completeServersChange_ != changeNumber_) {
+    completeServersChange_ = changeNumber_;
+    // No run has the epoch 0, so that the response is complete.
+    completeServersText_ =
+      FormatServersFeedResponse(MakeServersResponse(0, 0), true);
+  }
+  return completeServersText_;
 }
 
 } // namespace azurecross
--- a/modules/azurecross_serving/peers/StateFeed.h
+++ b/modules/azurecross_serving/peers/StateFeed.h
@@ -47,9 +47,11 @@
 std::optional<TablesFeedResponse>
 ParseTablesFeedResponse(std::string_view aText);
 
-/** @returns the response as JSON. */
+/** @returns the response as JSON, with the registrations compressed if the
+ * requesting daemon accepts that. */
 std::string
-FormatServersFeedResponse(const ServersFeedResponse& aServers);
+FormatServersFeedResponse(const ServersFeedResponse& aServers,
+                          bool aIsCompressed);
 /** @returns the response, or nothing if the text is not a valid one. */
 std::optional<ServersFeedResponse>
 ParseServersFeedResponse(std::string_view aText);
@@ -61,12 +63,17 @@
 std::optional<std::vector<MemberRecord>>
 ParseMembersFeedResponse(std::string_view aText);
 
+/** @returns whether the body of a `/feed/ready` response says that the daemon
+ * has no state yet, but reads it at this moment. */
+bool
+IsStartingFeedResponse(std::string_view aText);
+
 /**
  * Serves the state that this daemon has read to other daemons, so that the load
  * on the store doesn't grow with the number of daemons. Handles
  * `GET /feed/tables` and `GET /feed/servers`, which are long polls that wait
  * for changes like the store's watches, `GET /feed/members`, and `GET
- * /feed/ready`, which tells whether tables and servers are served.
+ * /feed/ready`, which waits until tables and servers are served.
  */
 class StateFeed
 {
@@ -123,8 +130,11 @@
     HttpRequest aRequest);
   boost::asio::awaitable<HttpResponse> HandleServersRequest(
     HttpRequest aRequest);
+  boost::asio::awaitable<HttpResponse> HandleReadyRequest(HttpRequest aRequest);
   HttpResponse HandleMembersRequest() const;
-  HttpResponse HandleReadyRequest() const;
+  bool IsReady() const;
+  /** @returns the response with the complete list, compressed. */
+  const std::string& GetCompleteServersText();
 
   std::uint64_t epoch_;
   AsyncCondition changed_;
@@ -135,9 +145,15 @@
   std::vector<MemberRecord> members_;
   /** Boot time of the last confirmation; empty if the store doesn't answer. */
   std::optional<Time> confirmedAt_;
+  /** Whether the store has failed to answer since the last confirmation. */
+  bool isSuspended_ = false;
   std::map<std::string, ServerEntry> servers_;
   bool hasServerList_ = false;
   std::uint64_t changeNumber_ = 0;
+  /** The compressed response with the complete list as of a change. All
+   * subscribers of a relay ask for it at once after a common start. */
+  std::string completeServersText_;
+  std::uint64_t completeServersChange_ = 0;
   HttpServer server_;
 };
 
--- a/tests/serving_tests/FeedTests.cpp
+++ b/tests/serving_tests/FeedTests.cpp
@@ -1,13 +1,16 @@
 #include "ServingFixture.h"
 
+#include "azurecross_serving/daemon/DaemonContext.h"
 #include "azurecross_serving/peers/ReaderSelector.h"
 #include "azurecross_serving/peers/RelayedStateSource.h"
 #include "azurecross_serving/peers/StateFeed.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <set>
@@ -101,6 +104,121 @@
   return members;
 }
 
+/** A store that lists 10,000 servers page by page, for all daemons together at
+ * a limited rate. */
+struct PagedStore : FakeStore
+{
+  asio::awaitable<AsyncResult<ServersUpdate>> ListServers()
+  {
+    constexpr Duration kTransferTime = kPages * std::chrono::milliseconds(4);
+    constexpr Duration kProcessingTime = kPages * std::chrono::microseconds(63);
+    ++lists_;
+    const Time now = ReadMonotonicTime();
+    busyUntil_ = std::max(busyUntil_, now) + kProcessingTime;
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    timer.expires_after(std::max<Duration>(busyUntil_ - now, kTransferTime));
+    co_await timer.async_wait(asio::use_awaitable);
+    co_return co_await FakeStore::ListServers();
+  }
+
+  static constexpr int kPages = 200;
+  int lists_ = 0;
+  Time busyUntil_;
+};
+
+/** Daemons in five zones that start within 100 ms and know the list of
+ * members, like after the loss of all of them. */
+struct CommonStartFixture
+{
+  struct Daemon
+  {
+    Daemon(asio::io_context& aContext, PagedStore& aStore, int aIndex)
+      : host_("127.0." + std::to_string(aIndex / 250) + "." +
+              std::to_string(aIndex % 250 + 1))
+      , zone_(std::string(1, static_cast<char>('a' + aIndex % 5)))
+      , feed_(aContext, { host_, 0 }, kEpoch + static_cast<unsigned>(aIndex))
+      , address_{ host_, feed_.GetAddress().port_ }
+      , source_(aContext.get_executor(), aStore, feed_, address_)
+    {
+    }
+
+    static constexpr std::uint64_t kEpoch = std::uint64_t{ 1 } << 40U;
+    std::string host_;
+    AvailabilityZone zone_;
+    StateFeed feed_;
+    SocketAddress address_;
+    RelayedStateSource<PagedStore> source_;
+    bool hasTables_ = false;
+    bool hasServers_ = false;
+  };
+
+  explicit CommonStartFixture(int aCount)
+  {
+    std::vector<MemberRecord> members;
+    for (int index = 0; index < aCount; ++index) {
+      daemons_.push_back(std::make_unique<Daemon>(context_, store_, index));
+      members.push_back({ daemons_.back()->address_, daemons_.back()->zone_ });
+    }
+    for (const auto& daemon : daemons_) {
+      daemon->source_.SetMembers(members);
+      asio::co_spawn(context_, Start(*daemon), asio::detached);
+    }
+  }
+
+  ~CommonStartFixture() { context_.DestroyPending(); }
+
+  CommonStartFixture(const CommonStartFixture&) = delete;
+  CommonStartFixture& operator=(const CommonStartFixture&) = delete;
+
+  static asio::awaitable<void> Sleep(Duration aTime)
+  {
+    asio::steady_timer timer(co_await asio::this_coro::executor, aTime);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+  asio::awaitable<void> Start(Daemon& aDaemon)
+  {
+    co_await Sleep(random_.Jitter(std::chrono::milliseconds(100), 1.0));
+    aDaemon.feed_.Start();
+    asio::co_spawn(context_, RunTables(aDaemon), asio::detached);
+    asio::co_spawn(context_, RunServers(aDaemon), asio::detached);
+  }
+  static asio::awaitable<void> RunTables(Daemon& aDaemon)
+  {
+    for (;;) {
+      const bool isRead = (co_await aDaemon.source_.ReadTables()).has_value();
+      aDaemon.hasTables_ = aDaemon.hasTables_ || isRead;
+      co_await Sleep(std::chrono::milliseconds(500));
+    }
+  }
+  static asio::awaitable<void> RunServers(Daemon& aDaemon)
+  {
+    while (!aDaemon.hasServers_) {
+      aDaemon.hasServers_ =
+        (co_await aDaemon.source_.ListServers()).has_value();
+      co_await Sleep(std::chrono::milliseconds(30));
+    }
+  }
+
+  /** @returns the daemons that lack tables or servers after some time. */
+  std::ptrdiff_t CountStarting(Duration aTime)
+  {
+    const auto isStarting = [](const auto& aDaemon) {
+      return !aDaemon->hasTables_ || !aDaemon->hasServers_;
+    };
+    const Time deadline = ReadMonotonicTime() + aTime;
+    while (ReadMonotonicTime() < deadline &&
+           std::any_of(daemons_.begin(), daemons_.end(), isStarting)) {
+      context_.run_for(std::chrono::milliseconds(20));
+    }
+    return std::count_if(daemons_.begin(), daemons_.end(), isStarting);
+  }
+
+  DaemonContext context_;
+  PagedStore store_;
+  Random random_{ 1 };
+  std::vector<std::unique_ptr<Daemon>> daemons_;
+};
+
 /** Two readers and one daemon that reads from them. */
 struct FeedFixture
 {
@@ -477,6 +595,49 @@
   BOOST_TEST(starting.store_.reads_ == 0);
 }
 
+// Guards against a fleet that lists 10,000 servers daemon by daemon after the
+// loss of all daemons: subscribers gave their readers up after 0.7 s, before
+// these had listed the servers.
+BOOST_AUTO_TEST_CASE(LostFleetIsServingAgainWithinFiveSeconds)
+{
+  // One thread plays all daemons; more of them time out on a busy machine.
+  constexpr int kDaemons = 100;
+  CommonStartFixture fleet(kDaemons);
+  BOOST_TEST(fleet.CountStarting(std::chrono::seconds(5)) == 0);
+  // The two store readers, and daemons that started before their readers.
+  BOOST_TEST(fleet.store_.lists_ <= 8);
+}
+
+// Guards against complete lists that fill the links of relays after a common
+// start: 16 subscribers waited 0.4 s for 3,000 uncompressed servers each.
+BOOST_AUTO_TEST_CASE(CompleteListIsCompressed)
+{
+  ServersFeedResponse response;
+  std::size_t textBytes = 0;
+  Random random(1);
+  for (int index = 0; index < 3000; ++index) {
+    const std::string id = "i-" + std::to_string(random.DrawBits());
+    const std::string text =
+      R"({"service":"paint-assist","address":"10.1.64.)" +
+      std::to_string(index % 250) + R"(:8381","state":"ready","slots":24,)" +
+      R"("zone":"shubra","coldLeftMs":0,"born":)" +
+      std::to_string(random.DrawBits()) + "}";
+    response.servers_.emplace_back(id, text);
+    textBytes += id.size() + text.size();
+  }
+  response.isComplete_ = true;
+  const std::string body = FormatServersFeedResponse(response, true);
+  BOOST_TEST(body.size() < textBytes / 2);
+  const auto parsed = ParseServersFeedResponse(body);
+  BOOST_REQUIRE(parsed.has_value());
+  BOOST_TEST((parsed->servers_ == response.servers_));
+  // Daemons of an older version don't ask for compression.
+  const auto plain =
+    ParseServersFeedResponse(FormatServersFeedResponse(response, false));
+  BOOST_REQUIRE(plain.has_value());
+  BOOST_TEST((plain->servers_ == response.servers_));
+}
+
 // Guards against a daemon that stays without state because its readers never
 // get any.
 BOOST_FIXTURE_TEST_CASE(StartingDaemonReadsTheStoreInTheEnd, FeedFixture)
