--- a/modules/azurecross_dispatch/quarantine/PromptQuarantine.cpp
+++ b/modules/azurecross_dispatch/quarantine/PromptQuarantine.cpp
@@ -47,6 +47,15 @@
            : std::chrono::abs(aLeft.at_ - aRight.at_) < kShortestEngineLife;
 }
 
+bool
+ContainsDeath(const std::vector<EngineDeath>& aList, const EngineDeath& aDeath)
+{
+  return std::any_of(
+    aList.begin(), aList.end(), [&](const EngineDeath& aOther) {
+      return IsSameDeath(aDeath, aOther);
+    });
+}
+
 /** @returns whether a list contains all deaths of another one. */
 bool
 ContainsDeaths(const std::vector<EngineDeath>& aList,
@@ -54,10 +63,7 @@
 {
   return std::all_of(
     aDeaths.begin(), aDeaths.end(), [&](const EngineDeath& aDeath) {
-      return std::any_of(
-        aList.begin(), aList.end(), [&](const EngineDeath& aOther) {
-          return IsSameDeath(aDeath, aOther);
-        });
+      return ContainsDeath(aList, aDeath);
     });
 }
 
@@ -133,6 +139,11 @@
 PromptQuarantine::MarkSound(Suspects::iterator aSuspect, Time aAt)
 {
   Suspect& suspect = aSuspect->second;
+  if (suspect.deaths_.empty()) {
+    suspect.soundAt_ = std::max(suspect.soundAt_.value_or(aAt), aAt);
+    suspect.droppedDeaths_.clear();
+    return false;
+  }
   const Suspect before = suspect;
   // A report can bring an old answer, after which the part became fatal.
   std::erase_if(suspect.deaths_, [&](const EngineDeath& aDeath) {
@@ -178,10 +189,12 @@
   }
   for (auto& [part, suspect] : suspects_) {
     suspect.companions_.clear();
+    if (!suspect.IsQuarantined()) {
+      continue;
+    }
     for (const auto& [otherPart, other] : suspects_) {
       const bool isAccusedAlike =
-        suspect.IsQuarantined() && otherPart != part &&
-        other.deaths_.size() == suspect.deaths_.size() &&
+        otherPart != part && other.deaths_.size() == suspect.deaths_.size() &&
         ContainsDeaths(other.deaths_, suspect.deaths_);
       if (isAccusedAlike) {
         suspect.companions_.push_back(otherPart);
@@ -193,17 +206,21 @@
 void
 PromptQuarantine::RemoveExplainedDeaths(PromptPartId aPart, Suspect& aSuspect)
 {
-  const Suspect before = aSuspect;
-  for (const auto& entry : suspects_) {
-    const Suspect& other = entry.second;
-    const bool isMoreLikely =
-      other.IsQuarantined() && other.deaths_.size() > before.deaths_.size();
-    if (isMoreLikely) {
-      std::erase_if(aSuspect.deaths_, [&](const EngineDeath& aDeath) {
-        return ContainsDeaths(other.deaths_, { aDeath });
+  const std::size_t deathCount = aSuspect.deaths_.size();
+  const auto isExplained = [&](const EngineDeath& aDeath) {
+    return std::any_of(
+      suspects_.begin(), suspects_.end(), [&](const auto& aEntry) {
+        const Suspect& other = aEntry.second;
+        return other.deaths_.size() > deathCount && other.IsQuarantined() &&
+               ContainsDeath(other.deaths_, aDeath);
       });
-    }
+  };
+  std::vector<EngineDeath>& deaths = aSuspect.deaths_;
+  if (std::none_of(deaths.begin(), deaths.end(), isExplained)) {
+    return;
   }
+  const Suspect before = aSuspect;
+  std::erase_if(deaths, isExplained);
   if (before.IsQuarantined() && !aSuspect.IsQuarantined()) {
     --quarantinedCount_;
     aSuspect.trialAt_ = Time();
@@ -239,8 +256,8 @@
   }
   Suspect& suspect = FindOrAddSuspect(aPart);
   std::vector<EngineDeath>& deaths = suspect.deaths_;
-  const bool isKnown = ContainsDeaths(deaths, { aDeath }) ||
-                       ContainsDeaths(suspect.droppedDeaths_, { aDeath });
+  const bool isKnown = ContainsDeath(deaths, aDeath) ||
+                       ContainsDeath(suspect.droppedDeaths_, aDeath);
   // Daemons place deaths of about the same time in different orders. Once the
   // part is quarantined, an older death adds nothing.
   const bool isTooOld =
