Use a field name of this project in the text of a feed test

The registrations in CompleteListIsCompressed are opaque texts; one of their fields had a name of the platform's wire, which belongs to platform/ only. No check changes.

--- a/tests/serving_tests/FeedTests.cpp
+++ b/tests/serving_tests/FeedTests.cpp
@@ -620,7 +620,7 @@
     const std::string text =
       R"({"service":"paint-assist","address":"10.1.64.)" +
       std::to_string(index % 250) + R"(:8381","state":"ready","slots":24,)" +
-      R"("zone":"shubra","coldLeftMs":0,"born":)" +
+      R"("zone":"shubra","warmup_ms":0,"born":)" +
       std::to_string(random.DrawBits()) + "}";
     response.servers_.emplace_back(id, text);
     textBytes += id.size() + text.size();
