--- a/apps/azurecross/RequestTrace.cpp
+++ b/apps/azurecross/RequestTrace.cpp
@@ -19,6 +19,7 @@
                                                           "dependency_regained",
                                                           "stopping" };
 constexpr std::string_view kQuarantineMessage = "prompt_quarantine_changed";
+constexpr std::string_view kLimitMessage = "server_limit_changed";
 constexpr std::array<std::string_view, 3> kServerFields{ "backend_server",
                                                          "from",
                                                          "to" };
@@ -91,6 +92,7 @@
     own_.push_back(std::move(record));
   } else if (record.message_ == "server_changed" ||
              record.message_ == kQuarantineMessage ||
+             record.message_ == kLimitMessage ||
              Contains(kStoreMessages, record.message_)) {
     changes_.push_back(std::move(record));
   }
@@ -114,7 +116,8 @@
       continue;
     }
     const bool isOfServer =
-      record.message_ == "server_changed" &&
+      (record.message_ == "server_changed" ||
+       record.message_ == kLimitMessage) &&
       servers.contains(FindText(record.fields_, "backend_server"));
     const bool isOfPart =
       record.message_ == kQuarantineMessage &&
@@ -178,7 +181,8 @@
   std::string store;
   std::string serverChange;
   for (const Record& record : FindContext()) {
-    if (record.time_ > end->time_ || record.message_ == kQuarantineMessage) {
+    if (record.time_ > end->time_ || record.message_ == kQuarantineMessage ||
+        record.message_ == kLimitMessage) {
       continue;
     }
     if (record.message_ == "dependency_lost") {
@@ -208,8 +212,25 @@
     cause += "; last move: " + FindText(move->fields_, "step") + " " +
              FindText(move->fields_, "outcome");
   }
-  return cause + DescribeExamination() + serverChange + store +
-         DescribeQuarantine(*end);
+  return cause + DescribePermitWait() + DescribeExamination() + serverChange +
+         store + DescribeQuarantine(*end);
+}
+
+std::string
+RequestTrace::DescribePermitWait() const
+{
+  double seconds = 0.0;
+  for (const Record& record : own_) {
+    const json::value* wait = record.fields_.if_contains("permit_wait_s");
+    boost::system::error_code code;
+    const double value = wait == nullptr ? 0.0 : wait->to_number<double>(code);
+    seconds += code ? 0.0 : value;
+  }
+  if (seconds == 0.0) {
+    return {};
+  }
+  return "; waited " + std::to_string(seconds) +
+         " s for permits of backend servers that limit their rate";
 }
 
 std::string
--- a/apps/azurecross/RequestTrace.h
+++ b/apps/azurecross/RequestTrace.h
@@ -53,6 +53,8 @@
   std::vector<Record> FindContext() const;
   /** @returns whether engines that broke off the request were found dead. */
   std::string DescribeExamination() const;
+  /** @returns how long the request waited for permits of limited servers. */
+  std::string DescribePermitWait() const;
   /** @returns the evidence against the part of the prompt for which the request
    * was refused, and whether the verdict was lifted later. */
   std::string DescribeQuarantine(const Record& aEnd) const;
--- a/modules/azurecross_dispatch/azurecross_dispatch.h
+++ b/modules/azurecross_dispatch/azurecross_dispatch.h
@@ -11,9 +11,14 @@
 
 #include "tables/ServingTables.h"
 
+#include "limits/IssuerSelector.h"
 #include "limits/KeyFreshness.h"
+#include "limits/PermitIssuer.h"
+#include "limits/PermitMessage.h"
 #include "limits/ReportRateLimiter.h"
 #include "limits/RetryAllowance.h"
+#include "limits/ServerLimitTable.h"
+#include "limits/ServerLimiter.h"
 #include "moves/MovePlanner.h"
 #include "placement/ServerLoadTracker.h"
 #include "placement/ServerPlacement.h"
--- a/modules/azurecross_dispatch/placement/ServerPlacement.cpp
+++ b/modules/azurecross_dispatch/placement/ServerPlacement.cpp
@@ -26,6 +26,9 @@
 constexpr double kOtherZoneCost = 0.15;
 /** A move to another zone takes twice as long and uses a shared link. */
 constexpr double kMoveToOtherZoneCost = 0.3;
+/** Cost of a move to a server that limits its rate: the run that resumes there
+ * takes the place of a waiting request. */
+constexpr double kMoveToLimitedServerCost = 1.0;
 /** Cost of one second of a plain call. */
 constexpr double kSecondCost = 0.5;
 /** Cost of a first event that takes the whole time to the target. The cost
@@ -103,6 +106,7 @@
 ServerPlacement::RateEngine(const ServerLoadTracker& aLoadTracker,
                             const ServerLoad& aServer,
                             const PlacementRequest& aRequest,
+                            Duration aPermitWait,
                             Time aNow) const
 {
   const EngineTraits& engine = *aServer.engine_;
@@ -135,7 +139,8 @@
                           aLoadTracker.FindCachedTokens(
                             aServer.record_.id_, aRequest.demand_, aNow);
     const double pending = aServer.GetPendingPromptTokens();
-    seconds = (pending + prompt) * aServer.GetSecondsPerPromptToken();
+    seconds = ToSeconds(aPermitWait) +
+              (pending + prompt) * aServer.GetSecondsPerPromptToken();
     const double left = ToSeconds(aRequest.timeToTarget_);
     // A late request waits for an engine without queued prompts.
     if (pending > 0.0 && seconds > kUsableTimeShare * left) {
@@ -152,7 +157,8 @@
 }
 
 std::optional<PlacementChoice>
-ServerPlacement::RateService(const ServerLoad& aServer) const
+ServerPlacement::RateService(const ServerLoad& aServer,
+                             Duration aPermitWait) const
 {
   const std::uint32_t runs = aServer.GetRuns();
   if (runs >= aServer.record_.slots_) {
@@ -160,13 +166,46 @@
   }
   PlacementChoice choice;
   choice.loadShare_ = static_cast<double>(runs + 1) / aServer.record_.slots_;
-  choice.expectedSeconds_ = aServer.GetSecondsPerCall();
-  choice.cost_ = choice.loadShare_ + kSecondCost * aServer.GetSecondsPerCall();
+  choice.expectedSeconds_ =
+    ToSeconds(aPermitWait) + aServer.GetSecondsPerCall();
+  choice.cost_ = choice.loadShare_ + kSecondCost * choice.expectedSeconds_;
+  return choice;
+}
+
+std::optional<PlacementChoice>
+ServerPlacement::RateServer(const ServerLoadTracker& aLoadTracker,
+                            const ServerLimiter& aLimiter,
+                            const ServerLoad& aServer,
+                            const PlacementRequest& aRequest,
+                            Time aNow) const
+{
+  const PermitStatus permit =
+    aLimiter.FindStatus(aServer.record_.id_, aRequest.maxPermitWait_, aNow);
+  // A run that moves away from an engine can't wait for a permit.
+  const bool isMoving = aRequest.outputTokens_ > 0;
+  const bool isAwaited = permit.state_ == PermitState::Obtainable && !isMoving;
+  const bool isUnobtainable =
+    permit.state_ == PermitState::Unavailable ||
+    (isAwaited && !permit.isRequested_ && !aRequest.mayRequestPermit_);
+  if (isUnobtainable && !isMoving) {
+    return std::nullopt;
+  }
+  const Duration wait = isMoving ? Duration::zero() : permit.wait_;
+  auto choice = aServer.engine_
+                  ? RateEngine(aLoadTracker, aServer, aRequest, wait, aNow)
+                  : RateService(aServer, wait);
+  if (choice && isAwaited) {
+    choice->awaitedPermit_ = permit.wait_;
+  }
+  if (choice && isMoving && permit.state_ != PermitState::NotNeeded) {
+    choice->cost_ += kMoveToLimitedServerCost;
+  }
   return choice;
 }
 
 std::optional<PlacementChoice>
 ServerPlacement::Choose(const ServerLoadTracker& aLoadTracker,
+                        const ServerLimiter& aLimiter,
                         const PlacementRequest& aRequest,
                         Time aNow)
 {
@@ -174,27 +213,31 @@
     std::min(kMaximumSpread,
              kSpreadPerDaemon * static_cast<double>(aLoadTracker.CountPeers()));
   std::optional<PlacementChoice> best;
+  bool hasAlternative = false;
   for (const auto& [id, server] : aLoadTracker.GetServers()) {
     if (!IsUsable(server, aRequest)) {
       continue;
     }
-    auto choice = server.engine_
-                    ? RateEngine(aLoadTracker, server, aRequest, aNow)
-                    : RateService(server);
+    auto choice = RateServer(aLoadTracker, aLimiter, server, aRequest, aNow);
     if (!choice) {
       continue;
     }
     choice->cost_ +=
       ComputePenalty(aLoadTracker, server, aRequest, spread, aNow) +
       spread * random_.DrawUnit();
+    hasAlternative = hasAlternative || !choice->awaitedPermit_;
     if (best && choice->cost_ >= best->cost_) {
       continue;
     }
     choice->server_ = id;
     choice->address_ = server.record_.address_;
+    choice->zone_ = server.record_.zone_;
     choice->runs_ = server.GetRuns();
     best = std::move(choice);
   }
+  if (best && best->awaitedPermit_ && !hasAlternative) {
+    best->awaitedPermit_ = aRequest.maxPermitWait_;
+  }
   return best;
 }
 
--- a/modules/azurecross_dispatch/placement/ServerPlacement.h
+++ b/modules/azurecross_dispatch/placement/ServerPlacement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../limits/ServerLimiter.h"
 #include "ServerLoadTracker.h"
 
 #include <azurecross_core/azurecross_core.h>
@@ -24,6 +25,10 @@
   std::vector<BackendServerId> excludedServers_;
   /** The preferred zone; if empty, the zone of this daemon. */
   AvailabilityZone preferredZone_;
+  /** The longest usable wait for a permit of a server that limits its rate. */
+  Duration maxPermitWait_{};
+  /** Whether a further permit may be requested. */
+  bool mayRequestPermit_ = true;
 };
 
 /** The chosen backend server with the figures behind the choice. */
@@ -37,6 +42,10 @@
   /** Used share of the server's memory or slots, the request included. */
   double loadShare_ = 0.0;
   std::uint32_t runs_ = 0;
+  AvailabilityZone zone_;
+  /** Set if the server limits its rate and the permit for it is not available
+   * yet: the longest wait for it that is better than the other servers. */
+  std::optional<Duration> awaitedPermit_;
 };
 
 /**
@@ -50,6 +59,9 @@
  * Many daemons decide on load data that is a few hundred milliseconds old. Each
  * adds a random part to the costs, which grows with the number of daemons, so
  * that they don't all choose the same server.
+ *
+ * A server that limits its rate competes with the others at its usual cost and
+ * the wait for its next permit, and is left out while there is none.
  */
 class ServerPlacement
 {
@@ -63,18 +75,28 @@
   /** @returns the server with the lowest cost among those with free capacity,
    * or nothing if there is none. */
   std::optional<PlacementChoice> Choose(const ServerLoadTracker& aLoadTracker,
+                                        const ServerLimiter& aLimiter,
                                         const PlacementRequest& aRequest,
                                         Time aNow);
 
 private:
   bool IsUsable(const ServerLoad& aServer,
                 const PlacementRequest& aRequest) const;
+  /** @param aPermitWait the wait for the permit of a limited server. */
   std::optional<PlacementChoice> RateEngine(
     const ServerLoadTracker& aLoadTracker,
     const ServerLoad& aServer,
     const PlacementRequest& aRequest,
+    Duration aPermitWait,
+    Time aNow) const;
+  std::optional<PlacementChoice> RateService(const ServerLoad& aServer,
+                                             Duration aPermitWait) const;
+  std::optional<PlacementChoice> RateServer(
+    const ServerLoadTracker& aLoadTracker,
+    const ServerLimiter& aLimiter,
+    const ServerLoad& aServer,
+    const PlacementRequest& aRequest,
     Time aNow) const;
-  std::optional<PlacementChoice> RateService(const ServerLoad& aServer) const;
   /** @param aSpread the largest random part of a cost. */
   double ComputePenalty(const ServerLoadTracker& aLoadTracker,
                         const ServerLoad& aServer,
--- a/modules/azurecross_dispatch/queue/Dispatcher.cpp
+++ b/modules/azurecross_dispatch/queue/Dispatcher.cpp
@@ -20,6 +20,10 @@
 constexpr Duration kMinimumRetryAfter = std::chrono::milliseconds(200);
 /** A waiting request is refused after this share of its total time. */
 constexpr double kLatestStartShare = 0.5;
+/** The longest wait for a reserved permit of the most urgent requests. Less
+ * urgent ones divide it by their rank, so that urgent ones get the next free
+ * permits. */
+constexpr Duration kMaxPermitWait = std::chrono::seconds(1);
 
 /** @returns the charge of a request for fair queueing, in tokens. Plain calls
  * have separate queues, so any constant works for them. */
@@ -36,33 +40,80 @@
   return aTicket.arrival_ + FromSeconds(kLatestStartShare * ToSeconds(total));
 }
 
+/** @returns the longest usable wait of a request for a permit. */
+Duration
+GetMaxPermitWait(const DispatchTicket& aTicket, Time aNow)
+{
+  const Duration byPriority =
+    kMaxPermitWait / (std::max(aTicket.priority_, 0) + 1);
+  return std::clamp(
+    FindLatestStart(aTicket) - aNow, Duration::zero(), byPriority);
+}
+
 } // namespace
 
 Dispatcher::Dispatcher(ServerLoadTracker& aLoadTracker,
+                       ServerLimiter& aLimiter,
                        PromptQuarantine& aQuarantine,
                        ServerPlacement aPlacement,
                        std::uint64_t aSeed)
   : loadTracker_(aLoadTracker)
+  , limiter_(aLimiter)
   , quarantine_(aQuarantine)
   , placement_(std::move(aPlacement))
   , random_(aSeed)
 {
 }
 
+bool
+Dispatcher::IsReadyServer(const ServerRecord& aServer,
+                          const PlacementRequest& aRequest)
+{
+  return aServer.pool_ == aRequest.pool_ &&
+         aServer.state_ == ServerState::Ready &&
+         std::find(aRequest.excludedServers_.begin(),
+                   aRequest.excludedServers_.end(),
+                   aServer.id_) == aRequest.excludedServers_.end();
+}
+
 bool
 Dispatcher::HasReadyServer(const PlacementRequest& aRequest) const
 {
   const auto& servers = loadTracker_.GetServers();
   return std::any_of(servers.begin(), servers.end(), [&](const auto& aServer) {
-    const ServerRecord& record = aServer.second.record_;
-    return record.pool_ == aRequest.pool_ &&
-           record.state_ == ServerState::Ready &&
-           std::find(aRequest.excludedServers_.begin(),
-                     aRequest.excludedServers_.end(),
-                     record.id_) == aRequest.excludedServers_.end();
+    return IsReadyServer(aServer.second.record_, aRequest);
   });
 }
 
+std::size_t
+Dispatcher::CountLimitedServers(const PoolName& aPool) const
+{
+  const auto& servers = loadTracker_.GetServers();
+  return static_cast<std::size_t>(
+    std::count_if(servers.begin(), servers.end(), [&](const auto& aServer) {
+      return aServer.second.record_.pool_ == aPool &&
+             limiter_.GetTable().Find(aServer.first);
+    }));
+}
+
+double
+Dispatcher::EstimatePermitWait(const DispatchTicket& aTicket, Time aNow) const
+{
+  std::optional<Duration> shortest;
+  for (const auto& [id, server] : loadTracker_.GetServers()) {
+    if (!IsReadyServer(server.record_, aTicket.request_)) {
+      continue;
+    }
+    const PermitStatus permit =
+      limiter_.FindStatus(id, GetMaxPermitWait(aTicket, aNow), aNow);
+    if (permit.state_ != PermitState::Unavailable) {
+      return 0.0;
+    }
+    shortest = std::min(shortest.value_or(permit.wait_), permit.wait_);
+  }
+  return ToSeconds(shortest.value_or(Duration::zero()));
+}
+
 void
 Dispatcher::Enqueue(DispatchTicket aTicket, Time aNow, DispatchDecisions& aOut)
 {
@@ -71,7 +122,7 @@
   }
   const TicketId ticketId = aTicket.id_;
   const PlacementRequest& request = aTicket.request_;
-  const double wait = EstimateWait(aTicket);
+  const double wait = EstimateWait(aTicket, aNow);
   const double left = ToSeconds(aTicket.deadline_ - aNow);
   // A request that has failed on all servers is refused at once. Without any
   // known server the request waits: this daemon may just have started.
@@ -85,12 +136,13 @@
         ComputeRetryAfter(wait, aTicket.deadline_ - aNow),
         Duration::zero(),
         queued_.size(),
+        CountLimitedServers(request.pool_),
         std::nullopt });
     return;
   }
   const QueueKey key(request.pool_, aTicket.priority_);
   queues_[key].Push(request.customer_, ticketId);
-  queued_.emplace(ticketId, QueueEntry{ std::move(aTicket), key });
+  queued_.emplace(ticketId, QueueEntry{ std::move(aTicket), key, {} });
   Dispatch(aNow, aOut);
 }
 
@@ -109,13 +161,15 @@
                              part->untilTrial_,
                              aNow - aTicket.arrival_,
                              queued_.size(),
+                             0,
                              part });
   return true;
 }
 
 double
-Dispatcher::EstimateWait(const DispatchTicket& aTicket) const
+Dispatcher::EstimateWait(const DispatchTicket& aTicket, Time aNow) const
 {
+  const double permitWait = EstimatePermitWait(aTicket, aNow);
   std::size_t ahead = 0;
   for (const auto& [key, queue] : queues_) {
     if (key.first == aTicket.request_.pool_ &&
@@ -124,7 +178,7 @@
     }
   }
   if (ahead == 0) {
-    return 0.0;
+    return permitWait;
   }
   // Capacity becomes free at the rate at which current runs end, and this
   // daemon gets a part in proportion to its own runs.
@@ -137,7 +191,9 @@
   const auto average = runSeconds_.find(aTicket.request_.pool_);
   const double seconds =
     average == runSeconds_.end() ? kAssumedRunSeconds : average->second;
-  return static_cast<double>(ahead) * seconds / std::max<double>(ownRuns, 1.0);
+  return std::max(permitWait,
+                  static_cast<double>(ahead) * seconds /
+                    std::max<double>(ownRuns, 1.0));
 }
 
 Duration
@@ -179,6 +235,33 @@
   queues_[aEntry.key_].Push(customer, ticketId);
 }
 
+std::optional<PlacementChoice>
+Dispatcher::ChooseServer(QueueEntry& aEntry, Time aNow)
+{
+  DispatchTicket& ticket = aEntry.ticket_;
+  ticket.request_.timeToTarget_ = ticket.targetTime_ - aNow;
+  ticket.request_.maxPermitWait_ = GetMaxPermitWait(ticket, aNow);
+  const std::size_t serverCount = loadTracker_.GetServers().size();
+  for (std::size_t attempt = 0; attempt <= serverCount; ++attempt) {
+    ticket.request_.mayRequestPermit_ =
+      limiter_.CountOutstanding() < queued_.size();
+    auto choice =
+      placement_.Choose(loadTracker_, limiter_, ticket.request_, aNow);
+    if (!choice || !choice->awaitedPermit_) {
+      return choice;
+    }
+    if (!aEntry.permitAwaitedSince_) {
+      aEntry.permitAwaitedSince_ = aNow;
+    }
+    const Duration maxWait = *choice->awaitedPermit_;
+    if (limiter_.FindStatus(choice->server_, maxWait, aNow).isRequested_) {
+      return std::nullopt;
+    }
+    limiter_.Request(choice->server_, choice->zone_, maxWait, aNow);
+  }
+  return std::nullopt;
+}
+
 bool
 Dispatcher::TryStartNext(FairQueue& aQueue, Time aNow, DispatchDecisions& aOut)
 {
@@ -186,19 +269,21 @@
   if (!ticketId) {
     return false;
   }
-  DispatchTicket& ticket = queued_.at(*ticketId).ticket_;
+  QueueEntry& entry = queued_.at(*ticketId);
+  DispatchTicket& ticket = entry.ticket_;
   if (RefuseIfQuarantined(ticket, aNow, aOut)) {
     Remove(*ticketId);
     return true;
   }
-  ticket.request_.timeToTarget_ = ticket.targetTime_ - aNow;
-  auto choice = placement_.Choose(loadTracker_, ticket.request_, aNow);
+  auto choice = ChooseServer(entry, aNow);
   if (!choice) {
     return false;
   }
+  limiter_.Use(choice->server_, choice->zone_, aNow);
   StartDecision start;
   start.ticketId_ = *ticketId;
   start.waited_ = aNow - ticket.arrival_;
+  start.permitWait_ = aNow - entry.permitAwaitedSince_.value_or(aNow);
   start.run_ = loadTracker_.Start({ choice->server_,
                                     ticket.request_.route_,
                                     ticket.request_.customer_,
@@ -253,6 +338,7 @@
     Remove(ticketId);
   }
   Dispatch(aNow, aOut);
+  limiter_.Tick(queued_.size(), aNow);
 }
 
 void
@@ -265,9 +351,10 @@
   aOut.refusals_.push_back(
     { aTicket,
       reason,
-      ComputeRetryAfter(EstimateWait(ticket), ticket.deadline_ - aNow),
+      ComputeRetryAfter(EstimateWait(ticket, aNow), ticket.deadline_ - aNow),
       aNow - ticket.arrival_,
       queued_.size(),
+      CountLimitedServers(ticket.request_.pool_),
       std::nullopt });
   Remove(aTicket);
 }
--- a/modules/azurecross_dispatch/queue/Dispatcher.h
+++ b/modules/azurecross_dispatch/queue/Dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../limits/ServerLimiter.h"
 #include "../placement/ServerLoadTracker.h"
 #include "../placement/ServerPlacement.h"
 #include "../quarantine/PromptQuarantine.h"
@@ -39,6 +40,8 @@
   RunId run_ = 0;
   PlacementChoice choice_;
   Duration waited_{};
+  /** The part of the wait that was for a permit of a limited server. */
+  Duration permitWait_{};
 };
 
 /** The request is refused without having run. */
@@ -50,6 +53,8 @@
   Duration retryAfter_{};
   Duration waited_{};
   std::size_t queued_ = 0;
+  /** Servers of the pool that limit their rate. */
+  std::size_t limitedServers_ = 0;
   /** Set if the reason is `PromptQuarantined`. */
   std::optional<QuarantinedPart> quarantinedPart_;
 };
@@ -75,6 +80,7 @@
 {
 public:
   Dispatcher(ServerLoadTracker& aLoadTracker,
+             ServerLimiter& aLimiter,
              PromptQuarantine& aQuarantine,
              ServerPlacement aPlacement,
              std::uint64_t aSeed);
@@ -104,10 +110,20 @@
   {
     DispatchTicket ticket_;
     QueueKey key_;
+    /** When the request began to wait for a permit. */
+    std::optional<Time> permitAwaitedSince_;
   };
 
   bool TryStartNext(FairQueue& aQueue, Time aNow, DispatchDecisions& aOut);
-  double EstimateWait(const DispatchTicket& aTicket) const;
+  /** Chooses a server for a waiting request, and requests permits for it until
+   * a server is found, a reply is outstanding or no server is left.
+   * @returns the server, if the request can start now. */
+  std::optional<PlacementChoice> ChooseServer(QueueEntry& aEntry, Time aNow);
+  double EstimateWait(const DispatchTicket& aTicket, Time aNow) const;
+  /** @returns the wait until the first permit, in seconds, if all servers are
+   * limited and have no permits left. */
+  double EstimatePermitWait(const DispatchTicket& aTicket, Time aNow) const;
+  std::size_t CountLimitedServers(const PoolName& aPool) const;
   void Refuse(TicketId aTicket, Time aNow, DispatchDecisions& aOut);
   /** Refuses the ticket, which is not queued, if a part of its prompt is in
    * quarantine. @returns whether it was refused. */
@@ -119,8 +135,11 @@
   void DemoteLateRequest(QueueEntry& aEntry);
   /** @returns whether the pool has a ready server that is not excluded. */
   bool HasReadyServer(const PlacementRequest& aRequest) const;
+  static bool IsReadyServer(const ServerRecord& aServer,
+                            const PlacementRequest& aRequest);
 
   ServerLoadTracker& loadTracker_;
+  ServerLimiter& limiter_;
   PromptQuarantine& quarantine_;
   ServerPlacement placement_;
   Random random_;
--- a/modules/azurecross_serving/daemon/ServingDaemon.h
+++ b/modules/azurecross_serving/daemon/ServingDaemon.h
@@ -107,6 +107,10 @@
     state_.SetLoadChangeHandler([this] { ScheduleDispatch(); });
     state_.SetGenerationPlacedHandler(
       [this] { loadExchange_.SchedulePlacementReport(); });
+    state_.SetPermitMessageHandler(
+      [this](const std::vector<PermitMessage>& aMessages) {
+        loadExchange_.SendPermitMessages(aMessages);
+      });
     state_.SetPromptCorrectionHandler(
       [this] { loadExchange_.ScheduleCorrection(); });
     // Peers that wait for the store read from a recovered reader at once, and
--- a/modules/azurecross_serving/dispatch/AsyncDispatcher.cpp
+++ b/modules/azurecross_serving/dispatch/AsyncDispatcher.cpp
@@ -20,7 +20,11 @@
   }
   return "no backend server is expected to have capacity in time; waited " +
          std::to_string(ToSeconds(aRefusal.waited_)) + " s, " +
-         std::to_string(aRefusal.queued_) + " queued";
+         std::to_string(aRefusal.queued_) + " queued" +
+         (aRefusal.limitedServers_ > 0
+            ? ", " + std::to_string(aRefusal.limitedServers_) +
+                " servers limit their rate"
+            : "");
 }
 
 } // namespace
@@ -32,6 +36,7 @@
   : state_(aState)
   , metrics_(aMetrics)
   , dispatcher_(aState.GetLoadTracker(),
+                aState.GetLimiter(),
                 aState.GetQuarantine(),
                 ServerPlacement(std::move(aZone), aSeed + 1),
                 aSeed)
@@ -95,8 +100,12 @@
     CompleteWaiter(start.ticketId_, [&](Waiter& aWaiter) {
       aWaiter.started_ = StartedRun{ std::move(reservation),
                                      std::move(start.choice_),
-                                     start.waited_ };
+                                     start.waited_,
+                                     start.permitWait_ };
     });
+    if (start.permitWait_ > Duration::zero()) {
+      metrics_.ObservePermitWait(start.permitWait_);
+    }
   }
   for (const RefuseDecision& refusal : aDecisions.refusals_) {
     CompleteWaiter(refusal.ticketId_, [&](Waiter& aWaiter) {
@@ -108,6 +117,7 @@
                  refusal.retryAfter_) };
     });
   }
+  state_.SendPermitMessages();
 }
 
 void
--- a/modules/azurecross_serving/dispatch/AsyncDispatcher.h
+++ b/modules/azurecross_serving/dispatch/AsyncDispatcher.h
@@ -70,6 +70,7 @@
   RunReservation reservation_;
   PlacementChoice choice_;
   Duration waited_{};
+  Duration permitWait_{};
 };
 
 /** Lets the coroutines of requests wait for the decisions of the dispatcher. */
--- a/modules/azurecross_serving/forward/BackendCall.cpp
+++ b/modules/azurecross_serving/forward/BackendCall.cpp
@@ -95,6 +95,8 @@
   // connection has not read it.
   error = co_await Connect(aOptions, aDeadline);
   if (!error) {
+    services_.state_.CountUnplacedRequest(aOptions.server_,
+                                          ReadMonotonicTime());
     error = co_await SendAndReadHead(aOptions, aDeadline);
   }
   if (error) {
@@ -106,6 +108,7 @@
 asio::awaitable<std::optional<Error>>
 BackendCall::SendAndReadHead(const SendOptions& aOptions, Time aDeadline)
 {
+  const Time sentAt = ReadMonotonicTime();
   const std::string head =
     services_.wire_.BuildRequestHead(context_.request_, aOptions);
   std::optional<Error> error =
@@ -116,9 +119,25 @@
   if (!error) {
     error = co_await SkipStaleResponses(aDeadline);
   }
+  if (!error) {
+    RecordServerLimit(aOptions.server_, sentAt);
+  }
   co_return error;
 }
 
+void
+BackendCall::RecordServerLimit(const BackendServerId& aServer, Time aSentAt)
+{
+  // Bytes that are not the server's answer state nothing, and neither does
+  // another server at the same address.
+  const bool isFromServer =
+    !info_.isFromOtherServer_ && (info_.isVerified_ || info_.isNotExecuted_);
+  if (isFromServer) {
+    services_.state_.RecordServerLimit(
+      aServer, info_.requestLimit_, aSentAt, ReadMonotonicTime());
+  }
+}
+
 asio::awaitable<std::optional<Error>>
 BackendCall::SkipStaleResponses(Time aDeadline)
 {
--- a/modules/azurecross_serving/forward/ForwardPipeline.cpp
+++ b/modules/azurecross_serving/forward/ForwardPipeline.cpp
@@ -174,6 +174,7 @@
                          { "tables_version", context_.tables_->GetVersion() },
                          { "send", context_.sendCount_ },
                          { "waited_s", ToSeconds(aRun.waited_) },
+                         { "permit_wait_s", ToSeconds(aRun.permitWait_) },
                          { "load_share", aRun.choice_.loadShare_ },
                          { "runs", aRun.choice_.runs_ },
                          { "expected_s", aRun.choice_.expectedSeconds_ } });
--- a/modules/azurecross_serving/forward/GenerationExchange.cpp
+++ b/modules/azurecross_serving/forward/GenerationExchange.cpp
@@ -387,6 +387,7 @@
   options.copy_ = aCopy;
   options.lastEventId_ = buffer_.GetLastId();
   call_ = std::make_unique<BackendCall>(services_, context_);
+  services_.state_.CountUnplacedRequest(aCopy.server_, ReadMonotonicTime());
   const std::optional<Error> error =
     co_await call_->Start(options, false, context_.deadline_);
   const bool isResumed = !error && call_->GetResponseInfo().isEventStream_ &&
--- a/modules/azurecross_serving/log/DecisionLog.h
+++ b/modules/azurecross_serving/log/DecisionLog.h
@@ -33,10 +33,11 @@
   GenerationResumed,
   EngineExamined,
   PromptQuarantineChanged,
+  ServerLimitChanged,
   RecordsDropped,
 };
 
-inline constexpr NameTable<Decision, 23> kDecisionNames{
+inline constexpr NameTable<Decision, 24> kDecisionNames{
   { { { Decision::Started, "started" },
       { Decision::Stopping, "stopping" },
       { Decision::Stopped, "stopped" },
@@ -59,6 +60,7 @@
       { Decision::GenerationResumed, "generation_resumed" },
       { Decision::EngineExamined, "engine_examined" },
       { Decision::PromptQuarantineChanged, "prompt_quarantine_changed" },
+      { Decision::ServerLimitChanged, "server_limit_changed" },
       { Decision::RecordsDropped, "records_dropped" } } }
 };
 
--- a/modules/azurecross_serving/metrics/ServingMetrics.cpp
+++ b/modules/azurecross_serving/metrics/ServingMetrics.cpp
@@ -30,6 +30,12 @@
       "azurecross_forward_queue_wait_seconds",
       "Time from a request's arrival to its start on a backend server",
       kLatencyBounds))
+  , permitWait_(aMetrics.GetHistogram(
+      "azurecross_forward_permit_wait_seconds",
+      "Wait of requests for a permit of a backend server that limits its rate",
+      kLatencyBounds))
+  , limitedServers_(aMetrics.GetGauge("azurecross_forward_limited_servers",
+                                      "Backend servers that limit their rate"))
   , quarantinedParts_(aMetrics.GetGauge(
       "azurecross_forward_quarantined_prompt_parts",
       "Parts of prompts whose requests are refused because they end engines"))
@@ -187,6 +193,41 @@
   quarantinedParts_.Set(static_cast<double>(aCount));
 }
 
+void
+ServingMetrics::SetLimitedServers(std::size_t aCount)
+{
+  limitedServers_.Set(static_cast<double>(aCount));
+}
+
+void
+ServingMetrics::SetPermitCounts(const PermitCounts& aCounts)
+{
+  const auto add = [&](std::string_view aOutcome,
+                       std::uint64_t PermitCounts::*aCount) {
+    const std::uint64_t increase = aCounts.*aCount - permitCounts_.*aCount;
+    if (increase > 0) {
+      metrics_
+        .GetCounter("azurecross_forward_permits_total",
+                    "Permits for servers that limit their rate, by what became "
+                    "of them",
+                    { { "outcome", std::string(aOutcome) } })
+        .Increment(static_cast<double>(increase));
+    }
+  };
+  add("granted", &PermitCounts::granted_);
+  add("denied", &PermitCounts::denied_);
+  add("unanswered", &PermitCounts::unanswered_);
+  add("returned", &PermitCounts::returned_);
+  add("sent without", &PermitCounts::charged_);
+  permitCounts_ = aCounts;
+}
+
+void
+ServingMetrics::ObservePermitWait(Duration aWait)
+{
+  permitWait_.Observe(ToSeconds(aWait));
+}
+
 void
 ServingMetrics::SetQueuedRequests(std::size_t aCount)
 {
--- a/modules/azurecross_serving/metrics/ServingMetrics.h
+++ b/modules/azurecross_serving/metrics/ServingMetrics.h
@@ -38,6 +38,10 @@
   void CountBackendConnection(bool aIsReused);
   void CountQuarantineChange(QuarantineChange aChange);
   void SetQuarantinedParts(std::size_t aCount);
+  void SetLimitedServers(std::size_t aCount);
+  /** Counts what became of the requests for permits since the last call. */
+  void SetPermitCounts(const PermitCounts& aCounts);
+  void ObservePermitWait(Duration aWait);
   void SetQueuedRequests(std::size_t aCount);
   void SetTablesVersion(std::uint64_t aVersion);
   void SetTablesConfirmationAge(Duration aAge);
@@ -52,6 +56,9 @@
   prometheus::Histogram& firstEventLatency_;
   prometheus::Histogram& eventGap_;
   prometheus::Histogram& queueWait_;
+  prometheus::Histogram& permitWait_;
+  prometheus::Gauge& limitedServers_;
+  PermitCounts permitCounts_;
   prometheus::Gauge& quarantinedParts_;
   prometheus::Gauge& queuedRequests_;
   prometheus::Gauge& tablesVersion_;
--- a/modules/azurecross_serving/moves/GenerationMover.cpp
+++ b/modules/azurecross_serving/moves/GenerationMover.cpp
@@ -132,8 +132,8 @@
   if (source != nullptr) {
     request.preferredZone_ = source->record_.zone_;
   }
-  const auto choice =
-    services_.dispatch_.GetPlacement().Choose(tracker, request, now);
+  const auto choice = services_.dispatch_.GetPlacement().Choose(
+    tracker, services_.state_.GetLimiter(), request, now);
   if (!choice) {
     LogStep(aGeneration, "place", "no room");
     return false;
--- a/modules/azurecross_serving/peers/LoadExchange.cpp
+++ b/modules/azurecross_serving/peers/LoadExchange.cpp
@@ -1,5 +1,7 @@
 #include "LoadExchange.h"
 
+#include "PermitMessageCodec.h"
+
 #include <algorithm>
 
 namespace azurecross {
@@ -67,6 +69,7 @@
   , correctionDelayShare_(Random(HashBytes(name_)).DrawUnit())
 {
   socket_.non_blocking(true);
+  state_.GetLimiter().SetMembers({ name_, zone_ }, {});
 }
 
 SocketAddress
@@ -108,6 +111,11 @@
   }
   members_ = std::move(members);
   topology_.SetMembers(aMembers);
+  std::vector<PermitPeer> permitPeers;
+  for (const MemberRecord& member : aMembers) {
+    permitPeers.push_back({ member.peerAddress_.Format(), member.zone_ });
+  }
+  state_.GetLimiter().SetMembers({ name_, zone_ }, std::move(permitPeers));
 }
 
 Duration
@@ -225,6 +233,8 @@
   report.zone_ = zone_.GetValue();
   report.leaving_ = state_.GetLeavingServers();
   report.hasStoreAccess_ = state_.IsStoreReachable();
+  report.limits_ =
+    state_.GetLimiter().GetTable().GetNewest(ReadMonotonicTime());
   return report;
 }
 
@@ -283,12 +293,32 @@
     datagram = FormatLoadReport(aReport, ReadMonotonicTime());
   }
   for (const SocketAddress& receiver : aReceivers) {
-    boost::system::error_code code;
-    const auto address = asio::ip::make_address(receiver.host_, code);
-    if (!code) {
-      // The next report replaces a report that can't be sent.
-      socket_.send_to(
-        asio::buffer(datagram), { address, receiver.port_ }, 0, code);
+    SendDatagram(datagram, receiver);
+  }
+}
+
+void
+LoadExchange::SendDatagram(const std::string& aDatagram,
+                           const SocketAddress& aReceiver)
+{
+  boost::system::error_code code;
+  const auto address = asio::ip::make_address(aReceiver.host_, code);
+  if (!code) {
+    // The next report replaces a report that can't be sent, and a message about
+    // a permit is repeated.
+    socket_.send_to(
+      asio::buffer(aDatagram), { address, aReceiver.port_ }, 0, code);
+  }
+}
+
+void
+LoadExchange::SendPermitMessages(const std::vector<PermitMessage>& aMessages)
+{
+  for (const PermitMessage& message : aMessages) {
+    const auto receiver = ParseSocketAddress(message.receiver_);
+    if (receiver) {
+      SendDatagram(FormatPermitMessage(message, ReadMonotonicTime()),
+                   *receiver);
     }
   }
 }
@@ -378,6 +408,7 @@
   HandleStoreAccess(aReport, now);
   HandleLeavingServers(aReport, now);
   HandlePromptEvidence(aReport, now);
+  state_.MergeServerLimits(aReport.limits_);
   const std::optional<std::string> name = FindPeerName(aReport);
   if (!name) {
     return;
@@ -391,6 +422,23 @@
   state_.NotifyLoadChanged();
 }
 
+void
+LoadExchange::HandleDatagram(std::string_view aDatagram)
+{
+  const Time now = ReadMonotonicTime();
+  if (IsPermitMessage(aDatagram)) {
+    const auto message = ParsePermitMessage(aDatagram, now);
+    if (message) {
+      state_.HandlePermitMessage(*message, now);
+    }
+    return;
+  }
+  auto report = ParseLoadReport(aDatagram, now);
+  if (report) {
+    HandleReport(std::move(*report));
+  }
+}
+
 void
 LoadExchange::ReceiveReports()
 {
@@ -403,11 +451,7 @@
       }
       // Other errors mean that an earlier datagram reached no listener.
       if (!aCode) {
-        auto report = ParseLoadReport(std::string_view(buffer_.data(), aLength),
-                                      ReadMonotonicTime());
-        if (report) {
-          HandleReport(std::move(*report));
-        }
+        HandleDatagram(std::string_view(buffer_.data(), aLength));
       }
       ReceiveReports();
     });
--- a/modules/azurecross_serving/peers/LoadExchange.h
+++ b/modules/azurecross_serving/peers/LoadExchange.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace azurecross {
@@ -51,6 +52,9 @@
   /** Sends the evidence about parts of prompts to the same daemons. */
   void SendEvidence();
 
+  /** Sends messages about permits to the daemons that they name. */
+  void SendPermitMessages(const std::vector<PermitMessage>& aMessages);
+
   /** Schedules a report with the evidence, which acquits a part of a prompt.
    * The report is skipped if another daemon sends the correction first. */
   void ScheduleCorrection();
@@ -96,6 +100,10 @@
   void Send(LoadReport aReport, const std::vector<SocketAddress>& aReceivers);
   /** @returns a report without load. */
   LoadReport MakeReport() const;
+  void SendDatagram(const std::string& aDatagram,
+                    const SocketAddress& aReceiver);
+  /** Handles a datagram of another daemon. */
+  void HandleDatagram(std::string_view aDatagram);
   void ReceiveReports();
   void HandleReport(LoadReport aReport);
   void HandleStoreAccess(const LoadReport& aReport, Time aNow);
--- a/modules/azurecross_serving/peers/LoadReport.cpp
+++ b/modules/azurecross_serving/peers/LoadReport.cpp
@@ -1,5 +1,7 @@
 #include "LoadReport.h"
 
+#include "ReportFields.h"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -28,9 +30,6 @@
 /** JSON array of the death of an engine: the server, its start time as a Unix
  * time in milliseconds, the age of the death in milliseconds. */
 constexpr std::size_t kDeathFieldCount = 3;
-/** A part that stays fatal keeps its first death for any time. Older ages are
- * sent as this one; a report with an older age is invalid. */
-constexpr std::int64_t kMaxAgeMs = std::int64_t{ 24 } * 3600 * 1000;
 
 void
 AppendMean(json::array& aFields, const DecayedMean& aMean)
@@ -115,24 +114,6 @@
   return use;
 }
 
-std::int64_t
-FormatAge(Time aTime, Time aNow)
-{
-  const auto age =
-    std::chrono::duration_cast<std::chrono::milliseconds>(aNow - aTime);
-  return std::clamp<std::int64_t>(age.count(), 0, kMaxAgeMs);
-}
-
-std::optional<Time>
-ParseAge(const json::value& aValue, Time aNow)
-{
-  const std::int64_t* age = aValue.if_int64();
-  if (age == nullptr || *age < 0 || *age > kMaxAgeMs) {
-    return std::nullopt;
-  }
-  return aNow - std::chrono::milliseconds(*age);
-}
-
 std::optional<EngineDeath>
 ParseDeath(const json::value& aValue, Time aNow)
 {
@@ -226,6 +207,29 @@
   return true;
 }
 
+/** Parses the rate limits of servers, which a report may lack.
+ * @returns whether they are valid. */
+bool
+ParseServerLimits(const json::object& aObject, Time aNow, LoadReport& aReport)
+{
+  const json::value* entries = aObject.if_contains("limits");
+  if (entries == nullptr) {
+    return true;
+  }
+  if (!entries->is_array() ||
+      entries->get_array().size() > ServerLimitTable::kMaxReportedLimits) {
+    return false;
+  }
+  for (const json::value& entry : entries->get_array()) {
+    auto limit = ParseServerLimit(entry, aNow);
+    if (!limit) {
+      return false;
+    }
+    aReport.limits_.push_back(std::move(*limit));
+  }
+  return true;
+}
+
 /** Parses the daemons that a report covers.
  * @returns whether the members are valid. */
 bool
@@ -297,6 +301,13 @@
     }
     report["prompt_evidence"] = std::move(evidence);
   }
+  if (!aReport.limits_.empty()) {
+    json::array limits;
+    for (const ServerLimit& limit : aReport.limits_) {
+      limits.push_back(FormatServerLimit(limit, aNow));
+    }
+    report["limits"] = std::move(limits);
+  }
   return json::serialize(report);
 }
 
@@ -317,8 +328,9 @@
   }
   LoadReport report;
   report.sender_ = std::string(sender->get_string());
-  const bool isValid =
-    ParseScope(*object, report) && ParsePromptEvidence(*object, aNow, report);
+  const bool isValid = ParseScope(*object, report) &&
+                       ParsePromptEvidence(*object, aNow, report) &&
+                       ParseServerLimits(*object, aNow, report);
   if (!isValid) {
     return std::nullopt;
   }
--- a/modules/azurecross_serving/peers/LoadReport.h
+++ b/modules/azurecross_serving/peers/LoadReport.h
@@ -30,6 +30,8 @@
   std::optional<std::vector<ReportedStatistics>> findings_;
   /** Parts of prompts that are suspected to end engines. */
   std::vector<PromptPartEvidence> promptEvidence_;
+  /** What servers have stated about their rate limits. */
+  std::vector<ServerLimit> limits_;
 };
 
 /** @returns the report as JSON. Times are sent as ages, because the clocks of
--- a/modules/azurecross_serving/state/ServingState.cpp
+++ b/modules/azurecross_serving/state/ServingState.cpp
@@ -25,6 +25,7 @@
   , directory_(kRemovalConfirmationTime)
   , retryBudget_(aSettings.retryBounds_)
   , quarantine_(HashBytes(aSettings.entryId_))
+  , limiter_(DrawSystemSeed())
   , keyFreshness_(aSettings.maxKeyRevocationDelay_, kKeyRevocationMargin)
 {
   quarantine_.SetExemptParts(aSettings.exemptPromptParts_);
@@ -86,6 +87,7 @@
   }
   if (change == ServerChange::Restarted) {
     loadTracker_.Restart(aRecord.id_, aNow);
+    limiter_.GetTable().Forget(aRecord.id_, aNow);
   }
   loadTracker_.Update(aRecord, FindEngineTraits(aRecord.pool_), aNow);
   log_.Write(Decision::ServerChanged,
@@ -121,6 +123,7 @@
     MarkLeaving(aId, aNow);
   }
   loadTracker_.Remove(aId);
+  limiter_.GetTable().Forget(aId, aNow);
 }
 
 void
@@ -199,6 +202,72 @@
   NotifyLoadChanged();
 }
 
+void
+ServingState::RecordServerLimit(const BackendServerId& aServer,
+                                std::optional<double> aRequestsPerSecond,
+                                Time aSentAt,
+                                Time aNow)
+{
+  // A server that has left answers its last requests.
+  if (directory_.Find(aServer) == nullptr) {
+    return;
+  }
+  limiter_.GetTable().RecordAnswer(aServer, aRequestsPerSecond, aSentAt, aNow);
+  LogLimitChanges();
+}
+
+void
+ServingState::MergeServerLimits(const std::vector<ServerLimit>& aLimits)
+{
+  for (const ServerLimit& limit : aLimits) {
+    limiter_.GetTable().Merge(limit);
+  }
+  LogLimitChanges();
+}
+
+void
+ServingState::HandlePermitMessage(const PermitMessage& aMessage, Time aNow)
+{
+  limiter_.Handle(aMessage, aNow);
+  LogLimitChanges();
+  SendPermitMessages();
+  if (aMessage.kind_ == PermitMessageKind::Reply) {
+    NotifyLoadChanged();
+  }
+}
+
+void
+ServingState::CountUnplacedRequest(const BackendServerId& aServer, Time aNow)
+{
+  const ServerRecord* server = directory_.Find(aServer);
+  if (server != nullptr) {
+    limiter_.Use(aServer, server->zone_, aNow);
+    SendPermitMessages();
+  }
+}
+
+void
+ServingState::SendPermitMessages()
+{
+  const std::vector<PermitMessage> messages = limiter_.TakeMessages();
+  if (!messages.empty() && onPermitMessages_) {
+    onPermitMessages_(messages);
+  }
+}
+
+void
+ServingState::LogLimitChanges()
+{
+  for (const ServerLimitChange& change : limiter_.GetTable().TakeChanges()) {
+    log_.Write(Decision::ServerLimitChanged,
+               { { "backend_server", change.server_ },
+                 { "requests_per_s", change.after_.value_or(-1.0) },
+                 { "requests_per_s_before", change.before_.value_or(-1.0) },
+                 { "source", change.isFromPeer_ ? "peer" : "answer" } });
+  }
+  metrics_.SetLimitedServers(limiter_.GetTable().CountLimited());
+}
+
 void
 ServingState::RecordPromptAnswer(const std::vector<PromptPartId>& aParts,
                                  Time aNow)
@@ -259,6 +328,8 @@
 void
 ServingState::Tick(Time aNow, Time aBootNow)
 {
+  LogLimitChanges();
+  metrics_.SetPermitCounts(limiter_.GetCounts());
   quarantine_.Tick(aNow);
   metrics_.SetQuarantinedParts(quarantine_.CountQuarantined());
   for (const BackendServerId& id : directory_.RemoveExpired(aNow)) {
@@ -269,6 +340,7 @@
         { "reason", "still missing after an outage of the store" } });
     MarkLeaving(id, aNow);
     loadTracker_.Remove(id);
+    limiter_.GetTable().Forget(id, aNow);
   }
   std::erase_if(leavingSince_, [&](const auto& aEntry) {
     return aNow - aEntry.second > kLeavingNoticeLifetime;
--- a/modules/azurecross_serving/state/ServingState.h
+++ b/modules/azurecross_serving/state/ServingState.h
@@ -34,6 +34,7 @@
   ServerLoadTracker& GetLoadTracker() { return loadTracker_; }
   RetryAllowance& GetRetryBudget() { return retryBudget_; }
   PromptQuarantine& GetQuarantine() { return quarantine_; }
+  ServerLimiter& GetLimiter() { return limiter_; }
   const KeyFreshness& GetKeyFreshness() const { return keyFreshness_; }
 
   /** @returns whether requests can be served: tables are loaded and, if
@@ -71,6 +72,22 @@
    * reported to other daemons. */
   std::vector<BackendServerId> GetLeavingServers() const;
 
+  /** Records the limit that an answer states, or that it states none.
+   * @param aSentAt when the request was sent. */
+  void RecordServerLimit(const BackendServerId& aServer,
+                         std::optional<double> aRequestsPerSecond,
+                         Time aSentAt,
+                         Time aNow);
+  /** Adds the limits that another daemon reported. */
+  void MergeServerLimits(const std::vector<ServerLimit>& aLimits);
+  /** Handles a message of another daemon about permits. */
+  void HandlePermitMessage(const PermitMessage& aMessage, Time aNow);
+  /** Counts a request against the limit of a server to which it is sent without
+   * a placement, such as a generation that resumes there. */
+  void CountUnplacedRequest(const BackendServerId& aServer, Time aNow);
+  /** Sends the pending messages about permits. */
+  void SendPermitMessages();
+
   /** Records that an engine answers a request with these parts. */
   void RecordPromptAnswer(const std::vector<PromptPartId>& aParts, Time aNow);
   /** Records that an engine died before it began to answer a request with these
@@ -128,6 +145,12 @@
   {
     onPromptCorrection_ = std::move(aHandler);
   }
+  /** Sets the callback that sends messages about permits. */
+  void SetPermitMessageHandler(
+    std::function<void(const std::vector<PermitMessage>&)> aHandler)
+  {
+    onPermitMessages_ = std::move(aHandler);
+  }
   void NotifyRunPlaced(RunId aRun)
   {
     const RunDescription* run = loadTracker_.FindRun(aRun);
@@ -152,6 +175,7 @@
                     Time aNow);
   void MarkLeaving(const BackendServerId& aId, Time aNow);
   void LogQuarantineEvents(Time aNow);
+  void LogLimitChanges();
 
   DecisionLog& log_;
   ServingMetrics& metrics_;
@@ -160,6 +184,7 @@
   ServerLoadTracker loadTracker_;
   RetryAllowance retryBudget_;
   PromptQuarantine quarantine_;
+  ServerLimiter limiter_;
   KeyFreshness keyFreshness_;
   std::map<BackendServerId, Time> leavingSince_;
   bool isStoreReachable_ = true;
@@ -168,6 +193,7 @@
   std::function<void()> onStoreReachabilityChange_;
   std::function<void()> onGenerationPlaced_;
   std::function<void()> onPromptCorrection_;
+  std::function<void(const std::vector<PermitMessage>&)> onPermitMessages_;
 };
 
 } // namespace azurecross
--- a/modules/azurecross_serving/wire/WireProtocol.h
+++ b/modules/azurecross_serving/wire/WireProtocol.h
@@ -68,6 +68,9 @@
    */
   bool isVerified_ = false;
   bool isEventStream_ = false;
+  /** The requests per second that the server takes from all daemons together,
+   * if it states a limit. */
+  std::optional<double> requestLimit_;
   /** How long the server keeps an idle connection open, if announced. */
   std::optional<Duration> keepAliveTimeout_;
 };
--- a/tests/dispatch_tests/DispatcherTests.cpp
+++ b/tests/dispatch_tests/DispatcherTests.cpp
@@ -43,9 +43,10 @@
   for (int engine = 0; engine < aEngines; ++engine) {
     AddEngine(tracker, "e" + std::to_string(engine));
   }
+  ServerLimiter limiter(1);
   PromptQuarantine quarantine(1);
   Dispatcher dispatcher(
-    tracker, quarantine, ServerPlacement(AvailabilityZone("a"), 1), 7);
+    tracker, limiter, quarantine, ServerPlacement(AvailabilityZone("a"), 1), 7);
   SimulatedLoad result;
   std::multimap<Time, RunId> ends;
   std::map<TicketId, Time> arrivals;
@@ -117,9 +118,10 @@
 {
   ServerLoadTracker tracker;
   tracker.Update(MakeService("s1"), std::nullopt, kStart);
+  ServerLimiter limiter(1);
   PromptQuarantine quarantine(1);
   Dispatcher dispatcher(
-    tracker, quarantine, ServerPlacement(AvailabilityZone("a"), 1), 7);
+    tracker, limiter, quarantine, ServerPlacement(AvailabilityZone("a"), 1), 7);
   DispatchDecisions out;
   for (TicketId ticketId = 1; ticketId <= 2; ++ticketId) {
     dispatcher.Enqueue(MakeTicket(ticketId, MakeCall(), 2, At(0)), At(0), out);
@@ -139,9 +141,10 @@
 {
   ServerLoadTracker tracker;
   tracker.Update(MakeService("s1"), std::nullopt, kStart);
+  ServerLimiter limiter(1);
   PromptQuarantine quarantine(1);
   Dispatcher dispatcher(
-    tracker, quarantine, ServerPlacement(AvailabilityZone("a"), 1), 7);
+    tracker, limiter, quarantine, ServerPlacement(AvailabilityZone("a"), 1), 7);
   DispatchDecisions out;
   TicketId ticketId = 1;
   for (; ticketId <= 12; ++ticketId) {
@@ -168,9 +171,10 @@
 BOOST_AUTO_TEST_CASE(CancelledRequestIsNotStarted)
 {
   ServerLoadTracker tracker;
+  ServerLimiter limiter(1);
   PromptQuarantine quarantine(1);
   Dispatcher dispatcher(
-    tracker, quarantine, ServerPlacement(AvailabilityZone("a"), 1), 7);
+    tracker, limiter, quarantine, ServerPlacement(AvailabilityZone("a"), 1), 7);
   DispatchDecisions out;
   dispatcher.Enqueue(MakeTicket(1, MakeCall(), 2, At(0)), At(0), out);
   BOOST_TEST(dispatcher.CountQueued() == 1U);
--- a/tests/dispatch_tests/FleetSimulation.cpp
+++ b/tests/dispatch_tests/FleetSimulation.cpp
@@ -129,8 +129,8 @@
   request.timeToTarget_ =
     FromSeconds(aIsShort ? kShortTargetSeconds : kLongTargetSeconds);
   outcome_.shortRequests_ += aIsShort ? 1 : 0;
-  const auto choice =
-    aDaemon.placement_->Choose(aDaemon.loadTracker_, request, now_);
+  const auto choice = aDaemon.placement_->Choose(
+    aDaemon.loadTracker_, aDaemon.limiter_, request, now_);
   if (!choice) {
     ++outcome_.refused_;
     return;
--- a/tests/dispatch_tests/FleetSimulation.h
+++ b/tests/dispatch_tests/FleetSimulation.h
@@ -75,6 +75,7 @@
     std::string name_;
     int zone_ = 0;
     ServerLoadTracker loadTracker_;
+    ServerLimiter limiter_{ 1 };
     std::unique_ptr<ServerPlacement> placement_;
     ReportRateLimiter reportLimiter_{ 60.0, 240.0 };
   };
--- a/tests/dispatch_tests/PlacementTests.cpp
+++ b/tests/dispatch_tests/PlacementTests.cpp
@@ -12,10 +12,12 @@
 {
   ServerLoadTracker tracker;
   AddEngine(tracker, "e1");
+  ServerLimiter limiter(1);
   ServerPlacement placement(AvailabilityZone("a"), 1);
   int placed = 0;
   while (placed < 20) {
-    const auto choice = placement.Choose(tracker, MakeGeneration(3000), At(1));
+    const auto choice =
+      placement.Choose(tracker, limiter, MakeGeneration(3000), At(1));
     if (!choice) {
       break;
     }
@@ -34,9 +36,11 @@
   AddEngine(tracker, "e1");
   AddEngine(tracker, "e2");
   AddEngine(tracker, "e3");
+  ServerLimiter limiter(1);
   ServerPlacement placement(AvailabilityZone("a"), 1);
   for (int run = 0; run < 6; ++run) {
-    const auto choice = placement.Choose(tracker, MakeGeneration(2000), At(1));
+    const auto choice =
+      placement.Choose(tracker, limiter, MakeGeneration(2000), At(1));
     BOOST_REQUIRE(choice.has_value());
     StartGeneration(tracker, choice->server_.GetValue(), 2000);
   }
@@ -52,13 +56,16 @@
   ServerLoadTracker tracker;
   AddEngine(tracker, "near", "a");
   AddEngine(tracker, "far", "b");
+  ServerLimiter limiter(1);
   ServerPlacement placement(AvailabilityZone("a"), 1);
-  const auto first = placement.Choose(tracker, MakeGeneration(1000), At(1));
+  const auto first =
+    placement.Choose(tracker, limiter, MakeGeneration(1000), At(1));
   BOOST_TEST(first->server_.GetValue() == "near");
   for (int run = 0; run < 4; ++run) {
     StartGeneration(tracker, "near", 3000);
   }
-  const auto later = placement.Choose(tracker, MakeGeneration(1000), At(1));
+  const auto later =
+    placement.Choose(tracker, limiter, MakeGeneration(1000), At(1));
   BOOST_TEST(later->server_.GetValue() == "far");
 }
 
@@ -77,10 +84,13 @@
     const RunId run = StartGeneration(tracker, id, 100);
     tracker.Finish(run, RunOutcome::Unreachable, At(1));
   }
+  ServerLimiter limiter(1);
   ServerPlacement placement(AvailabilityZone("a"), 1);
-  const auto choice = placement.Choose(tracker, MakeGeneration(1000), At(1.1));
+  const auto choice =
+    placement.Choose(tracker, limiter, MakeGeneration(1000), At(1.1));
   BOOST_TEST(choice->server_.GetValue() == "near");
-  const auto later = placement.Choose(tracker, MakeGeneration(1000), At(6));
+  const auto later =
+    placement.Choose(tracker, limiter, MakeGeneration(1000), At(6));
   BOOST_TEST(later->server_.GetValue() != "near");
 }
 
@@ -107,8 +117,10 @@
   BOOST_TEST(tracker.IsZoneSuspect(zone, At(1)));
   tracker.ObserveEvent(stream, 2, At(1.05));
   BOOST_TEST(!tracker.IsZoneSuspect(zone, At(1.05)));
+  ServerLimiter limiter(1);
   ServerPlacement placement(AvailabilityZone("a"), 1);
-  const auto choice = placement.Choose(tracker, MakeGeneration(1000), At(1.1));
+  const auto choice =
+    placement.Choose(tracker, limiter, MakeGeneration(1000), At(1.1));
   BOOST_TEST(choice->server_.GetValue() == "far3");
 
   fail("far1", 2);
@@ -129,12 +141,14 @@
   ServerRecord leaving = MakeEngine("e2");
   leaving.state_ = ServerState::Draining;
   tracker.Update(leaving, MakeTraits(), kStart);
+  ServerLimiter limiter(1);
   ServerPlacement placement(AvailabilityZone("a"), 1);
   PlacementRequest request = MakeGeneration(1000);
-  BOOST_TEST(placement.Choose(tracker, request, At(1))->server_.GetValue() ==
-             "e1");
+  BOOST_TEST(
+    placement.Choose(tracker, limiter, request, At(1))->server_.GetValue() ==
+    "e1");
   request.excludedServers_ = { BackendServerId("e1") };
-  BOOST_TEST(!placement.Choose(tracker, request, At(1)).has_value());
+  BOOST_TEST(!placement.Choose(tracker, limiter, request, At(1)).has_value());
 }
 
 // Guards against many daemons that all choose the same engine from reports of
@@ -154,9 +168,11 @@
                            { { BackendServerId("e1"), 1, 500.0, 0.0 } },
                            At(1));
     }
+    ServerLimiter limiter(1);
     ServerPlacement placement(AvailabilityZone("a"),
                               static_cast<std::uint64_t>(daemon));
-    const auto choice = placement.Choose(tracker, MakeGeneration(2000), At(1));
+    const auto choice =
+      placement.Choose(tracker, limiter, MakeGeneration(2000), At(1));
     ++chosen[choice->server_.GetValue()];
   }
   int most = 0;
@@ -185,17 +201,21 @@
   for (int run = 0; run < 3; ++run) {
     StartGeneration(tracker, "good", 3000);
   }
+  ServerLimiter limiter(1);
   ServerPlacement placement(AvailabilityZone("a"), 1);
   const PlacementRequest request = MakeGeneration(1000);
-  BOOST_TEST(placement.Choose(tracker, request, At(1))->server_.GetValue() ==
-             "bad");
+  BOOST_TEST(
+    placement.Choose(tracker, limiter, request, At(1))->server_.GetValue() ==
+    "bad");
   tracker.SetPeerStatistics("d2", other.GetOwnStatistics(At(0.5)), At(0.5));
-  BOOST_TEST(placement.Choose(tracker, request, At(1))->server_.GetValue() ==
-             "good");
+  BOOST_TEST(
+    placement.Choose(tracker, limiter, request, At(1))->server_.GetValue() ==
+    "good");
   // Old observations of peers have decayed.
   tracker.SetPeerStatistics("d2", other.GetOwnStatistics(At(60)), At(60));
-  BOOST_TEST(placement.Choose(tracker, request, At(60))->server_.GetValue() ==
-             "bad");
+  BOOST_TEST(
+    placement.Choose(tracker, limiter, request, At(60))->server_.GetValue() ==
+    "bad");
 }
 
 // Guards against treating slow and fast engines alike because no single daemon
@@ -229,9 +249,10 @@
 {
   ServerLoadTracker tracker;
   AddEngine(tracker, "e1");
+  ServerLimiter limiter(1);
   ServerPlacement placement(AvailabilityZone("a"), 1);
   PlacementRequest request = MakeGeneration(3000);
-  while (placement.Choose(tracker, request, At(1))) {
+  while (placement.Choose(tracker, limiter, request, At(1))) {
     StartGeneration(tracker, "e1", 3000);
   }
   const double memory = tracker.Find(BackendServerId("e1"))->GetMemoryTokens();
@@ -242,12 +263,12 @@
   // Only a small part of the memory is reserved for moving runs.
   request.demand_.promptTokens_ -=
     static_cast<std::uint32_t>(std::max(0.0, memory + needed - 0.92 * 20000.0));
-  BOOST_TEST(placement.Choose(tracker, request, At(1)).has_value());
+  BOOST_TEST(placement.Choose(tracker, limiter, request, At(1)).has_value());
   request.outputTokens_ = 0;
   request.demand_.outputLimit_ = 1000;
   request.demand_.promptTokens_ =
     static_cast<std::uint32_t>(std::max(0.0, 0.88 * 20000.0 - memory));
-  BOOST_TEST(!placement.Choose(tracker, request, At(1)).has_value());
+  BOOST_TEST(!placement.Choose(tracker, limiter, request, At(1)).has_value());
 }
 
 // Guards against short generations that wait behind long ones for the memory
@@ -257,6 +278,7 @@
 {
   ServerLoadTracker tracker;
   AddEngine(tracker, "e1");
+  ServerLimiter limiter(1);
   ServerPlacement placement(AvailabilityZone("a"), 1);
   PlacementRequest request = MakeGeneration(3000);
   const auto start = [&] {
@@ -268,16 +290,16 @@
                     1,
                     At(0) });
   };
-  while (placement.Choose(tracker, request, At(1))) {
+  while (placement.Choose(tracker, limiter, request, At(1))) {
     start();
   }
   const double memory = tracker.Find(BackendServerId("e1"))->GetMemoryTokens();
   BOOST_TEST(memory < 0.9 * 20000.0);
   request.demand_.promptTokens_ =
     static_cast<std::uint32_t>(0.95 * 20000.0 - memory);
-  BOOST_TEST(!placement.Choose(tracker, request, At(1)).has_value());
+  BOOST_TEST(!placement.Choose(tracker, limiter, request, At(1)).has_value());
   request.demand_.outputLimit_ = 20;
-  BOOST_TEST(placement.Choose(tracker, request, At(1)).has_value());
+  BOOST_TEST(placement.Choose(tracker, limiter, request, At(1)).has_value());
 }
 
 // Guards against more concurrent plain calls than a server has slots.
@@ -285,9 +307,10 @@
 {
   ServerLoadTracker tracker;
   tracker.Update(MakeService("s1"), std::nullopt, kStart);
+  ServerLimiter limiter(1);
   ServerPlacement placement(AvailabilityZone("a"), 1);
   for (int call = 0; call < 2; ++call) {
-    const auto choice = placement.Choose(tracker, MakeCall(), At(0));
+    const auto choice = placement.Choose(tracker, limiter, MakeCall(), At(0));
     BOOST_REQUIRE(choice.has_value());
     tracker.Start({ choice->server_,
                     RouteName("book"),
@@ -297,7 +320,8 @@
                     0,
                     At(0) });
   }
-  BOOST_TEST(!placement.Choose(tracker, MakeCall(), At(0)).has_value());
+  BOOST_TEST(
+    !placement.Choose(tracker, limiter, MakeCall(), At(0)).has_value());
 }
 
 } // namespace azurecross
--- a/tests/dispatch_tests/QuarantineTests.cpp
+++ b/tests/dispatch_tests/QuarantineTests.cpp
@@ -443,9 +443,10 @@
 BOOST_AUTO_TEST_CASE(QueuedRequestsAreRefusedAtOnce)
 {
   ServerLoadTracker tracker;
+  ServerLimiter limiter(1);
   PromptQuarantine quarantine(1);
   Dispatcher dispatcher(
-    tracker, quarantine, ServerPlacement(AvailabilityZone("a"), 1), 7);
+    tracker, limiter, quarantine, ServerPlacement(AvailabilityZone("a"), 1), 7);
   DispatchTicket ticket;
   ticket.request_ = MakeGeneration(1000);
   ticket.request_.demand_.sharedParts_ = { kCommon, kFatal };
--- a/tests/serving_tests/ReportTests.cpp
+++ b/tests/serving_tests/ReportTests.cpp
@@ -166,6 +166,43 @@
   }
 }
 
+// Guards against permits that don't travel between daemons: without them, a
+// server that limits its rate would get no requests, or the limit from each.
+BOOST_AUTO_TEST_CASE(PermitIsIssuedByAnotherDaemon)
+{
+  constexpr std::uint16_t kPort = 17233;
+  asio::io_context context(1);
+  const auto members = MakeMembers(4, 1, kPort);
+  std::vector<std::unique_ptr<Daemon>> daemons;
+  daemons.reserve(members.size());
+  for (const MemberRecord& member : members) {
+    daemons.push_back(std::make_unique<Daemon>(context, member));
+    Daemon& daemon = *daemons.back();
+    daemon.state_.SetPermitMessageHandler([&](const auto& aMessages) {
+      daemon.exchange_.SendPermitMessages(aMessages);
+    });
+    daemon.exchange_.SetMembers(members);
+    daemon.exchange_.Start();
+  }
+  daemons[0]->state_.RecordServerLimit(
+    Daemon::kServer, 0.5, ReadMonotonicTime() - 1s, ReadMonotonicTime());
+  context.run_for(600ms);
+  std::size_t held = 0;
+  for (auto& daemon : daemons) {
+    BOOST_TEST(daemon->state_.GetLimiter().GetTable().CountLimited() == 1U);
+    daemon->state_.GetLimiter().Request(
+      Daemon::kServer, members[0].zone_, 0ms, ReadMonotonicTime());
+    daemon->state_.SendPermitMessages();
+  }
+  context.run_for(50ms);
+  for (auto& daemon : daemons) {
+    const PermitStatus status = daemon->state_.GetLimiter().FindStatus(
+      Daemon::kServer, 0ms, ReadMonotonicTime());
+    held += status.state_ == PermitState::Held ? 1 : 0;
+  }
+  BOOST_TEST(held == 1U);
+}
+
 // Guards against a zone that disappears with one of its summarizers.
 BOOST_AUTO_TEST_CASE(OtherSummarizerCoversTheZone)
 {
--- a/tests/serving_tests/TestWireProtocol.cpp
+++ b/tests/serving_tests/TestWireProtocol.cpp
@@ -72,6 +72,10 @@
   info.isNotExecuted_ = !FindHeader(aHead, "X-Not-Run").empty();
   info.isFromOtherServer_ = aHead.result_int() == 421;
   info.isVerified_ = id == aAttemptId;
+  const std::string limit = FindHeader(aHead, "X-Limit");
+  if (!limit.empty()) {
+    info.requestLimit_ = std::stod(limit);
+  }
   info.isEventStream_ =
     FindHeader(aHead, "Content-Type") == "text/event-stream";
   return info;
--- a/tests/store_tests/TraceTests.cpp
+++ b/tests/store_tests/TraceTests.cpp
@@ -78,6 +78,22 @@
   BOOST_TEST(trace.FindCause() == "served with status 200");
 }
 
+// Guards against a refusal that does not name the rate limits of the servers.
+BOOST_AUTO_TEST_CASE(RefusalNamesThePermitsThatWereAwaited)
+{
+  std::istringstream lines(
+    R"({"time":"1","message":"server_limit_changed","backend_server":"s1","requests_per_s":1.0}
+{"time":"2","message":"request_sent","request":"r","backend_server":"s1","permit_wait_s":0.5}
+{"time":"3","message":"request_refused","request":"r","backend_server":"s1","reason":"deadline_unreachable","detail":"1 servers limit their rate","verdict":"not_run"}
+)");
+  RequestTrace trace("r");
+  trace.Read(lines, "a");
+  BOOST_TEST(Contains(trace.FindCause(), "1 servers limit their rate"));
+  BOOST_TEST(Contains(trace.FindCause(), "waited 0.500000 s for permits"));
+  BOOST_REQUIRE(trace.Describe().size() == 3U);
+  BOOST_TEST(Contains(trace.Describe()[0], "requests_per_s=1"));
+}
+
 // Guards against records in the order of the files instead of their times.
 BOOST_AUTO_TEST_CASE(RecordsOfSeveralProcessesAreInOrder)
 {
