--- a/modules/azurecross_serving/log/DecisionLog.h
+++ b/modules/azurecross_serving/log/DecisionLog.h
@@ -18,6 +18,7 @@
   DependencyLost,
   DependencyRegained,
   TablesApplied,
+  StoreTablesCompared,
   ServerChanged,
   MemberChanged,
   FeedRoleChanged,
@@ -37,7 +38,7 @@
   RecordsDropped,
 };
 
-inline constexpr NameTable<Decision, 24> kDecisionNames{
+inline constexpr NameTable<Decision, 25> kDecisionNames{
   { { { Decision::Started, "started" },
       { Decision::Stopping, "stopping" },
       { Decision::Stopped, "stopped" },
@@ -45,6 +46,7 @@
       { Decision::DependencyLost, "dependency_lost" },
       { Decision::DependencyRegained, "dependency_regained" },
       { Decision::TablesApplied, "tables_applied" },
+      { Decision::StoreTablesCompared, "store_tables_compared" },
       { Decision::ServerChanged, "server_changed" },
       { Decision::MemberChanged, "member_changed" },
       { Decision::FeedRoleChanged, "feed_role_changed" },
--- a/modules/azurecross_serving/peers/LoadExchange.cpp
+++ b/modules/azurecross_serving/peers/LoadExchange.cpp
@@ -233,6 +233,8 @@
   report.zone_ = zone_.GetValue();
   report.leaving_ = state_.GetLeavingServers();
   report.hasStoreAccess_ = state_.IsStoreReachable();
+  report.tablesVersion_ =
+    state_.GetTables() ? state_.GetTables()->GetVersion() : 0;
   report.limits_ =
     state_.GetLimiter().GetTable().GetNewest(ReadMonotonicTime());
   return report;
@@ -409,6 +411,7 @@
   HandleLeavingServers(aReport, now);
   HandlePromptEvidence(aReport, now);
   state_.MergeServerLimits(aReport.limits_);
+  state_.RecordPeerVersion(aReport.tablesVersion_);
   const std::optional<std::string> name = FindPeerName(aReport);
   if (!name) {
     return;
--- a/modules/azurecross_serving/peers/LoadReport.cpp
+++ b/modules/azurecross_serving/peers/LoadReport.cpp
@@ -287,6 +287,7 @@
   }
   report["leaving"] = std::move(leaving);
   report["has_store"] = aReport.hasStoreAccess_;
+  report["tables_version"] = aReport.tablesVersion_;
   if (aReport.findings_) {
     json::array findings;
     for (const ReportedStatistics& reportedStatistics : *aReport.findings_) {
@@ -337,6 +338,13 @@
   const json::value* hasStore = object->if_contains("has_store");
   report.hasStoreAccess_ =
     hasStore == nullptr || !hasStore->is_bool() || hasStore->get_bool();
+  const json::value* version = object->if_contains("tables_version");
+  if (version != nullptr && version->is_number()) {
+    report.tablesVersion_ = version->to_number<std::uint64_t>(code);
+    if (code) {
+      return std::nullopt;
+    }
+  }
   const json::value* leaving = object->if_contains("leaving");
   if (leaving != nullptr && leaving->is_array()) {
     for (const json::value& server : leaving->get_array()) {
--- a/modules/azurecross_serving/peers/LoadReport.h
+++ b/modules/azurecross_serving/peers/LoadReport.h
@@ -25,6 +25,8 @@
   std::vector<BackendServerId> leaving_;
   /** Whether the store answers the sender. */
   bool hasStoreAccess_ = true;
+  /** The version of the sender's tables; 0 if it has none. */
+  std::uint64_t tablesVersion_ = 0;
   /** The speeds and failure rates that the sender has measured for the servers;
    * empty if the report omits them. */
   std::optional<std::vector<ReportedStatistics>> findings_;
--- a/modules/azurecross_serving/peers/RelayedStateSource.h
+++ b/modules/azurecross_serving/peers/RelayedStateSource.h
@@ -85,7 +85,10 @@
              : ReadMonotonicTime() + readerSelector_.GetStoreRetryInterval();
     if (result) {
       PublishTables(*result);
-      feed_.ConfirmTables(sentAt);
+      // A store that came back from a copy may be behind this daemon.
+      if (result->GetVersion() >= knownVersion_) {
+        feed_.ConfirmTables(sentAt);
+      }
       areTablesFromStore_ = true;
     }
     co_return result;
@@ -448,6 +451,7 @@
     }
     TablesSnapshot result;
     result.revision_ = tables->version_;
+    result.version_ = tables->version_;
     result.age_ = tables->age_;
     if (!tables->text_.empty()) {
       auto content = store_.ParseTables(tables->text_);
--- a/modules/azurecross_serving/state/ServingState.cpp
+++ b/modules/azurecross_serving/state/ServingState.cpp
@@ -70,9 +70,27 @@
 }
 
 void
-ServingState::ConfirmTables(Time aSentAt)
+ServingState::ConfirmTables(std::uint64_t aVersion, Time aSentAt)
 {
-  keyFreshness_.ConfirmUpToDate(aSentAt);
+  const std::uint64_t newest =
+    std::max(peerVersion_, tables_ ? tables_->GetVersion() : 0);
+  const bool isOutdated = aVersion < newest;
+  if (isOutdated != areStoreTablesOutdated_) {
+    log_.Write(Decision::StoreTablesCompared,
+               { { "outcome", isOutdated ? "outdated" : "newest" },
+                 { "version", aVersion },
+                 { "newest_version", newest } });
+  }
+  areStoreTablesOutdated_ = isOutdated;
+  if (!isOutdated) {
+    keyFreshness_.ConfirmUpToDate(aSentAt);
+  }
+}
+
+void
+ServingState::RecordPeerVersion(std::uint64_t aVersion)
+{
+  peerVersion_ = std::max(peerVersion_, aVersion);
 }
 
 void
--- a/modules/azurecross_serving/state/ServingState.h
+++ b/modules/azurecross_serving/state/ServingState.h
@@ -43,10 +43,15 @@
 
   /** Applies the tables if they are newer than the current ones. */
   void ApplyTables(std::optional<ServingTables::Content> aContent, Time aNow);
-  /** Records that a read of the store confirmed the current tables as the
-   * newest.
+  /** Records that a read of the store returned these tables. It confirms the
+   * current ones as the newest unless they or those of a peer are newer: a
+   * store that came back from a copy lacks the last changes until they are
+   * written again.
+   * @param aVersion the version that was read, or 0 if there are no tables.
    * @param aSentAt boot time at which the read was sent. */
-  void ConfirmTables(Time aSentAt);
+  void ConfirmTables(std::uint64_t aVersion, Time aSentAt);
+  /** Records the version of the tables that a peer has. */
+  void RecordPeerVersion(std::uint64_t aVersion);
 
   /** Applies a complete list of registrations. Servers missing from the list
    * are removed.
@@ -186,6 +191,9 @@
   PromptQuarantine quarantine_;
   ServerLimiter limiter_;
   KeyFreshness keyFreshness_;
+  /** The newest version of the tables that a peer has reported. */
+  std::uint64_t peerVersion_ = 0;
+  bool areStoreTablesOutdated_ = false;
   std::map<BackendServerId, Time> leavingSince_;
   bool isStoreReachable_ = true;
   std::function<void(const BackendServerId&)> onServerLeaving_;
--- a/modules/azurecross_serving/state/StateSource.h
+++ b/modules/azurecross_serving/state/StateSource.h
@@ -19,11 +19,20 @@
   /** Empty if the operator has not written any tables yet. */
   std::optional<ServingTables::Content> content_;
   std::uint64_t revision_ = 0;
+  /** The version of the tables that the source holds, also if `content_` is
+   * empty because they are known; 0 if there are none. */
+  std::uint64_t version_ = 0;
   /** The tables in the store's format, to be forwarded to other daemons. */
   std::string text_;
   /** Age of the snapshot when the request for the snapshot was sent; not zero
    * if another daemon served the snapshot. */
   Duration age_{};
+
+  /** @returns the version of the tables that the source holds. */
+  std::uint64_t GetVersion() const
+  {
+    return content_ ? content_->version_ : version_;
+  }
 };
 
 /** The new state of one backend server's registration. */
@@ -42,6 +51,9 @@
 {
   std::vector<ServerEvent> servers_;
   std::uint64_t revision_ = 0;
+  /** Whether the store has just come back from a copy, so that registrations of
+   * live servers may be missing. */
+  bool isAfterRestore_ = false;
 };
 
 /** A live entry daemon, as registered in the store. */
--- a/modules/azurecross_serving/state/StateSync.h
+++ b/modules/azurecross_serving/state/StateSync.h
@@ -261,8 +261,9 @@
       if (tablesRevision_ == 0) {
         tablesRevision_ = result->revision_;
       }
+      const std::uint64_t version = result->GetVersion();
       state_.ApplyTables(std::move(result->content_), ReadMonotonicTime());
-      state_.ConfirmTables(sentAt - result->age_);
+      state_.ConfirmTables(version, sentAt - result->age_);
       tablesConfirmed_.Notify();
       co_await confirmationRequested_.Wait(confirmationInterval_);
     }
@@ -291,10 +292,11 @@
       }
       failures = 0;
       revision = result->revision_;
+      const bool isAfterOutage = IsAfterOutage() || result->isAfterRestore_;
       if (isListing) {
-        state_.ApplyServerList(result->servers_, IsAfterOutage(), now);
+        state_.ApplyServerList(result->servers_, isAfterOutage, now);
       } else {
-        state_.ApplyServerEvents(result->servers_, IsAfterOutage(), now);
+        state_.ApplyServerEvents(result->servers_, isAfterOutage, now);
       }
       co_await Sleep(kWatchDelay);
     }
--- a/tests/serving_tests/AdmissionTests.cpp
+++ b/tests/serving_tests/AdmissionTests.cpp
@@ -40,7 +40,7 @@
     aFixture.GetServices().awaitFreshTables_ =
       [&state, aAfter](Duration) -> boost::asio::awaitable<bool> {
       state.ApplyTables(aAfter, ReadMonotonicTime());
-      state.ConfirmTables(ReadBootTime());
+      state.ConfirmTables(state.GetTables()->GetVersion(), ReadBootTime());
       co_return true;
     };
   });
@@ -99,7 +99,8 @@
   Run([this] {
     GetState().ApplyTables(MakeTablesWithKeys(1, { "k1" }),
                            ReadMonotonicTime());
-    GetState().ConfirmTables(ReadBootTime() - std::chrono::seconds(6));
+    GetState().ConfirmTables(GetState().GetTables()->GetVersion(),
+                             ReadBootTime() - std::chrono::seconds(6));
   });
   const CallerAnswer response = Call(MakeRequest("/safe/x", "X-Key: k1\r\n"));
   BOOST_TEST(response.status_ == 503U);
--- a/tests/serving_tests/ServingFixture.cpp
+++ b/tests/serving_tests/ServingFixture.cpp
@@ -125,7 +125,7 @@
 {
   Run([&] {
     state_.ApplyTables(std::move(aTables), ReadMonotonicTime());
-    state_.ConfirmTables(ReadBootTime());
+    state_.ConfirmTables(state_.GetTables()->GetVersion(), ReadBootTime());
   });
 }
 
--- a/tests/serving_tests/StateTests.cpp
+++ b/tests/serving_tests/StateTests.cpp
@@ -54,6 +54,24 @@
   BOOST_TEST(state_.GetLeavingServers().size() == 1U);
 }
 
+// Guards against keys that stay valid after they were removed: a store that
+// came back from a copy holds older tables than this daemon or its peers.
+BOOST_FIXTURE_TEST_CASE(OlderTablesOfTheStoreConfirmNothing, StateFixture)
+{
+  const auto isFresh = [&] {
+    return state_.GetKeyFreshness().IsFresh(ReadBootTime());
+  };
+  state_.ApplyTables(ServingFixture::MakeTables(5), kNow);
+  state_.ConfirmTables(4, ReadBootTime());
+  BOOST_TEST(!isFresh());
+  state_.RecordPeerVersion(6);
+  state_.ConfirmTables(5, ReadBootTime());
+  BOOST_TEST(!isFresh());
+  state_.ApplyTables(ServingFixture::MakeTables(6), kNow);
+  state_.ConfirmTables(6, ReadBootTime());
+  BOOST_TEST(isFresh());
+}
+
 // Leaving notices from other daemons must not override the store while it is
 // reachable.
 BOOST_FIXTURE_TEST_CASE(LeavingNoticesAreIgnoredWhileTheStoreIsReachable,
--- a/tests/serving_tests/SyncTests.cpp
+++ b/tests/serving_tests/SyncTests.cpp
@@ -39,6 +39,8 @@
     }
     ServersUpdate result;
     result.revision_ = 5;
+    result.servers_ = servers_;
+    result.isAfterRestore_ = isRestored_;
     co_return result;
   }
   asio::awaitable<AsyncResult<ServersUpdate>> WatchServers(std::uint64_t)
@@ -77,10 +79,15 @@
   {
     ++watches_;
     asio::steady_timer timer(co_await asio::this_coro::executor);
-    for (int step = 0; step < 1000 && !isDown_ && !hasChanges_; ++step) {
+    for (int step = 0;
+         step < 1000 && !isDown_ && !hasChanges_ && !losesHistory_;
+         ++step) {
       timer.expires_after(5ms);
       co_await timer.async_wait(asio::use_awaitable);
     }
+    if (losesHistory_) {
+      co_return MakeError(ErrorCode::GenerationLost);
+    }
     if (!hasChanges_) {
       co_return MakeError(ErrorCode::StoreUnavailable);
     }
@@ -106,6 +113,9 @@
   bool hasTables_ = true;
   bool hasChanges_ = false;
   bool rejectsMembers_ = false;
+  bool losesHistory_ = false;
+  bool isRestored_ = false;
+  std::vector<ServerEvent> servers_;
   int reads_ = 0;
   int lists_ = 0;
   int watches_ = 0;
@@ -234,4 +244,25 @@
   BOOST_TEST(store_.renewals_ >= 1);
 }
 
+// Guards against live servers that get no requests, because the copy from which
+// the store came back lacks them until they have registered again.
+BOOST_FIXTURE_TEST_CASE(ServersMissingAfterARestoreAreKept, SyncFixture)
+{
+  ServerRecord record;
+  record.id_ = BackendServerId("e1");
+  record.pool_ = PoolName("engines");
+  store_.servers_ = { { record.id_, record, "" } };
+  Start();
+  RunFor(300ms);
+  BOOST_REQUIRE(state_.GetLoadTracker().Find(record.id_) != nullptr);
+  store_.servers_.clear();
+  store_.isRestored_ = true;
+  store_.losesHistory_ = true;
+  RunFor(300ms);
+  BOOST_TEST(state_.GetLoadTracker().Find(record.id_) != nullptr);
+  store_.isRestored_ = false;
+  RunFor(300ms);
+  BOOST_TEST(state_.GetLoadTracker().Find(record.id_) == nullptr);
+}
+
 } // namespace azurecross
