--- a/modules/azurecross_serving/peers/LoadExchange.cpp
+++ b/modules/azurecross_serving/peers/LoadExchange.cpp
@@ -112,6 +112,7 @@
   members_ = std::move(members);
   topology_.SetMembers(aMembers);
   std::vector<PermitPeer> permitPeers;
+  permitPeers.reserve(aMembers.size());
   for (const MemberRecord& member : aMembers) {
     permitPeers.push_back({ member.peerAddress_.Format(), member.zone_ });
   }
--- a/tests/dispatch_tests/ServerLimitTests.cpp
+++ b/tests/dispatch_tests/ServerLimitTests.cpp
@@ -107,6 +107,7 @@
 BOOST_AUTO_TEST_CASE(SubstitutesIssueAtMostHalfOfTheLimit)
 {
   std::vector<PermitPeer> members;
+  members.reserve(30);
   for (int index = 0; index < 30; ++index) {
     members.push_back({ "d" + std::to_string(index),
                         AvailabilityZone(std::string(1, 'a' + index % 3)) });
