Share the event queue of the simulated fleets

Cause: the simulation of limited servers copied the event queue and the names of zones from the two older simulations.

Change: EventQueue and MakeZoneName have one copy each; the three simulations use them.

--- a/tests/dispatch_tests/FleetSimulation.cpp
+++ b/tests/dispatch_tests/FleetSimulation.cpp
@@ -20,12 +20,6 @@
 /** One engine in six is replaced at a time. */
 constexpr std::size_t kReplacementDivisor = 6;
 
-std::string
-MakeZoneName(int aZone)
-{
-  return "z" + std::to_string(aZone);
-}
-
 EngineTraits
 MakeFleetEngineTraits()
 {
@@ -58,7 +52,7 @@
 void
 FleetSimulation::Schedule(Time aTime, std::function<void()> aAction)
 {
-  events_.push({ aTime, nextEventNumber_++, std::move(aAction) });
+  events_.Add(aTime, std::move(aAction));
 }
 
 void
@@ -241,13 +235,7 @@
   ScheduleArrival(true);
   ScheduleArrival(false);
   ReplaceEngines();
-  const Time end = kStart + FromSeconds(config_.seconds_);
-  while (events_.top().time_ < end) {
-    const Event event = events_.top();
-    events_.pop();
-    now_ = event.time_;
-    event.action_();
-  }
+  events_.RunUntil(kStart + FromSeconds(config_.seconds_), now_);
   return outcome_;
 }
 
--- a/tests/dispatch_tests/FleetSimulation.h
+++ b/tests/dispatch_tests/FleetSimulation.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "EventQueue.h"
 #include "TestPool.h"
 
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <string>
 #include <vector>
 
@@ -89,19 +89,6 @@
     int running_ = 0;
   };
 
-  struct Event
-  {
-    Time time_;
-    std::uint64_t number_ = 0;
-    std::function<void()> action_;
-
-    bool operator>(const Event& aOther) const
-    {
-      return std::pair(time_, number_) >
-             std::pair(aOther.time_, aOther.number_);
-    }
-  };
-
   void Schedule(Time aTime, std::function<void()> aAction);
   void AddEngine(std::size_t aIndex);
   void ReplaceEngines();
@@ -125,8 +112,7 @@
   std::deque<Engine> engines_;
   std::vector<Engine*> currentEngines_;
   std::map<std::string, Engine*> enginesById_;
-  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
-  std::uint64_t nextEventNumber_ = 0;
+  EventQueue events_;
   std::uint64_t nextEngineNumber_ = 0;
   Time now_ = kStart;
   FleetOutcome outcome_;
--- a/tests/dispatch_tests/LimitedFleetSimulation.cpp
+++ b/tests/dispatch_tests/LimitedFleetSimulation.cpp
@@ -21,12 +21,6 @@
 /** Requests end before the simulation does. */
 constexpr double kDrainSeconds = 2.0;
 
-std::string
-MakeZoneName(int aZone)
-{
-  return "z" + std::to_string(aZone);
-}
-
 } // namespace
 
 LimitedFleetSimulation::LimitedFleetSimulation(
@@ -46,7 +40,7 @@
 void
 LimitedFleetSimulation::Schedule(Duration aDelay, std::function<void()> aAction)
 {
-  events_.push({ now_ + aDelay, nextNumber_++, std::move(aAction) });
+  events_.Add(now_ + aDelay, std::move(aAction));
 }
 
 void
@@ -269,12 +263,7 @@
     ScheduleGossip(daemon);
   }
   Schedule(FromSeconds(config_.killAt_), [this] { Kill(); });
-  while (events_.top().time_ < At(config_.seconds_)) {
-    const Event event = events_.top();
-    events_.pop();
-    now_ = event.time_;
-    event.action_();
-  }
+  events_.RunUntil(At(config_.seconds_), now_);
   return Evaluate();
 }
 
--- a/tests/dispatch_tests/LimitedFleetSimulation.h
+++ b/tests/dispatch_tests/LimitedFleetSimulation.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "EventQueue.h"
 #include "TestPool.h"
 
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <set>
 #include <string>
 #include <vector>
@@ -85,19 +85,6 @@
     bool isFromTold_ = false;
   };
 
-  struct Event
-  {
-    Time time_;
-    std::uint64_t number_ = 0;
-    std::function<void()> action_;
-
-    bool operator>(const Event& aOther) const
-    {
-      return std::pair(time_, number_) >
-             std::pair(aOther.time_, aOther.number_);
-    }
-  };
-
   void Schedule(Duration aDelay, std::function<void()> aAction);
   void StartDaemon(Daemon& aDaemon);
   void SetMembers();
@@ -116,8 +103,7 @@
   Time now_ = kStart;
   std::vector<std::unique_ptr<Daemon>> daemons_;
   std::map<BackendServerId, std::vector<Arrival>> arrivals_;
-  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
-  std::uint64_t nextNumber_ = 0;
+  EventQueue events_;
   TicketId nextTicket_ = 1;
   std::uint64_t messages_ = 0;
   LimitedFleetOutcome outcome_;
--- a/tests/dispatch_tests/QuarantineSimulation.cpp
+++ b/tests/dispatch_tests/QuarantineSimulation.cpp
@@ -113,7 +113,7 @@
 void
 QuarantineSimulation::Schedule(Duration aDelay, std::function<void()> aAction)
 {
-  events_.push({ now_ + aDelay, nextEventNumber_++, std::move(aAction) });
+  events_.Add(now_ + aDelay, std::move(aAction));
 }
 
 void
@@ -577,13 +577,7 @@
     Schedule(FromSeconds(config_.restartSeconds_),
              [this] { RestartDaemons(); });
   }
-  const Time end = At(config_.seconds_);
-  while (events_.top().time_ < end) {
-    const Event event = events_.top();
-    events_.pop();
-    now_ = event.time_;
-    event.action_();
-  }
+  events_.RunUntil(At(config_.seconds_), now_);
   return outcomes_;
 }
 
--- a/tests/dispatch_tests/QuarantineSimulation.h
+++ b/tests/dispatch_tests/QuarantineSimulation.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "EventQueue.h"
 #include "TestPool.h"
 
 #include <array>
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <string>
 #include <vector>
 
@@ -153,19 +153,6 @@
     Reclaimed,
   };
 
-  struct Event
-  {
-    Time time_;
-    std::uint64_t number_ = 0;
-    std::function<void()> action_;
-
-    bool operator>(const Event& aOther) const
-    {
-      return std::pair(time_, number_) >
-             std::pair(aOther.time_, aOther.number_);
-    }
-  };
-
   void Schedule(Duration aDelay, std::function<void()> aAction);
   /** Repeats an action at exponentially distributed intervals. */
   void ScheduleRandomly(double aMeanSeconds, std::function<void()> aAction);
@@ -212,8 +199,7 @@
   Random random_;
   std::vector<Daemon> daemons_;
   std::vector<Engine> engines_;
-  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
-  std::uint64_t nextEventNumber_ = 0;
+  EventQueue events_;
   Time now_ = kStart;
   std::vector<QuarantineOutcome> outcomes_;
   /** Times of the fifth death by the fatal part, or of the last one while there
--- a/tests/dispatch_tests/TestPool.cpp
+++ b/tests/dispatch_tests/TestPool.cpp
@@ -2,6 +2,12 @@
 
 namespace azurecross {
 
+std::string
+MakeZoneName(int aZone)
+{
+  return "z" + std::to_string(aZone);
+}
+
 ServerRecord
 MakeEngine(const std::string& aId, const std::string& aZone)
 {
--- a/tests/dispatch_tests/TestPool.h
+++ b/tests/dispatch_tests/TestPool.h
@@ -16,6 +16,10 @@
   return kStart + FromSeconds(aSeconds);
 }
 
+/** @returns the name of the zone with this number. */
+std::string
+MakeZoneName(int aZone);
+
 /** @returns an engine of the pool "engines" in the given zone. */
 ServerRecord
 MakeEngine(const std::string& aId, const std::string& aZone = "a");
