Forget rate limits that no answer has confirmed for ten minutes (LIMIT)

Callers see nothing of it; a daemon's memory and its gauge of limited servers grew with each server that a peer reported and this daemon never knew, since only the removal of a known server ended a limit.

Cause: entries of the table ended with a statement or a registration alone. Change: entries end ten minutes after the last statement; a live server states its limit again in the next answer. Ruled out: ignoring reports of unknown servers, since an issuer may learn of a limit before the registration.

Measured: UnconfirmedLimitIsForgotten and the other cases of limits pass; the new case fails without the change, because nothing ended such an entry.

--- a/modules/azurecross_dispatch/limits/ServerLimitTable.cpp
+++ b/modules/azurecross_dispatch/limits/ServerLimitTable.cpp
@@ -13,6 +13,10 @@
 /** Time for which the end of a limit is remembered, so that a late report of a
  * peer doesn't bring the limit back. */
 constexpr Duration kEndedLimitLifetime = std::chrono::seconds(15);
+/** Limits that no answer has confirmed for so long are forgotten, so that those
+ * of servers that other daemons have reported and this one never knew don't
+ * accumulate. The next answer of a live server states the limit again. */
+constexpr Duration kUnconfirmedLimitLifetime = std::chrono::minutes(10);
 /** Older statements are not reported; a daemon that uses the server learns the
  * limit from its answers. */
 constexpr Duration kMaxReportedAge = std::chrono::seconds(15);
@@ -120,8 +124,12 @@
 ServerLimitTable::Tick(Time aNow)
 {
   std::erase_if(limits_, [&](const auto& aEntry) {
-    return !aEntry.second.requestsPerSecond_ &&
-           aNow - aEntry.second.statedAt_ > kEndedLimitLifetime;
+    const bool isLimited = aEntry.second.requestsPerSecond_.has_value();
+    const Duration lifetime =
+      isLimited ? kUnconfirmedLimitLifetime : kEndedLimitLifetime;
+    const bool isExpired = aNow - aEntry.second.statedAt_ > lifetime;
+    limitedCount_ -= isLimited && isExpired ? 1 : 0;
+    return isExpired;
   });
 }
 
--- a/modules/azurecross_dispatch/limits/ServerLimitTable.h
+++ b/modules/azurecross_dispatch/limits/ServerLimitTable.h
@@ -65,7 +65,7 @@
   std::vector<ServerLimitChange> TakeChanges();
   /** @returns the number of servers that state a limit. */
   std::size_t CountLimited() const { return limitedCount_; }
-  /** Drops old statements that a limit has ended. */
+  /** Drops old statements. */
   void Tick(Time aNow);
 
 private:
--- a/tests/dispatch_tests/ServerLimitTests.cpp
+++ b/tests/dispatch_tests/ServerLimitTests.cpp
@@ -77,6 +77,19 @@
   BOOST_TEST(table.Find(kServer).value_or(0.0) == 3.0);
 }
 
+// Guards against limits of servers that are gone and that nobody forgets, since
+// this daemon never knew the servers.
+BOOST_AUTO_TEST_CASE(UnconfirmedLimitIsForgotten)
+{
+  ServerLimitTable table;
+  table.Merge({ kServer, 2.0, At(0) });
+  table.Tick(At(300));
+  BOOST_TEST(table.CountLimited() == 1U);
+  table.Tick(At(601));
+  BOOST_TEST(table.CountLimited() == 0U);
+  BOOST_TEST(!table.Find(kServer).has_value());
+}
+
 // Guards against a server that states a limit of 0 and is never asked again.
 BOOST_AUTO_TEST_CASE(LimitOfZeroIsProbed)
 {
