Tell daemons behind a reader that the store came back from a copy (CONFIG)

Cause: only the daemon that reads the store kept the servers that a copy lacks; those that read from it removed them until they had registered again.

Change: the feed of servers tells for one second that the store came back, and the update carries it to all receivers, who keep missing servers as after an outage. Ruled out: leaving the removals out of the feed, since nothing would remove servers that are really gone.

Measured: ReaderTellsOfARestoredStore and the feed cases of serving_tests pass under release.

--- a/modules/azurecross_serving/peers/RelayedStateSource.h
+++ b/modules/azurecross_serving/peers/RelayedStateSource.h
@@ -141,7 +141,7 @@
     RecordStoreResult(result);
     if (result) {
       hasServerList_ = true;
-      feed_.UpdateServers(result->servers_, true);
+      feed_.UpdateServers(*result, true);
       serversEpoch_ = 0;
     }
     co_return result;
@@ -165,7 +165,7 @@
       co_await AwaitWatch<ServersUpdate>(store_.WatchServers(aRevision));
     RecordStoreResult(result);
     if (result) {
-      feed_.UpdateServers(result->servers_, false);
+      feed_.UpdateServers(*result, false);
     }
     co_return result;
   }
@@ -494,6 +494,7 @@
     }
     ServersUpdate result;
     result.revision_ = std::max<std::uint64_t>(servers->lastChange_, 1);
+    result.isAfterRestore_ = servers->isAfterRestore_;
     for (const auto& [id, text] : servers->servers_) {
       ServerEvent event;
       event.id_ = BackendServerId(id);
@@ -506,7 +507,7 @@
     serversEpoch_ = servers->epoch_;
     serversLastChange_ = servers->lastChange_;
     serversReader_ = aReader;
-    feed_.UpdateServers(result.servers_, servers->isComplete_);
+    feed_.UpdateServers(result, servers->isComplete_);
     co_return result;
   }
 
--- a/modules/azurecross_serving/peers/StateFeed.cpp
+++ b/modules/azurecross_serving/peers/StateFeed.cpp
@@ -24,6 +24,9 @@
 constexpr std::uint64_t kMaxAgeMicroseconds = 86'400'000'000;
 /** Longest time for which a request may wait for a change. */
 constexpr std::chrono::milliseconds kMaxWait{ 20000 };
+/** Time for which a feed tells that the store came back from a copy; longer
+ * than the pause of a subscriber between two requests. */
+constexpr Duration kRestoreNoticeTime = std::chrono::seconds(1);
 
 std::uint64_t
 ParseQueryNumber(const HttpRequest& aRequest, std::string_view aName)
@@ -208,6 +211,9 @@
   object["epoch"] = aServers.epoch_;
   object["last"] = aServers.lastChange_;
   object["whole"] = aServers.isComplete_;
+  if (aServers.isAfterRestore_) {
+    object["after_restore"] = true;
+  }
   if (aIsCompressed) {
     object["compressed"] = EncodeText(json::serialize(servers));
   } else {
@@ -255,6 +261,7 @@
   servers.epoch_ = *epoch;
   servers.lastChange_ = *lastChange;
   servers.isComplete_ = isComplete->get_bool();
+  servers.isAfterRestore_ = object->contains("after_restore");
   for (const json::value& entry : list.get_array()) {
     const json::array* pair = entry.if_array();
     if (pair == nullptr || pair->size() != 2 || !(*pair)[0].is_string() ||
@@ -326,9 +333,11 @@
 }
 
 void
-StateFeed::UpdateServers(const std::vector<ServerEvent>& aServers,
-                         bool aIsComplete)
+StateFeed::UpdateServers(const ServersUpdate& aServers, bool aIsComplete)
 {
+  if (aServers.isAfterRestore_) {
+    afterRestoreUntil_ = ReadMonotonicTime() + kRestoreNoticeTime;
+  }
   std::set<std::string> listedIds;
   bool hasChanged = !hasServerList_;
   const auto updateEntry = [&](const std::string& aId,
@@ -340,7 +349,7 @@
       hasChanged = true;
     }
   };
-  for (const ServerEvent& server : aServers) {
+  for (const ServerEvent& server : aServers.servers_) {
     listedIds.insert(server.id_.GetValue());
     updateEntry(server.id_.GetValue(),
                 server.record_ ? server.text_ : std::string());
@@ -369,6 +378,7 @@
   servers.epoch_ = epoch_;
   servers.lastChange_ = changeNumber_;
   servers.isComplete_ = aEpoch != epoch_;
+  servers.isAfterRestore_ = IsAfterRestore();
   for (const auto& [id, entry] : servers_) {
     const bool isIncluded =
       servers.isComplete_ ? !entry.text_.empty() : entry.changeNumber_ > aKnown;
@@ -479,8 +489,11 @@
 const std::string&
 StateFeed::GetCompleteServersText()
 {
-  if (completeServersText_.empty() || completeServersChange_ != changeNumber_) {
+  const bool isAfterRestore = IsAfterRestore();
+  if (completeServersText_.empty() || completeServersChange_ != changeNumber_ ||
+      isCompleteTextAfterRestore_ != isAfterRestore) {
     completeServersChange_ = changeNumber_;
+    isCompleteTextAfterRestore_ = isAfterRestore;
     // No run has the epoch 0, so that the response is complete.
     completeServersText_ =
       FormatServersFeedResponse(MakeServersResponse(0, 0), true);
--- a/modules/azurecross_serving/peers/StateFeed.h
+++ b/modules/azurecross_serving/peers/StateFeed.h
@@ -36,6 +36,9 @@
   std::uint64_t lastChange_ = 0;
   /** Whether the list is complete; otherwise it holds only the changes. */
   bool isComplete_ = false;
+  /** Whether the store has just come back from a copy, so that registrations of
+   * live servers may be missing. */
+  bool isAfterRestore_ = false;
   /** Pairs of id and text; the text is empty for a removed registration. */
   std::vector<std::pair<std::string, std::string>> servers_;
 };
@@ -105,8 +108,7 @@
   /** Updates the registrations to serve.
    * @param aIsComplete whether the list is complete, so that all other servers
    * count as removed. */
-  void UpdateServers(const std::vector<ServerEvent>& aServers,
-                     bool aIsComplete);
+  void UpdateServers(const ServersUpdate& aServers, bool aIsComplete);
 
   /** Sets the live daemons to serve. */
   void SetMembers(std::vector<MemberRecord> aMembers);
@@ -133,6 +135,10 @@
   boost::asio::awaitable<HttpResponse> HandleReadyRequest(HttpRequest aRequest);
   HttpResponse HandleMembersRequest() const;
   bool IsReady() const;
+  bool IsAfterRestore() const
+  {
+    return ReadMonotonicTime() < afterRestoreUntil_;
+  }
   /** @returns the response with the complete list, compressed. */
   const std::string& GetCompleteServersText();
 
@@ -154,6 +160,9 @@
    * subscribers of a relay ask for it at once after a common start. */
   std::string completeServersText_;
   std::uint64_t completeServersChange_ = 0;
+  /** Until this time responses tell that the store came back from a copy. */
+  Time afterRestoreUntil_;
+  bool isCompleteTextAfterRestore_ = false;
   HttpServer server_;
 };
 
--- a/tests/serving_tests/FeedTests.cpp
+++ b/tests/serving_tests/FeedTests.cpp
@@ -51,6 +51,7 @@
     ServersUpdate result;
     result.servers_ = { { record.id_, record, "text" } };
     result.revision_ = 7;
+    result.isAfterRestore_ = isRestored_;
     co_return result;
   }
   /** Doesn't return for five seconds, like a stalled connection. */
@@ -89,6 +90,7 @@
   std::atomic<int> reads_ = 0;
   mutable std::atomic<int> parses_ = 0;
   std::atomic<bool> isDown_ = false;
+  std::atomic<bool> isRestored_ = false;
   std::atomic<std::uint64_t> version_ = 1;
 };
 
@@ -575,6 +577,27 @@
   BOOST_TEST(reader.store_.parses_ == 0);
 }
 
+// Guards against live servers that a daemon behind a reader removes, because
+// the copy from which the store came back lacks them.
+BOOST_FIXTURE_TEST_CASE(ReaderTellsOfARestoredStore, FeedFixture)
+{
+  for (Daemon* reader : readers_) {
+    BOOST_TEST(Read(*reader).has_value());
+    BOOST_TEST(List(*reader).has_value());
+  }
+  const auto before = List(*nonReaders_[0]);
+  BOOST_REQUIRE(before.has_value());
+  BOOST_TEST(!before->isAfterRestore_);
+  for (Daemon* reader : readers_) {
+    reader->store_.isRestored_ = true;
+    BOOST_TEST(List(*reader).has_value());
+  }
+  const auto after = List(*nonReaders_[0]);
+  BOOST_REQUIRE(after.has_value());
+  BOOST_TEST(after->isAfterRestore_);
+  BOOST_TEST(nonReaders_[0]->store_.reads_ == 0);
+}
+
 // Guards against a fleet that reads the store as one when all its daemons start
 // together: the readers had no state yet, and 195 daemons read the tables and
 // the servers themselves.
