--- a/modules/azurecross_dispatch/servers/ServerDirectory.cpp
+++ b/modules/azurecross_dispatch/servers/ServerDirectory.cpp
@@ -2,22 +2,37 @@
 
 namespace azurecross {
 
+namespace {
+
+/** Time for which it is remembered that a server leaves; longer than a server
+ * serves after that, and than its registration may be restored from a copy of
+ * the store. */
+constexpr Duration kLeavingLifetime = std::chrono::minutes(10);
+
+} // namespace
+
 ServerChange
 ServerDirectory::Update(const ServerRecord& aRecord)
 {
   missingSince_.erase(aRecord.id_);
-  const auto [position, isNew] = servers_.try_emplace(aRecord.id_, aRecord);
+  ServerRecord record = aRecord;
+  const auto leaving = leaving_.find(record.id_);
+  if (leaving != leaving_.end() &&
+      leaving->second.startedUnixMs_ == record.startedUnixMs_) {
+    record.state_ = ServerState::Draining;
+  }
+  const auto [position, isNew] = servers_.try_emplace(record.id_, record);
   if (isNew) {
     return ServerChange::Added;
   }
   ServerRecord& known = position->second;
-  if (known == aRecord) {
+  if (known == record) {
     return ServerChange::None;
   }
-  const bool isRestart = known.startedUnixMs_ != aRecord.startedUnixMs_;
+  const bool isRestart = known.startedUnixMs_ != record.startedUnixMs_;
   const bool beganDraining = known.state_ == ServerState::Ready &&
-                             aRecord.state_ == ServerState::Draining;
-  known = aRecord;
+                             record.state_ == ServerState::Draining;
+  known = record;
   if (isRestart) {
     return ServerChange::Restarted;
   }
@@ -36,10 +51,25 @@
   return true;
 }
 
+bool
+ServerDirectory::MarkLeaving(const BackendServerId& aId, Time aNow)
+{
+  const auto found = servers_.find(aId);
+  if (found == servers_.end()) {
+    return false;
+  }
+  leaving_[aId] = Leaving{ found->second.startedUnixMs_, aNow };
+  return MarkDraining(aId);
+}
+
 ServerChange
 ServerDirectory::Remove(const BackendServerId& aId)
 {
   missingSince_.erase(aId);
+  // Without a start time, the next process under the id looks the same.
+  std::erase_if(leaving_, [&](const auto& aEntry) {
+    return aEntry.first == aId && aEntry.second.startedUnixMs_ == 0;
+  });
   return servers_.erase(aId) > 0 ? ServerChange::Removed : ServerChange::None;
 }
 
@@ -66,6 +96,9 @@
 std::vector<BackendServerId>
 ServerDirectory::RemoveExpired(Time aNow)
 {
+  std::erase_if(leaving_, [&](const auto& aEntry) {
+    return aNow - aEntry.second.statedAt_ > kLeavingLifetime;
+  });
   std::vector<BackendServerId> removed;
   for (auto at = missingSince_.begin(); at != missingSince_.end();) {
     if (aNow - at->second < gracePeriod_) {
--- a/modules/azurecross_dispatch/servers/ServerDirectory.h
+++ b/modules/azurecross_dispatch/servers/ServerDirectory.h
@@ -84,10 +84,16 @@
    * @returns the kind of change. */
   ServerChange Update(const ServerRecord& aRecord);
 
-  /** Marks a server as draining after a notice from outside the store.
+  /** Marks a server as draining after a notice from outside the store, until
+   * its registration is read.
    * @returns whether the state changed. */
   bool MarkDraining(const BackendServerId& aId);
 
+  /** Marks a server as draining that has stated in an answer that it leaves. A
+   * registration of the same process that says otherwise is older.
+   * @returns whether the state changed. */
+  bool MarkLeaving(const BackendServerId& aId, Time aNow);
+
   /** Removes a server whose registration was removed in normal operation. */
   ServerChange Remove(const BackendServerId& aId);
 
@@ -113,9 +119,17 @@
   }
 
 private:
+  /** A server process that has stated that it leaves. */
+  struct Leaving
+  {
+    std::int64_t startedUnixMs_ = 0;
+    Time statedAt_;
+  };
+
   Duration gracePeriod_;
   std::map<BackendServerId, ServerRecord> servers_;
   std::map<BackendServerId, Time> missingSince_;
+  std::map<BackendServerId, Leaving> leaving_;
 };
 
 } // namespace azurecross
--- a/modules/azurecross_serving/forward/BackendCall.cpp
+++ b/modules/azurecross_serving/forward/BackendCall.cpp
@@ -120,21 +120,26 @@
     error = co_await SkipStaleResponses(aDeadline);
   }
   if (!error) {
-    RecordServerLimit(aOptions.server_, sentAt);
+    RecordStatements(aOptions.server_, sentAt);
   }
   co_return error;
 }
 
 void
-BackendCall::RecordServerLimit(const BackendServerId& aServer, Time aSentAt)
+BackendCall::RecordStatements(const BackendServerId& aServer, Time aSentAt)
 {
   // Bytes that are not the server's answer state nothing, and neither does
   // another server at the same address.
   const bool isFromServer =
     !info_.isFromOtherServer_ && (info_.isVerified_ || info_.isNotExecuted_);
-  if (isFromServer) {
-    services_.state_.RecordServerLimit(
-      aServer, info_.requestLimit_, aSentAt, ReadMonotonicTime());
+  if (!isFromServer) {
+    return;
+  }
+  const Time now = ReadMonotonicTime();
+  services_.state_.RecordServerLimit(
+    aServer, info_.requestLimit_, aSentAt, now);
+  if (info_.isServerLeaving_) {
+    services_.state_.RecordServerLeaving(aServer, now);
   }
 }
 
--- a/modules/azurecross_serving/forward/BackendCall.h
+++ b/modules/azurecross_serving/forward/BackendCall.h
@@ -61,8 +61,8 @@
   /** Skips late responses to earlier requests on the connection. */
   boost::asio::awaitable<std::optional<Error>> SkipStaleResponses(
     Time aDeadline);
-  /** Records the rate limit that the response states, or that it has none. */
-  void RecordServerLimit(const BackendServerId& aServer, Time aSentAt);
+  /** Records what the response states about the server itself. */
+  void RecordStatements(const BackendServerId& aServer, Time aSentAt);
   bool IsHeadRequest() const;
 
   ForwardServices& services_;
--- a/modules/azurecross_serving/state/ServingState.cpp
+++ b/modules/azurecross_serving/state/ServingState.cpp
@@ -107,17 +107,19 @@
     loadTracker_.Restart(aRecord.id_, aNow);
     limiter_.GetTable().Forget(aRecord.id_, aNow);
   }
-  loadTracker_.Update(aRecord, FindEngineTraits(aRecord.pool_), aNow);
+  // The state can differ from that of a registration that is out of date.
+  const ServerRecord record = *directory_.Find(aRecord.id_);
+  loadTracker_.Update(record, FindEngineTraits(record.pool_), aNow);
   log_.Write(Decision::ServerChanged,
-             { { "backend_server", aRecord.id_ },
+             { { "backend_server", record.id_ },
                { "change", kServerChangeNames.FindName(change) },
-               { "pool", aRecord.pool_ },
-               { "address", aRecord.address_.Format() },
-               { "availability_zone", aRecord.zone_ },
-               { "state", kServerStateNames.FindName(aRecord.state_) },
-               { "slots", aRecord.slots_ } });
-  if (aRecord.state_ == ServerState::Draining && !wasDraining) {
-    MarkLeaving(aRecord.id_, aNow);
+               { "pool", record.pool_ },
+               { "address", record.address_.Format() },
+               { "availability_zone", record.zone_ },
+               { "state", kServerStateNames.FindName(record.state_) },
+               { "slots", record.slots_ } });
+  if (record.state_ == ServerState::Draining && !wasDraining) {
+    MarkLeaving(record.id_, aNow);
   }
 }
 
@@ -158,9 +160,24 @@
                                   std::string_view aSource,
                                   Time aNow)
 {
-  if (isStoreReachable_ || !directory_.MarkDraining(aServer)) {
-    return;
+  if (!isStoreReachable_ && directory_.MarkDraining(aServer)) {
+    ApplyDraining(aServer, aSource, aNow);
   }
+}
+
+void
+ServingState::RecordServerLeaving(const BackendServerId& aServer, Time aNow)
+{
+  if (directory_.MarkLeaving(aServer, aNow)) {
+    ApplyDraining(aServer, "stated in an answer", aNow);
+  }
+}
+
+void
+ServingState::ApplyDraining(const BackendServerId& aServer,
+                            std::string_view aSource,
+                            Time aNow)
+{
   const ServerRecord& record = *directory_.Find(aServer);
   loadTracker_.Update(record, FindEngineTraits(record.pool_), aNow);
   log_.Write(
--- a/modules/azurecross_serving/state/ServingState.h
+++ b/modules/azurecross_serving/state/ServingState.h
@@ -73,6 +73,9 @@
   void HandleLeavingNotice(const BackendServerId& aServer,
                            std::string_view aSource,
                            Time aNow);
+  /** Marks a server as draining that has stated in an answer that it leaves,
+   * whether the store is reachable or not. */
+  void RecordServerLeaving(const BackendServerId& aServer, Time aNow);
   /** @returns the servers that started to leave within the last seconds, to be
    * reported to other daemons. */
   std::vector<BackendServerId> GetLeavingServers() const;
@@ -179,6 +182,10 @@
                     std::string_view aReason,
                     Time aNow);
   void MarkLeaving(const BackendServerId& aId, Time aNow);
+  /** Applies that a server drains by a notice from outside the store. */
+  void ApplyDraining(const BackendServerId& aServer,
+                     std::string_view aSource,
+                     Time aNow);
   void LogQuarantineEvents(Time aNow);
   void LogLimitChanges();
 
--- a/modules/azurecross_serving/wire/WireProtocol.h
+++ b/modules/azurecross_serving/wire/WireProtocol.h
@@ -68,6 +68,8 @@
    */
   bool isVerified_ = false;
   bool isEventStream_ = false;
+  /** Whether the server states that it leaves and takes no new requests. */
+  bool isServerLeaving_ = false;
   /** The requests per second that the server takes from all daemons together,
    * if it states a limit. */
   std::optional<double> requestLimit_;
--- a/tests/dispatch_tests/DirectoryTests.cpp
+++ b/tests/dispatch_tests/DirectoryTests.cpp
@@ -35,6 +35,27 @@
   BOOST_CHECK(directory.Update(record) == ServerChange::BeganDraining);
 }
 
+// Guards against requests to a server that has stated that it leaves, because
+// its registration still says that it is ready or comes back from a copy.
+BOOST_AUTO_TEST_CASE(LeavingServerStaysDraining)
+{
+  ServerDirectory directory(std::chrono::seconds(2));
+  ServerRecord record = MakeEngine("e1");
+  record.startedUnixMs_ = 1;
+  directory.Update(record);
+  BOOST_TEST(directory.MarkLeaving(record.id_, At(0)));
+  BOOST_TEST(!directory.MarkLeaving(record.id_, At(1)));
+  const auto getState = [&] { return directory.Find(record.id_)->state_; };
+  directory.Update(record);
+  BOOST_CHECK(getState() == ServerState::Draining);
+  directory.Remove(record.id_);
+  directory.Update(record);
+  BOOST_CHECK(getState() == ServerState::Draining);
+  record.startedUnixMs_ = 2;
+  BOOST_CHECK(directory.Update(record) == ServerChange::Restarted);
+  BOOST_CHECK(getState() == ServerState::Ready);
+}
+
 // Guards against handling the same notice from other daemons twice.
 BOOST_AUTO_TEST_CASE(DrainingIsReportedOnce)
 {
--- /dev/null
+++ b/tests/serving_tests/StatementTests.cpp
@@ -0,0 +1,59 @@
+#include "ServingFixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <string>
+
+namespace azurecross {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** @returns a server that counts requests and answers with these headers. */
+FakeBackendServer::Script
+MakeServer(std::atomic<int>& aRequests,
+           const std::string& aStatus,
+           const std::string& aHeaders)
+{
+  return [&aRequests, aStatus, aHeaders](FakeConnection& aConnection) {
+    while (!aConnection.ReadRequest().empty()) {
+      ++aRequests;
+      aConnection.Send("HTTP/1.1 " + aStatus + "\r\nX-Request-Id: " +
+                       aConnection.FindHeader("X-Request-Id") + "\r\n" +
+                       aHeaders + "Content-Length: 0\r\n\r\n");
+    }
+  };
+}
+
+} // namespace
+
+// Guards against requests to a server that has stated that it leaves, while the
+// store is silent and while its registration still says that it is ready.
+BOOST_FIXTURE_TEST_CASE(LeavingServerGetsNoFurtherRequests, ServingFixture)
+{
+  for (const bool isStoreReachable : { true, false }) {
+    const std::string name = isStoreReachable ? "reachable" : "silent";
+    std::atomic<int> leavingRequests = 0;
+    std::atomic<int> otherRequests = 0;
+    FakeBackendServer leaving(
+      MakeServer(leavingRequests, "200 OK", "X-Leaving: 1\r\n"));
+    SetTables(MakeTables());
+    Run([&] { GetState().SetStoreReachable(isStoreReachable); });
+    AddServer("leaving " + name, "desk", leaving);
+    BOOST_TEST(Call(MakeRequest("/safe/x")).status_ == 200U);
+    BOOST_TEST(leavingRequests == 1);
+    FakeBackendServer other(MakeServer(otherRequests, "200 OK", ""));
+    AddServer("other " + name, "desk", other);
+    AddServer("leaving " + name, "desk", leaving);
+    for (int call = 0; call < 10; ++call) {
+      BOOST_TEST(Call(MakeRequest("/safe/x")).status_ == 200U);
+    }
+    BOOST_TEST(leavingRequests == 1);
+    BOOST_TEST(otherRequests == 10);
+    SetDraining("other " + name, "desk", other);
+  }
+}
+
+} // namespace azurecross
--- a/tests/serving_tests/TestWireProtocol.cpp
+++ b/tests/serving_tests/TestWireProtocol.cpp
@@ -72,6 +72,7 @@
   info.isNotExecuted_ = !FindHeader(aHead, "X-Not-Run").empty();
   info.isFromOtherServer_ = aHead.result_int() == 421;
   info.isVerified_ = id == aAttemptId;
+  info.isServerLeaving_ = !FindHeader(aHead, "X-Leaving").empty();
   const std::string limit = FindHeader(aHead, "X-Limit");
   if (!limit.empty()) {
     info.requestLimit_ = std::stod(limit);
