--- a/modules/azurecross_dispatch/placement/ServerLoadTracker.cpp
+++ b/modules/azurecross_dispatch/placement/ServerLoadTracker.cpp
@@ -179,9 +179,19 @@
   load.prefixIndexId_ = nextPrefixIndexId_++;
   load.consecutiveFailures_ = 0;
   load.suspectUntil_ = Time();
+  load.pausedUntil_ = Time();
   load.ownStatistics_.Reset();
 }
 
+void
+ServerLoadTracker::Pause(const BackendServerId& aServer, Time aUntil)
+{
+  const auto found = servers_.find(aServer);
+  if (found != servers_.end()) {
+    found->second.pausedUntil_ = std::max(found->second.pausedUntil_, aUntil);
+  }
+}
+
 void
 ServerLoadTracker::Remove(const BackendServerId& aServer)
 {
--- a/modules/azurecross_dispatch/placement/ServerLoadTracker.h
+++ b/modules/azurecross_dispatch/placement/ServerLoadTracker.h
@@ -123,6 +123,8 @@
   Time warmUpEnd_;
   /** Until this time placement avoids the server, which was unreachable. */
   Time suspectUntil_;
+  /** Until this time the server wants no requests from this daemon. */
+  Time pausedUntil_;
   std::uint32_t consecutiveFailures_ = 0;
   /** Statistics of this daemon. */
   DecayingStatistics ownStatistics_;
@@ -167,6 +169,8 @@
               Time aNow);
   /** Discards the statistics and cached prefixes of a restarted server. */
   void Restart(const BackendServerId& aServer, Time aNow);
+  /** Sends a server nothing until this time. */
+  void Pause(const BackendServerId& aServer, Time aUntil);
   /** Marks a server as draining and removes it if it has no runs. */
   void Remove(const BackendServerId& aServer);
 
--- a/modules/azurecross_dispatch/placement/ServerPlacement.cpp
+++ b/modules/azurecross_dispatch/placement/ServerPlacement.cpp
@@ -65,10 +65,12 @@
 
 bool
 ServerPlacement::IsUsable(const ServerLoad& aServer,
-                          const PlacementRequest& aRequest) const
+                          const PlacementRequest& aRequest,
+                          Time aNow) const
 {
   return aServer.record_.pool_ == aRequest.pool_ &&
          aServer.record_.state_ == ServerState::Ready &&
+         aNow >= aServer.pausedUntil_ &&
          std::find(aRequest.excludedServers_.begin(),
                    aRequest.excludedServers_.end(),
                    aServer.record_.id_) == aRequest.excludedServers_.end();
@@ -215,7 +217,7 @@
   std::optional<PlacementChoice> best;
   bool hasAlternative = false;
   for (const auto& [id, server] : aLoadTracker.GetServers()) {
-    if (!IsUsable(server, aRequest)) {
+    if (!IsUsable(server, aRequest, aNow)) {
       continue;
     }
     auto choice = RateServer(aLoadTracker, aLimiter, server, aRequest, aNow);
--- a/modules/azurecross_dispatch/placement/ServerPlacement.h
+++ b/modules/azurecross_dispatch/placement/ServerPlacement.h
@@ -81,7 +81,8 @@
 
 private:
   bool IsUsable(const ServerLoad& aServer,
-                const PlacementRequest& aRequest) const;
+                const PlacementRequest& aRequest,
+                Time aNow) const;
   /** @param aPermitWait the wait for the permit of a limited server. */
   std::optional<PlacementChoice> RateEngine(
     const ServerLoadTracker& aLoadTracker,
--- a/modules/azurecross_dispatch/queue/Dispatcher.cpp
+++ b/modules/azurecross_dispatch/queue/Dispatcher.cpp
@@ -97,7 +97,7 @@
 }
 
 double
-Dispatcher::EstimatePermitWait(const DispatchTicket& aTicket, Time aNow) const
+Dispatcher::EstimateServerWait(const DispatchTicket& aTicket, Time aNow) const
 {
   std::optional<Duration> shortest;
   for (const auto& [id, server] : loadTracker_.GetServers()) {
@@ -106,10 +106,12 @@
     }
     const PermitStatus permit =
       limiter_.FindStatus(id, GetMaxPermitWait(aTicket, aNow), aNow);
-    if (permit.state_ != PermitState::Unavailable) {
+    const bool isPaused = aNow < server.pausedUntil_;
+    if (permit.state_ != PermitState::Unavailable && !isPaused) {
       return 0.0;
     }
-    shortest = std::min(shortest.value_or(permit.wait_), permit.wait_);
+    const Duration wait = std::max(permit.wait_, server.pausedUntil_ - aNow);
+    shortest = std::min(shortest.value_or(wait), wait);
   }
   return ToSeconds(shortest.value_or(Duration::zero()));
 }
@@ -169,7 +171,7 @@
 double
 Dispatcher::EstimateWait(const DispatchTicket& aTicket, Time aNow) const
 {
-  const double permitWait = EstimatePermitWait(aTicket, aNow);
+  const double serverWait = EstimateServerWait(aTicket, aNow);
   std::size_t ahead = 0;
   for (const auto& [key, queue] : queues_) {
     if (key.first == aTicket.request_.pool_ &&
@@ -178,7 +180,7 @@
     }
   }
   if (ahead == 0) {
-    return permitWait;
+    return serverWait;
   }
   // Capacity becomes free at the rate at which current runs end, and this
   // daemon gets a part in proportion to its own runs.
@@ -191,7 +193,7 @@
   const auto average = runSeconds_.find(aTicket.request_.pool_);
   const double seconds =
     average == runSeconds_.end() ? kAssumedRunSeconds : average->second;
-  return std::max(permitWait,
+  return std::max(serverWait,
                   static_cast<double>(ahead) * seconds /
                     std::max<double>(ownRuns, 1.0));
 }
--- a/modules/azurecross_dispatch/queue/Dispatcher.h
+++ b/modules/azurecross_dispatch/queue/Dispatcher.h
@@ -120,9 +120,9 @@
    * @returns the server, if the request can start now. */
   std::optional<PlacementChoice> ChooseServer(QueueEntry& aEntry, Time aNow);
   double EstimateWait(const DispatchTicket& aTicket, Time aNow) const;
-  /** @returns the wait until the first permit, in seconds, if all servers are
-   * limited and have no permits left. */
-  double EstimatePermitWait(const DispatchTicket& aTicket, Time aNow) const;
+  /** @returns the wait, in seconds, until the first server takes requests, if
+   * all of them are paused or limited without permits left. */
+  double EstimateServerWait(const DispatchTicket& aTicket, Time aNow) const;
   std::size_t CountLimitedServers(const PoolName& aPool) const;
   void Refuse(TicketId aTicket, Time aNow, DispatchDecisions& aOut);
   /** Refuses the ticket, which is not queued, if a part of its prompt is in
--- a/modules/azurecross_serving/forward/BackendCall.cpp
+++ b/modules/azurecross_serving/forward/BackendCall.cpp
@@ -138,6 +138,9 @@
   const Time now = ReadMonotonicTime();
   services_.state_.RecordServerLimit(
     aServer, info_.requestLimit_, aSentAt, now);
+  if (info_.pause_) {
+    services_.state_.PauseServer(aServer, *info_.pause_, now);
+  }
   if (info_.isServerLeaving_) {
     services_.state_.RecordServerLeaving(aServer, now);
   }
--- a/modules/azurecross_serving/log/DecisionLog.h
+++ b/modules/azurecross_serving/log/DecisionLog.h
@@ -35,10 +35,11 @@
   EngineExamined,
   PromptQuarantineChanged,
   ServerLimitChanged,
+  ServerPaused,
   RecordsDropped,
 };
 
-inline constexpr NameTable<Decision, 25> kDecisionNames{
+inline constexpr NameTable<Decision, 26> kDecisionNames{
   { { { Decision::Started, "started" },
       { Decision::Stopping, "stopping" },
       { Decision::Stopped, "stopped" },
@@ -63,6 +64,7 @@
       { Decision::EngineExamined, "engine_examined" },
       { Decision::PromptQuarantineChanged, "prompt_quarantine_changed" },
       { Decision::ServerLimitChanged, "server_limit_changed" },
+      { Decision::ServerPaused, "server_paused" },
       { Decision::RecordsDropped, "records_dropped" } } }
 };
 
--- a/modules/azurecross_serving/moves/DrainProbe.cpp
+++ b/modules/azurecross_serving/moves/DrainProbe.cpp
@@ -71,6 +71,7 @@
     const bool canMove = server.engine_ && server.engine_->canMove_;
     if (canMove && server.ownUsage_.runs_ > 0 &&
         server.record_.state_ == ServerState::Ready &&
+        ReadMonotonicTime() >= server.pausedUntil_ &&
         tracker.IsDesignatedUser(peers_.GetName(), id)) {
       engines.push_back(server.record_);
     }
--- a/modules/azurecross_serving/state/ServingState.cpp
+++ b/modules/azurecross_serving/state/ServingState.cpp
@@ -165,6 +165,16 @@
   }
 }
 
+void
+ServingState::PauseServer(const BackendServerId& aServer,
+                          Duration aTime,
+                          Time aNow)
+{
+  loadTracker_.Pause(aServer, aNow + aTime);
+  log_.Write(Decision::ServerPaused,
+             { { "backend_server", aServer }, { "for_s", ToSeconds(aTime) } });
+}
+
 void
 ServingState::RecordServerLeaving(const BackendServerId& aServer, Time aNow)
 {
--- a/modules/azurecross_serving/state/ServingState.h
+++ b/modules/azurecross_serving/state/ServingState.h
@@ -73,6 +73,8 @@
   void HandleLeavingNotice(const BackendServerId& aServer,
                            std::string_view aSource,
                            Time aNow);
+  /** Sends a server nothing for some time, because it asked for that. */
+  void PauseServer(const BackendServerId& aServer, Duration aTime, Time aNow);
   /** Marks a server as draining that has stated in an answer that it leaves,
    * whether the store is reachable or not. */
   void RecordServerLeaving(const BackendServerId& aServer, Time aNow);
--- a/modules/azurecross_serving/wire/WireProtocol.h
+++ b/modules/azurecross_serving/wire/WireProtocol.h
@@ -68,6 +68,9 @@
    */
   bool isVerified_ = false;
   bool isEventStream_ = false;
+  /** How long a server that turned the request away wants no others from this
+   * daemon, if it states that. */
+  std::optional<Duration> pause_;
   /** Whether the server states that it leaves and takes no new requests. */
   bool isServerLeaving_ = false;
   /** The requests per second that the server takes from all daemons together,
--- a/tests/serving_tests/StatementTests.cpp
+++ b/tests/serving_tests/StatementTests.cpp
@@ -56,4 +56,36 @@
   }
 }
 
+// Guards against requests to a server that has turned one away and named the
+// time for which it wants no others.
+BOOST_FIXTURE_TEST_CASE(PausedServerGetsNothingForThatTime, ServingFixture)
+{
+  std::atomic<int> busyRequests = 0;
+  std::atomic<int> otherRequests = 0;
+  FakeBackendServer busy(MakeServer(busyRequests,
+                                    "503 Service Unavailable",
+                                    "X-Not-Run: 1\r\nX-Pause-Ms: 600\r\n"));
+  FakeBackendServer other(MakeServer(otherRequests, "200 OK", ""));
+  SetTables(MakeTables());
+  AddServer("busy", "desk", busy);
+  const CallerAnswer refused =
+    Call(MakeRequest("/safe/x", "X-Time-Ms: 300\r\n"));
+  BOOST_TEST(refused.FindHeader("X-Azurecross-Verdict") == "not_run");
+  BOOST_TEST(busyRequests == 1);
+  // Refused at once, since the pause outlasts the caller.
+  const Time start = ReadMonotonicTime();
+  BOOST_TEST(Call(MakeRequest("/safe/x", "X-Time-Ms: 300\r\n"))
+               .FindHeader("X-Azurecross-Verdict") == "not_run");
+  BOOST_TEST(ToSeconds(ReadMonotonicTime() - start) < 0.1);
+  AddServer("other", "desk", other);
+  for (int call = 0; call < 10; ++call) {
+    BOOST_TEST(Call(MakeRequest("/safe/x")).status_ == 200U);
+  }
+  BOOST_TEST(busyRequests == 1);
+  std::this_thread::sleep_for(700ms);
+  SetDraining("other", "desk", other);
+  Call(MakeRequest("/safe/x", "X-Time-Ms: 300\r\n"));
+  BOOST_TEST(busyRequests == 2);
+}
+
 } // namespace azurecross
--- a/tests/serving_tests/TestWireProtocol.cpp
+++ b/tests/serving_tests/TestWireProtocol.cpp
@@ -72,6 +72,10 @@
   info.isNotExecuted_ = !FindHeader(aHead, "X-Not-Run").empty();
   info.isFromOtherServer_ = aHead.result_int() == 421;
   info.isVerified_ = id == aAttemptId;
+  const std::string pause = FindHeader(aHead, "X-Pause-Ms");
+  if (!pause.empty()) {
+    info.pause_ = std::chrono::milliseconds(std::stoi(pause));
+  }
   info.isServerLeaving_ = !FindHeader(aHead, "X-Leaving").empty();
   const std::string limit = FindHeader(aHead, "X-Limit");
   if (!limit.empty()) {
