--- a/modules/azurecross_dispatch/placement/ServerLoadTracker.h
+++ b/modules/azurecross_dispatch/placement/ServerLoadTracker.h
@@ -123,7 +123,7 @@
   Time warmUpEnd_;
   /** Until this time placement avoids the server, which was unreachable. */
   Time suspectUntil_;
-  /** Until this time the server wants no requests from this daemon. */
+  /** Until this time this daemon sends the server nothing, at its request. */
   Time pausedUntil_;
   std::uint32_t consecutiveFailures_ = 0;
   /** Statistics of this daemon. */
--- a/modules/azurecross_dispatch/servers/ServerDirectory.cpp
+++ b/modules/azurecross_dispatch/servers/ServerDirectory.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 /** Time for which it is remembered that a server leaves; longer than a server
- * serves after that, and than its registration may be restored from a copy of
+ * serves after that, and than its registration may be restored with a backup of
  * the store. */
 constexpr Duration kLeavingLifetime = std::chrono::minutes(10);
 
--- a/modules/azurecross_serving/peers/RelayedStateSource.h
+++ b/modules/azurecross_serving/peers/RelayedStateSource.h
@@ -85,7 +85,7 @@
              : ReadMonotonicTime() + readerSelector_.GetStoreRetryInterval();
     if (result) {
       PublishTables(*result);
-      // A store that came back from a copy may be behind this daemon.
+      // A store that was restored from a backup may be behind this daemon.
       if (result->GetVersion() >= knownVersion_) {
         feed_.ConfirmTables(sentAt);
       }
--- a/modules/azurecross_serving/peers/StateFeed.cpp
+++ b/modules/azurecross_serving/peers/StateFeed.cpp
@@ -24,8 +24,8 @@
 constexpr std::uint64_t kMaxAgeMicroseconds = 86'400'000'000;
 /** Longest time for which a request may wait for a change. */
 constexpr std::chrono::milliseconds kMaxWait{ 20000 };
-/** Time for which a feed tells that the store came back from a copy; longer
- * than the pause of a subscriber between two requests. */
+/** Time for which a feed tells that the store was restored from a backup;
+ * longer than the pause of a subscriber between two requests. */
 constexpr Duration kRestoreNoticeTime = std::chrono::seconds(1);
 
 std::uint64_t
--- a/modules/azurecross_serving/peers/StateFeed.h
+++ b/modules/azurecross_serving/peers/StateFeed.h
@@ -36,8 +36,8 @@
   std::uint64_t lastChange_ = 0;
   /** Whether the list is complete; otherwise it holds only the changes. */
   bool isComplete_ = false;
-  /** Whether the store has just come back from a copy, so that registrations of
-   * live servers may be missing. */
+  /** Whether the store has just been restored from a backup, so that
+   * registrations of live servers may be missing. */
   bool isAfterRestore_ = false;
   /** Pairs of id and text; the text is empty for a removed registration. */
   std::vector<std::pair<std::string, std::string>> servers_;
@@ -160,7 +160,8 @@
    * subscribers of a relay ask for it at once after a common start. */
   std::string completeServersText_;
   std::uint64_t completeServersChange_ = 0;
-  /** Until this time responses tell that the store came back from a copy. */
+  /** Until this time responses tell that the store was restored from a backup.
+   */
   Time afterRestoreUntil_;
   bool isCompleteTextAfterRestore_ = false;
   HttpServer server_;
--- a/modules/azurecross_serving/state/ServingState.h
+++ b/modules/azurecross_serving/state/ServingState.h
@@ -45,7 +45,7 @@
   void ApplyTables(std::optional<ServingTables::Content> aContent, Time aNow);
   /** Records that a read of the store returned these tables. It confirms the
    * current ones as the newest unless they or those of a peer are newer: a
-   * store that came back from a copy lacks the last changes until they are
+   * store that was restored from a backup lacks the last changes until they are
    * written again.
    * @param aVersion the version that was read, or 0 if there are no tables.
    * @param aSentAt boot time at which the read was sent. */
--- a/modules/azurecross_serving/state/StateSource.h
+++ b/modules/azurecross_serving/state/StateSource.h
@@ -51,8 +51,8 @@
 {
   std::vector<ServerEvent> servers_;
   std::uint64_t revision_ = 0;
-  /** Whether the store has just come back from a copy, so that registrations of
-   * live servers may be missing. */
+  /** Whether the store has just been restored from a backup, so that
+   * registrations of live servers may be missing. */
   bool isAfterRestore_ = false;
 };
 
--- a/modules/azurecross_serving/wire/WireProtocol.h
+++ b/modules/azurecross_serving/wire/WireProtocol.h
@@ -68,8 +68,8 @@
    */
   bool isVerified_ = false;
   bool isEventStream_ = false;
-  /** How long a server that turned the request away wants no others from this
-   * daemon, if it states that. */
+  /** How long a server that rejected the request asks this daemon to send it
+   * nothing, if it states that. */
   std::optional<Duration> pause_;
   /** Whether the server states that it leaves and takes no new requests. */
   bool isServerLeaving_ = false;
--- a/tests/dispatch_tests/DirectoryTests.cpp
+++ b/tests/dispatch_tests/DirectoryTests.cpp
@@ -36,7 +36,7 @@
 }
 
 // Guards against requests to a server that has stated that it leaves, because
-// its registration still says that it is ready or comes back from a copy.
+// its registration still says that it is ready or is restored from a backup.
 BOOST_AUTO_TEST_CASE(LeavingServerStaysDraining)
 {
   ServerDirectory directory(std::chrono::seconds(2));
--- a/tests/serving_tests/StateTests.cpp
+++ b/tests/serving_tests/StateTests.cpp
@@ -55,7 +55,7 @@
 }
 
 // Guards against keys that stay valid after they were removed: a store that
-// came back from a copy holds older tables than this daemon or its peers.
+// was restored from a backup holds older tables than this daemon or its peers.
 BOOST_FIXTURE_TEST_CASE(OlderTablesOfTheStoreConfirmNothing, StateFixture)
 {
   const auto isFresh = [&] {
--- a/tests/serving_tests/StatementTests.cpp
+++ b/tests/serving_tests/StatementTests.cpp
@@ -56,8 +56,8 @@
   }
 }
 
-// Guards against requests to a server that has turned one away and named the
-// time for which it wants no others.
+// Guards against requests to a busy server before the end of the time that it
+// has named in a rejection.
 BOOST_FIXTURE_TEST_CASE(PausedServerGetsNothingForThatTime, ServingFixture)
 {
   std::atomic<int> busyRequests = 0;
--- a/tests/serving_tests/SyncTests.cpp
+++ b/tests/serving_tests/SyncTests.cpp
@@ -244,8 +244,8 @@
   BOOST_TEST(store_.renewals_ >= 1);
 }
 
-// Guards against live servers that get no requests, because the copy from which
-// the store came back lacks them until they have registered again.
+// Guards against live servers that get no requests, because the backup of the
+// store lacks them until they have registered again.
 BOOST_FIXTURE_TEST_CASE(ServersMissingAfterARestoreAreKept, SyncFixture)
 {
   ServerRecord record;
