Compose the head of a scripted response once

Change: the fixed part of the response is composed outside the loop; the test sends the same fields in another order and checks the same.

--- a/tests/serving_tests/StatementTests.cpp
+++ b/tests/serving_tests/StatementTests.cpp
@@ -17,12 +17,13 @@
            const std::string& aStatus,
            const std::string& aHeaders)
 {
-  return [&aRequests, aStatus, aHeaders](FakeConnection& aConnection) {
+  const std::string head = "HTTP/1.1 " + aStatus + "\r\n" + aHeaders +
+                           "Content-Length: 0\r\nX-Request-Id: ";
+  return [&aRequests, head](FakeConnection& aConnection) {
     while (!aConnection.ReadRequest().empty()) {
       ++aRequests;
-      aConnection.Send("HTTP/1.1 " + aStatus + "\r\nX-Request-Id: " +
-                       aConnection.FindHeader("X-Request-Id") + "\r\n" +
-                       aHeaders + "Content-Length: 0\r\n\r\n");
+      aConnection.Send(head + aConnection.FindHeader("X-Request-Id") +
+                       "\r\n\r\n");
     }
   };
 }
