Separate the store calls of order leases from the shell that gives orders

Cause: the calls that take and renew the lease of engine orders could not be tested without engines, groups and tables. Change: OrderLeaseClient holds them, for any StoreClient; a lost lease is logged. The fixture with a stand-in of the platform moves to the test support, so that other test programs can use it. No change of behaviour but the log line. Ruled out: a test of OrderShell as a whole, which needs 3 s for each renewal.

--- a/modules/azurecross_control/azurecross_control.h
+++ b/modules/azurecross_control/azurecross_control.h
@@ -20,6 +20,7 @@
 #include "operations/OperationShell.h"
 #include "operations/OperationWire.h"
 #include "orders/EngineStateReport.h"
+#include "orders/OrderLeaseClient.h"
 #include "orders/OrderShell.h"
 #include "pacing/PeakKeeper.h"
 #include "pacing/PeakShell.h"
--- a/modules/azurecross_control/orders/OrderShell.cpp
+++ b/modules/azurecross_control/orders/OrderShell.cpp
@@ -44,7 +44,7 @@
                        EtcdClient& aStore)
   : context_(aContext)
   , settings_(aSettings)
-  , store_(aStore)
+  , leases_(aStore, aSettings.entryId_.GetValue())
   , client_(aContext.get_executor())
   , map_(std::make_shared<GroupMap>())
 {
@@ -144,8 +144,8 @@
 void
 OrderShell::Do(const GroupPointer& aGroup, const ReleaseOrderLease&)
 {
-  asio::co_spawn(context_, Revoke(aGroup->lease_), asio::detached);
-  aGroup->lease_ = LeaseId();
+  asio::co_spawn(context_, Revoke(aGroup->grant_.lease_), asio::detached);
+  aGroup->grant_ = {};
 }
 
 void
@@ -163,43 +163,32 @@
 asio::awaitable<void>
 OrderShell::Acquire(GroupPointer aGroup, Duration aTimeToLive)
 {
-  const auto lease = co_await store_.GrantLease(
-    std::chrono::duration_cast<std::chrono::seconds>(aTimeToLive));
-  if (lease.has_error()) {
+  const auto grant = co_await leases_.Acquire(aGroup->key_, aTimeToLive);
+  if (grant.has_error()) {
     aGroup->controller_.HandleLeaseFailure();
-    co_return;
-  }
-  Transaction transaction;
-  transaction.compares_.push_back(
-    { aGroup->key_, CompareTarget::CreateRevision, 0 });
-  transaction.success_.emplace_back(
-    PutRequest{ aGroup->key_, settings_.entryId_.GetValue(), lease->id_ });
-  const auto answer = co_await store_.Commit(std::move(transaction));
-  if (answer.has_error()) {
-    // The key may have been written; its lease then expires by itself.
-    aGroup->controller_.HandleLeaseFailure();
-    co_return;
-  }
-  if (!answer->succeeded_) {
+  } else if (!*grant) {
     aGroup->controller_.HandleLeaseLost();
-    co_await Revoke(lease->id_);
-    co_return;
+  } else {
+    aGroup->grant_ = **grant;
+    aGroup->controller_.HandleLeaseAcquired(aGroup->grant_.fencing_,
+                                            ReadMonotonicTime());
   }
-  aGroup->lease_ = lease->id_;
-  aGroup->controller_.HandleLeaseAcquired(FencingNumber(answer->storeRevision_),
-                                          ReadMonotonicTime());
 }
 
 asio::awaitable<void>
 OrderShell::Renew(GroupPointer aGroup)
 {
-  const auto lease = co_await store_.KeepLease(aGroup->lease_);
-  if (lease.has_error()) {
+  const auto isHeld = co_await leases_.Renew(aGroup->grant_);
+  if (isHeld.has_error()) {
     aGroup->controller_.HandleLeaseFailure();
-  } else if (lease->timeToLive_.count() == 0) {
-    aGroup->controller_.HandleLeaseLost();
-  } else {
+  } else if (*isHeld) {
     aGroup->controller_.HandleLeaseRenewed();
+  } else {
+    WriteLog(LogLevel::Warning,
+             "order lease lost",
+             { { "key", aGroup->key_ },
+               { "fencing", aGroup->grant_.fencing_.GetValue() } });
+    aGroup->controller_.HandleLeaseLost();
   }
 }
 
@@ -208,7 +197,7 @@
 {
   if (aLease.GetValue() != 0) {
     // A lease that is not revoked expires by itself.
-    co_await store_.RevokeLease(aLease);
+    co_await leases_.Release(aLease);
   }
 }
 
--- a/modules/azurecross_control/orders/OrderShell.h
+++ b/modules/azurecross_control/orders/OrderShell.h
@@ -2,6 +2,7 @@
 
 #include "../groups/GroupDirectory.h"
 #include "../plane/ControlSettings.h"
+#include "OrderLeaseClient.h"
 
 #include <azurecross_http/azurecross_http.h>
 #include <azurecross_orders/azurecross_orders.h>
@@ -46,7 +47,7 @@
 
     OrderController controller_;
     std::string key_;
-    LeaseId lease_;
+    OrderLeaseGrant grant_;
   };
 
   using GroupPointer = std::shared_ptr<Group>;
@@ -73,7 +74,7 @@
 
   boost::asio::io_context& context_;
   const ControlSettings& settings_;
-  EtcdClient& store_;
+  OrderLeaseClient<EtcdClient> leases_;
   HttpClient client_;
   std::shared_ptr<const GroupMap> map_;
   std::map<GroupId, GroupPointer> groups_;
--- a/tests/store_tests/CommandTests.cpp
+++ b/tests/store_tests/CommandTests.cpp
@@ -1,4 +1,4 @@
-#include "PlatformFixture.h"
+#include "test_support/PlatformFixture.h"
 
 #include <azurecross/Commands.h>
 #include <azurecross/EntryStatus.h>
--- a/tests/store_tests/WatcherTests.cpp
+++ b/tests/store_tests/WatcherTests.cpp
@@ -1,4 +1,4 @@
-#include "PlatformFixture.h"
+#include "test_support/PlatformFixture.h"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/cancellation_signal.hpp>
