--- a/apps/platform_standin/StandinStore.cpp
+++ b/apps/platform_standin/StandinStore.cpp
@@ -269,7 +269,7 @@
 StandinStore::Backup
 StandinStore::MakeBackup() const
 {
-  return { keyValues_, revision_ };
+  return { keyValues_, revision_, lastLease_ };
 }
 
 void
@@ -277,6 +277,7 @@
 {
   keyValues_ = aBackup.keyValues_;
   revision_ = aBackup.revision_;
+  lastLease_ = aBackup.lastLease_;
   events_.clear();
   leases_.clear();
   compactRevision_ = revision_;
--- a/apps/platform_standin/StandinStore.h
+++ b/apps/platform_standin/StandinStore.h
@@ -17,11 +17,12 @@
 class StandinStore
 {
 public:
-  /** The keys, revision and leases at one moment, as a backup has them. */
+  /** The keys and counters at one moment, as a backup has them. */
   struct Backup
   {
     std::map<std::string, KeyValue> keyValues_;
     std::int64_t revision_ = 1;
+    std::int64_t lastLease_ = 0;
   };
 
   Result<RangeAnswer> Range(const RangeRequest& aRequest) const;
@@ -44,7 +45,8 @@
   std::int64_t GetCompactRevision() const { return compactRevision_; }
 
   Backup MakeBackup() const;
-  /** Goes back to a backup; all leases and the event history are lost. */
+  /** Goes back to a backup; all leases and the event history are lost, and
+   * revisions and ids of leases are given out again. */
   void Restore(const Backup& aBackup);
 
 private:
--- a/modules/azurecross_control/orders/OrderLeaseClient.h
+++ b/modules/azurecross_control/orders/OrderLeaseClient.h
@@ -60,14 +60,24 @@
                                FencingNumber(answer->storeRevision_) };
   }
 
-  /** @returns whether the store still has the lease. */
-  StoreCall<bool> Renew(OrderLeaseGrant aGrant)
+  /** @returns whether the key still belongs to the grant. */
+  StoreCall<bool> Renew(std::string aKey, OrderLeaseGrant aGrant)
   {
     const auto lease = co_await store_.KeepLease(aGrant.lease_);
     if (lease.has_error()) {
       co_return lease.error();
     }
-    co_return lease->timeToLive_.count() > 0;
+    if (lease->timeToLive_.count() == 0) {
+      co_return false;
+    }
+    RangeRequest read;
+    read.key_ = aKey;
+    const auto answer = co_await store_.Range(std::move(read));
+    if (answer.has_error()) {
+      co_return answer.error();
+    }
+    co_return answer->keyValues_.size() == 1 &&
+      IsFromGrant(answer->keyValues_.front(), aGrant);
   }
 
   StoreCall<LeaseAnswer> Release(LeaseId aLease)
@@ -76,6 +86,14 @@
   }
 
 private:
+  /** A restored store may have given the revision and the id of the lease to
+   * the key of another entry. */
+  bool IsFromGrant(const KeyValue& aKey, const OrderLeaseGrant& aGrant) const
+  {
+    return aKey.value_ == owner_ && aKey.lease_ == aGrant.lease_.GetValue() &&
+           aKey.createRevision_ == aGrant.fencing_.GetValue();
+  }
+
   Client& store_;
   std::string owner_;
 };
--- a/modules/azurecross_control/orders/OrderShell.cpp
+++ b/modules/azurecross_control/orders/OrderShell.cpp
@@ -178,7 +178,7 @@
 asio::awaitable<void>
 OrderShell::Renew(GroupPointer aGroup)
 {
-  const auto isHeld = co_await leases_.Renew(aGroup->grant_);
+  const auto isHeld = co_await leases_.Renew(aGroup->key_, aGroup->grant_);
   if (isHeld.has_error()) {
     aGroup->controller_.HandleLeaseFailure();
   } else if (*isHeld) {
