--- a/modules/azurecross_control/orders/OrderShell.cpp
+++ b/modules/azurecross_control/orders/OrderShell.cpp
@@ -43,7 +43,6 @@
                        const ControlSettings& aSettings,
                        EtcdClient& aStore)
   : context_(aContext)
-  , settings_(aSettings)
   , leases_(aStore, aSettings.entryId_.GetValue())
   , client_(aContext.get_executor())
   , map_(std::make_shared<GroupMap>())
--- a/modules/azurecross_control/orders/OrderShell.h
+++ b/modules/azurecross_control/orders/OrderShell.h
@@ -73,7 +73,6 @@
   std::optional<SocketAddress> FindAddress(const BackendServerId& aServer);
 
   boost::asio::io_context& context_;
-  const ControlSettings& settings_;
   OrderLeaseClient<EtcdClient> leases_;
   HttpClient client_;
   std::shared_ptr<const GroupMap> map_;
