Play dead issuers and lost messages in the simulation of limited servers (LIMIT)

Cause: permits that daemons issue themselves, because neither the issuer of a server nor its substitute replies, might add up over many daemons; by reading, each of them issues its first permit at once. Change: two loads of the simulated fleet. 70 in 100 of 195 daemons are dead for 6 s under 300 requests a second; 40 in 100 of the messages are lost with limits of 1/s and 50/s. Ruled out: both, as far as the simulation plays them.

--- a/tests/dispatch_tests/LimitedFleetSimulation.cpp
+++ b/tests/dispatch_tests/LimitedFleetSimulation.cpp
@@ -13,7 +13,6 @@
 /** Callers wait this long; the answer is late after the first time. */
 constexpr Duration kTarget = std::chrono::milliseconds(1500);
 constexpr Duration kDeadline = std::chrono::seconds(6);
-constexpr Duration kRestartTime = std::chrono::seconds(2);
 constexpr Duration kSettlingTime = std::chrono::seconds(3);
 constexpr Duration kWindow = std::chrono::seconds(4);
 /** Time after its first answer from which on a daemon knows a limit. */
@@ -216,7 +215,7 @@
   for (const auto& daemon : daemons_) {
     if (random_.DrawUnit() < config_.killedShare_) {
       daemon->isAlive_ = false;
-      Schedule(kRestartTime, [this, &killed = *daemon] {
+      Schedule(FromSeconds(config_.restartSeconds_), [this, &killed = *daemon] {
         StartDaemon(killed);
         SetMembers();
       });
--- a/tests/dispatch_tests/LimitedFleetSimulation.h
+++ b/tests/dispatch_tests/LimitedFleetSimulation.h
@@ -26,10 +26,11 @@
   /** Whether the daemons read the limit in the answers. */
   bool readsLimits_ = true;
   double messageLoss_ = 0.02;
-  /** Share of the daemons that are killed at this time, and restart 2 s later
-   * without state. */
+  /** Share of the daemons that are killed at this time, and restart without
+   * state. */
   double killedShare_ = 0.0;
   double killAt_ = 8.0;
+  double restartSeconds_ = 2.0;
   /** Time for which the first zone is cut off from the others. */
   double cutAt_ = 0.0;
   double cutUntil_ = 0.0;
--- a/tests/dispatch_tests/LimitedFleetTests.cpp
+++ b/tests/dispatch_tests/LimitedFleetTests.cpp
@@ -87,4 +87,37 @@
   }
 }
 
+// Guards against many daemons that each send a request of their own because
+// neither the issuer of a server nor its substitute is alive.
+BOOST_AUTO_TEST_CASE(LimitHoldsWhileMostDaemonsAreDead)
+{
+  LimitedFleetConfig config;
+  config.servers_ = 20;
+  config.requestsPerSecond_ = 300.0;
+  config.killedShare_ = 0.7;
+  config.restartSeconds_ = 6.0;
+  const LimitedFleetOutcome outcome = LimitedFleetSimulation(config).Simulate();
+  BOOST_TEST(outcome.mostIn4Seconds_ <= GetBound(config.limit_));
+}
+
+// Guards against an issuer and its substitutes that exceed the limit together
+// while lost messages make some daemons use the one and some the others.
+BOOST_AUTO_TEST_CASE(LimitHoldsWhileManyMessagesAreLost)
+{
+  for (const double limit : { 1.0, 50.0 }) {
+    LimitedFleetConfig config;
+    config.daemons_ = 20;
+    config.servers_ = 3;
+    config.limit_ = limit;
+    config.requestsPerSecond_ = 3.0 * limit * config.servers_;
+    config.messageLoss_ = 0.4;
+    const LimitedFleetOutcome outcome =
+      LimitedFleetSimulation(config).Simulate();
+    BOOST_TEST_CONTEXT("limit " << limit)
+    {
+      BOOST_TEST(outcome.mostIn4Seconds_ <= GetBound(limit));
+    }
+  }
+}
+
 } // namespace azurecross
