Add up the shares that the substitutes of an issuer really have

Cause: SubstitutesIssueAtMostHalfOfTheLimit added a constant for each substitute instead of the share that the selector gives it, so that no share could make it fail. All former checks stay.

--- a/tests/dispatch_tests/ServerLimitTests.cpp
+++ b/tests/dispatch_tests/ServerLimitTests.cpp
@@ -126,23 +126,27 @@
                         AvailabilityZone(std::string(1, 'a' + index % 3)) });
   }
   std::size_t issuers = 0;
-  double substituted = 0.0;
+  std::map<std::string, double> shares;
   std::set<std::string> substitutes;
   for (const PermitPeer& member : members) {
     IssuerSelector selector;
     selector.SetMembers(member, members);
-    const double share = selector.GetShare(kServer, kZone);
-    issuers += share == 1.0 ? 1 : 0;
-    const bool isNewSubstitute =
-      substitutes.insert(selector.FindSubstitute(kServer, kZone)).second;
+    shares[member.name_] = selector.GetShare(kServer, kZone);
+    issuers += shares[member.name_] == 1.0 ? 1 : 0;
+    substitutes.insert(selector.FindSubstitute(kServer, kZone));
     BOOST_TEST(selector.FindIssuer(kServer, kZone) !=
                selector.FindSubstitute(kServer, kZone));
-    if (isNewSubstitute) {
-      substituted += 0.5 / 3.0;
-    }
+  }
+  double substituted = 0.0;
+  double others = 0.0;
+  for (const auto& [name, share] : shares) {
+    (substitutes.contains(name) ? substituted : others) +=
+      share < 1.0 ? share : 0.0;
   }
   BOOST_TEST(issuers == 1U);
+  BOOST_TEST(substitutes.size() == 3U);
   BOOST_TEST(substituted <= 0.5 + 1e-9);
+  BOOST_TEST(others <= 0.5);
 }
 
 // Guards against a daemon that sends before the issuer has granted a permit, or
