--- a/review/2/Case.cpp
+++ b/review/2/Case.cpp
@@ -275,6 +275,7 @@
 AskForPlan(World& aWorld, const Endpoint& aFront, int aNumber)
 {
   const std::string attempt = "plan-" + std::to_string(aNumber);
+  aWorld.record_.Write("caller sends " + attempt);
   Socket socket;
   HttpReader reader(socket);
   HttpMessage response;
