--- a/review/1/Case.cpp
+++ b/review/1/Case.cpp
@@ -105,11 +105,15 @@
       "c" + std::to_string(aCaller) + "-" + std::to_string(count);
     aWorld.record_.Write("caller sends " + attempt);
     HttpMessage response;
-    const bool isAnswered =
-      socket.Send(FormatRequest(
-        "GET", "/check/1", attempt, int(kPatience.count()), "", "")) &&
-      reader.Read(response, kPatience) == ReadResult::Complete;
-    if (isAnswered) {
+    const bool isSent = socket.Send(FormatRequest(
+      "GET", "/check/1", attempt, int(kPatience.count()), "", ""));
+    const ReadResult result =
+      isSent ? reader.Read(response, kPatience) : ReadResult::Nothing;
+    if (result == ReadResult::TimedOut) {
+      aWorld.record_.Write("caller gives up on " + attempt);
+      return;
+    }
+    if (result == ReadResult::Complete) {
       ++aWorld.answered_;
       aWorld.record_.Write("caller gets " +
                            std::to_string(response.GetStatus()) + " for " +
--- a/review/3/Case.cpp
+++ b/review/3/Case.cpp
@@ -118,7 +118,8 @@
   if (aArrivals.empty()) {
     return 0;
   }
-  const Clock::time_point first = aArrivals.front() + kStableTime;
+  // The server names its limit in the answer to the first request.
+  const Clock::time_point first = aArrivals.front() + kWorkTime + kStableTime;
   std::deque<Clock::time_point> window;
   std::size_t most = 0;
   for (const Clock::time_point at : aArrivals) {
