Separate the connection probe from the examination of dead engines

The mover of generations is going to need the same question: does anything listen at the address of an engine? The probe of EngineDeathProbe becomes a function with a named outcome instead of an optional flag. No behaviour changes; the quarantine tests of serving_tests pass as before.

--- a/modules/azurecross_serving/quarantine/EngineDeathProbe.cpp
+++ b/modules/azurecross_serving/quarantine/EngineDeathProbe.cpp
@@ -1,15 +1,11 @@
 #include "EngineDeathProbe.h"
 
-#include <boost/asio/as_tuple.hpp>
+#include "../forward/ConnectProbe.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/experimental/awaitable_operators.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <variant>
 
 namespace azurecross {
 
@@ -49,8 +45,9 @@
 asio::awaitable<void>
 EngineDeathProbe::Probe(UnansweredRun aRun)
 {
-  const std::optional<bool> isListening = co_await IsListening(aRun.address_);
-  const bool isRefused = isListening == false;
+  const ConnectOutcome outcome =
+    co_await ProbeConnect(aRun.address_, kConnectTimeout);
+  const bool isRefused = outcome == ConnectOutcome::Refused;
   const bool isDead = isRefused && co_await IsZoneReachable(aRun.server_);
   services_.log_.Write(Decision::EngineExamined,
                        { { "request", aRun.attemptId_ },
@@ -60,7 +57,7 @@
                            isDead      ? "dead"
                            : isRefused ? "zone unreachable"
                                        : "not dead" } });
-  if (isListening == true && aRun.mayBeWhole_) {
+  if (outcome == ConnectOutcome::Accepted && aRun.mayBeWhole_) {
     services_.state_.RecordPromptAnswer(aRun.parts_, ReadMonotonicTime());
   }
   if (!isDead) {
@@ -83,8 +80,9 @@
 {
   const std::vector<SocketAddress> witnesses = SelectWitnesses(aEngine);
   for (const SocketAddress& witness : witnesses) {
-    const auto isListening = co_await IsListening(witness);
-    if (isListening == true) {
+    const ConnectOutcome outcome =
+      co_await ProbeConnect(witness, kConnectTimeout);
+    if (outcome == ConnectOutcome::Accepted) {
       co_return true;
     }
   }
@@ -125,30 +123,4 @@
   return witnesses;
 }
 
-asio::awaitable<std::optional<bool>>
-EngineDeathProbe::IsListening(SocketAddress aAddress)
-{
-  using namespace asio::experimental::awaitable_operators;
-  boost::system::error_code code;
-  const auto host = asio::ip::make_address(aAddress.host_, code);
-  if (code) {
-    co_return std::nullopt;
-  }
-  asio::ip::tcp::socket socket(context_);
-  asio::steady_timer timer(context_, kConnectTimeout);
-  const asio::ip::tcp::endpoint endpoint(host, aAddress.port_);
-  constexpr auto kToken = asio::as_tuple(asio::use_awaitable);
-  const auto first = co_await (socket.async_connect(endpoint, kToken) ||
-                               timer.async_wait(kToken));
-  const auto* connected = std::get_if<0>(&first);
-  if (connected == nullptr) {
-    co_return std::nullopt;
-  }
-  const boost::system::error_code result = std::get<0>(*connected);
-  if (result == asio::error::connection_refused) {
-    co_return false;
-  }
-  co_return result ? std::nullopt : std::optional(true);
-}
-
 } // namespace azurecross
--- a/modules/azurecross_serving/quarantine/EngineDeathProbe.h
+++ b/modules/azurecross_serving/quarantine/EngineDeathProbe.h
@@ -60,10 +60,6 @@
   /** @returns servers of the engine's zone which are not known to be dead,
    * those that answered their last request first. */
   std::vector<SocketAddress> SelectWitnesses(const BackendServerId& aEngine);
-  /** @returns whether something listens at the address, or nothing if that
-   * can't be found out. */
-  boost::asio::awaitable<std::optional<bool>> IsListening(
-    SocketAddress aAddress);
 
   boost::asio::io_context& context_;
   ForwardServices& services_;
