--- a/modules/azurecross_http/client/HttpClient.cpp
+++ b/modules/azurecross_http/client/HttpClient.cpp
@@ -62,7 +62,8 @@
                    std::string_view aStep,
                    const boost::system::error_code& aCode)
 {
-  return Error{ ErrorCode::BackendServerFailed,
+  return Error{ aCode == beast::error::timeout ? ErrorCode::DeadlineExceeded
+                                               : ErrorCode::BackendServerFailed,
                 aVerdict,
                 std::string(aStep) + " " + aAddress.Format() + ": " +
                   aCode.message(),
--- a/modules/azurecross_http/client/HttpClient.h
+++ b/modules/azurecross_http/client/HttpClient.h
@@ -27,8 +27,9 @@
  * Sends requests over HTTP/1.1, each on a connection of its own.
  *
  * A failure says whether the request may have run: `NotRun` up to the first
- * byte written, `MayHaveRun` after it. Cancelling the awaiting coroutine closes
- * the connection.
+ * byte written, `MayHaveRun` after it. Its code is `DeadlineExceeded` after a
+ * timeout and `BackendServerFailed` otherwise. Cancelling the awaiting
+ * coroutine closes the connection.
  */
 class HttpClient
 {
--- a/modules/azurecross_serving/forward/GenerationExchange.cpp
+++ b/modules/azurecross_serving/forward/GenerationExchange.cpp
@@ -219,6 +219,7 @@
   // the engine stopped for a move look the same.
   return (generation_->stage_ == MoveStage::Stopping ||
           generation_->stage_ == MoveStage::Stopped ||
+          generation_->stage_ == MoveStage::Unanswered ||
           generation_->stage_ == MoveStage::Indeterminate) &&
          call_->GetConnection().IsUnframed();
 }
@@ -337,16 +338,53 @@
   }
 }
 
+asio::awaitable<void>
+GenerationExchange::WaitForStop()
+{
+  services_.mover_->StopBroken(generation_);
+  while (generation_->isMoving_ && !context_.IsAborted()) {
+    Duration timeout = kMoveTimeout;
+    if (generation_->stage_ == MoveStage::Stopping) {
+      timeout =
+        generation_->stopRequestedAt_ + kMoveTimeout - ReadMonotonicTime();
+    }
+    if (timeout <= Duration::zero()) {
+      break;
+    }
+    co_await generation_->stageChanged_.Wait(timeout);
+  }
+}
+
+bool
+GenerationExchange::MayStillRun() const
+{
+  switch (generation_->stage_) {
+    case MoveStage::Stopping: // A request this old has reached the engine.
+    case MoveStage::Stopped:
+    case MoveStage::AlreadyEnded:
+    case MoveStage::EngineGone:
+    case MoveStage::Unanswered:
+      return false;
+    case MoveStage::None:
+    case MoveStage::Copying:
+    case MoveStage::Copied:
+    case MoveStage::Indeterminate:
+      break;
+  }
+  return true;
+}
+
 asio::awaitable<bool>
 GenerationExchange::Resume()
 {
   buffer_.DiscardPartialEvent();
-  co_await WaitForMove();
+  co_await WaitForStop();
   const bool isQuarantined =
     !isAnswered_ && services_.state_.GetQuarantine().FindQuarantined(
                       promptParts_, ReadMonotonicTime());
   if (!generation_->copy_ || generation_->copy_->handle_.empty() ||
-      context_.IsAborted() || isQuarantined || ++resumeCount_ > kMaxResumes) {
+      context_.IsAborted() || isQuarantined || MayStillRun() ||
+      ++resumeCount_ > kMaxResumes) {
     services_.metrics_.CountResume(false);
     co_return false;
   }
@@ -356,26 +394,29 @@
   // connection to its new engine.
   ++generation_->moveId_;
   const KvCacheCopy copy = *generation_->copy_;
-  bool isResumed = co_await ResumeFrom(copy);
-  if (!isResumed && isStopped && copy.server_ != generation_->server_ &&
-      !context_.IsAborted()) {
+  std::optional<Verdict> failure = co_await ResumeFrom(copy);
+  // A target that may have begun could run the generation beside its source.
+  if (failure == Verdict::NotRun && isStopped &&
+      copy.server_ != generation_->server_ && !context_.IsAborted()) {
     KvCacheCopy sourceCopy = copy;
     sourceCopy.server_ = generation_->server_;
     sourceCopy.address_ = generation_->address_;
-    isResumed = co_await ResumeFrom(sourceCopy);
+    failure = co_await ResumeFrom(sourceCopy);
   }
+  const bool isResumed = !failure;
   services_.metrics_.CountResume(isResumed);
   generation_->copy_.reset();
   generation_->copyReservation_ = RunReservation();
   generation_->stage_ = MoveStage::None;
   generation_->isMoving_ = false;
+  generation_->isBroken_ = false;
   if (isResumed) {
     services_.mover_->MoveIfDraining(generation_);
   }
   co_return isResumed;
 }
 
-asio::awaitable<bool>
+asio::awaitable<std::optional<Verdict>>
 GenerationExchange::ResumeFrom(KvCacheCopy aCopy)
 {
   SendOptions options;
@@ -405,8 +446,14 @@
       { "last_event", options.lastEventId_ },
       { "tokens", generation_->tokens_ },
       { "pause_s", ToSeconds(ReadMonotonicTime() - lastEventTime_) } });
+  if (error) {
+    co_return error->verdict_;
+  }
   if (!isResumed) {
-    co_return false;
+    const ResponseInfo& info = call_->GetResponseInfo();
+    co_return info.isNotExecuted_ || info.isFromOtherServer_
+      ? Verdict::NotRun
+      : Verdict::MayHaveRun;
   }
   context_.server_ = aCopy.server_;
   if (aCopy.server_ != generation_->server_) {
@@ -417,7 +464,7 @@
   for (const std::string_view piece : call_->GetConnection().GetPieces()) {
     buffer_.Append(piece);
   }
-  co_return true;
+  co_return std::nullopt;
 }
 
 } // namespace azurecross
--- a/modules/azurecross_serving/forward/GenerationExchange.h
+++ b/modules/azurecross_serving/forward/GenerationExchange.h
@@ -82,8 +82,16 @@
    * @returns whether the stream continues.
    */
   boost::asio::awaitable<bool> Resume();
-  /** Requests the remaining events from the engine of the copy. */
-  boost::asio::awaitable<bool> ResumeFrom(KvCacheCopy aCopy);
+  /** Waits until it is known whether the engine of the broken stream may still
+   * run the generation. */
+  boost::asio::awaitable<void> WaitForStop();
+  /** @returns whether the engine of the broken stream may still run the
+   * generation, so that it must not resume elsewhere. */
+  bool MayStillRun() const;
+  /** Requests the remaining events from the engine of the copy.
+   * @returns nothing if the stream continues, or else whether that engine may
+   * run the generation. */
+  boost::asio::awaitable<std::optional<Verdict>> ResumeFrom(KvCacheCopy aCopy);
   /** @returns whether the end of the stream may have been caused by a move. */
   bool IsEndAmbiguous() const;
   /** @returns whether a stream that ends with its connection ended inside an
--- a/modules/azurecross_serving/moves/ActiveGeneration.h
+++ b/modules/azurecross_serving/moves/ActiveGeneration.h
@@ -26,19 +26,26 @@
   Stopped,
   /** The generation ended before the engine could stop it. */
   AlreadyEnded,
+  /** The engine is gone or can't be reached. */
+  EngineGone,
+  /** The engine took the stop request, which it carries out before it copies,
+   * and did not respond in time. */
+  Unanswered,
   /**
    * No usable response to the stop request: the generation may have stopped.
    */
   Indeterminate,
 };
 
-inline constexpr NameTable<MoveStage, 7> kMoveStageNames{
+inline constexpr NameTable<MoveStage, 9> kMoveStageNames{
   { { { MoveStage::None, "none" },
       { MoveStage::Copying, "copying" },
       { MoveStage::Copied, "copied" },
       { MoveStage::Stopping, "stopping" },
       { MoveStage::Stopped, "stopped" },
       { MoveStage::AlreadyEnded, "ended" },
+      { MoveStage::EngineGone, "engine gone" },
+      { MoveStage::Unanswered, "unanswered" },
       { MoveStage::Indeterminate, "unclear" } } }
 };
 
@@ -63,6 +70,11 @@
   std::uint32_t tokens_ = 0;
 
   MoveStage stage_ = MoveStage::None;
+  /** When the engine was last asked to stop the generation. */
+  Time stopRequestedAt_{};
+  /** Whether the stream broke off: the engine may still run the generation and
+   * must be stopped before the generation resumes elsewhere. */
+  bool isBroken_ = false;
   /** Whether a move is in progress; the move then releases an unused copy. */
   bool isMoving_ = false;
   /**
--- a/modules/azurecross_serving/moves/GenerationMover.cpp
+++ b/modules/azurecross_serving/moves/GenerationMover.cpp
@@ -1,5 +1,7 @@
 #include "GenerationMover.h"
 
+#include "../forward/ConnectProbe.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -17,6 +19,13 @@
  */
 constexpr Duration kMoveTimeout = std::chrono::milliseconds(2500);
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+/**
+ * How long the engine of a broken stream is asked to stop. Callers give up
+ * after a pause of two seconds.
+ */
+constexpr Duration kStopTimeout = std::chrono::milliseconds(1800);
+/** Pause between two requests to stop a generation. */
+constexpr Duration kStopInterval = std::chrono::milliseconds(50);
 /**
  * Copies of a running generation before the mover stops trying and relies on
  * the last copy when the engine ends. Each copy but the first waits for the
@@ -180,41 +189,53 @@
 asio::awaitable<void>
 GenerationMover::MoveGeneration(GenerationPtr aGeneration, unsigned aMoveId)
 {
-  const ScopeGuard clearMoving([&] {
-    if (aGeneration->moveId_ == aMoveId) {
-      aGeneration->isMoving_ = false;
-    }
-  });
+  const ScopeGuard finish([&] { FinishMove(aGeneration, aMoveId); });
+  co_await CopyAndStop(aGeneration, aMoveId);
+  if (aGeneration->isBroken_) {
+    co_await StopUntilKnown(aGeneration, aMoveId);
+  }
+}
+
+asio::awaitable<void>
+GenerationMover::CopyAndStop(GenerationPtr aGeneration, unsigned aMoveId)
+{
   bool isCopied = co_await MakeFirstCopy(aGeneration);
   aGeneration->stageChanged_.Notify();
   for (int copies = 1; isCopied && copies < kMaxCopies; ++copies) {
     // Meanwhile the generation may have ended, or resumed from the copy after
     // its engine was gone.
-    if (aGeneration->moveId_ != aMoveId) {
+    if (aGeneration->moveId_ != aMoveId || aGeneration->isFinished_ ||
+        aGeneration->isBroken_) {
       co_return;
     }
-    if (aGeneration->isFinished_) {
-      break;
-    }
     const Time copyStart = ReadMonotonicTime();
     const MoveResult result = co_await CopyWhileRunning(aGeneration);
     isCopied = result == MoveResult::Copied && aGeneration->moveId_ == aMoveId;
     if (isCopied && !aGeneration->isFinished_ &&
         MovePlanner::IsLinkFree(ReadMonotonicTime() - copyStart)) {
       co_await StopAndCopyRemainder(aGeneration);
-      break;
+      co_return;
     }
   }
+}
+
+asio::awaitable<void>
+GenerationMover::StopGeneration(GenerationPtr aGeneration, unsigned aMoveId)
+{
+  const ScopeGuard finish([&] { FinishMove(aGeneration, aMoveId); });
+  co_await StopUntilKnown(aGeneration, aMoveId);
+}
+
+void
+GenerationMover::FinishMove(const GenerationPtr& aGeneration, unsigned aMoveId)
+{
   if (aGeneration->moveId_ != aMoveId) {
-    co_return;
+    return;
   }
-  const bool hasEnded =
-    aGeneration->isFinished_ || aGeneration->stage_ == MoveStage::AlreadyEnded;
-  if (hasEnded && aGeneration->copy_) {
-    const KvCacheCopy copy = *aGeneration->copy_;
+  aGeneration->isMoving_ = false;
+  if (aGeneration->isFinished_ && aGeneration->copy_) {
+    asio::co_spawn(context_, ReleaseCopy(*aGeneration->copy_), asio::detached);
     aGeneration->copy_.reset();
-    aGeneration->stageChanged_.Notify();
-    co_await ReleaseCopy(copy);
   }
   if (aGeneration->stage_ == MoveStage::Copying) {
     aGeneration->stage_ = MoveStage::None;
@@ -227,6 +248,75 @@
   aGeneration->stageChanged_.Notify();
 }
 
+void
+GenerationMover::StopBroken(const GenerationPtr& aGeneration)
+{
+  aGeneration->isBroken_ = true;
+  const bool isKnown = aGeneration->stage_ == MoveStage::Stopped ||
+                       aGeneration->stage_ == MoveStage::AlreadyEnded;
+  if (aGeneration->isMoving_ || isKnown || !aGeneration->copy_ ||
+      aGeneration->copy_->handle_.empty()) {
+    return;
+  }
+  aGeneration->isMoving_ = true;
+  const unsigned moveId = ++aGeneration->moveId_;
+  asio::co_spawn(context_, StopGeneration(aGeneration, moveId), asio::detached);
+}
+
+asio::awaitable<void>
+GenerationMover::StopUntilKnown(GenerationPtr aGeneration, unsigned aMoveId)
+{
+  const Time deadline = ReadMonotonicTime() + kStopTimeout;
+  asio::steady_timer timer(context_);
+  for (;;) {
+    const bool isKnown = aGeneration->stage_ == MoveStage::Stopped ||
+                         aGeneration->stage_ == MoveStage::AlreadyEnded;
+    if (isKnown || aGeneration->moveId_ != aMoveId ||
+        aGeneration->isFinished_ || !aGeneration->copy_ ||
+        aGeneration->copy_->handle_.empty()) {
+      co_return;
+    }
+    const MoveResult result = co_await StopAndCopyRemainder(aGeneration);
+    const bool isStillUnknown = aGeneration->moveId_ == aMoveId &&
+                                aGeneration->stage_ == MoveStage::Stopping;
+    if (!isStillUnknown || co_await ExamineEngine(aGeneration, result)) {
+      co_return;
+    }
+    if (aGeneration->moveId_ != aMoveId) {
+      co_return;
+    }
+    aGeneration->stage_ = MoveStage::Indeterminate;
+    if (ReadMonotonicTime() >= deadline) {
+      LogStep(*aGeneration, "stop", "not confirmed");
+      co_return;
+    }
+    timer.expires_after(kStopInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+asio::awaitable<bool>
+GenerationMover::ExamineEngine(GenerationPtr aGeneration, MoveResult aResult)
+{
+  const unsigned moveId = aGeneration->moveId_;
+  if (aResult == MoveResult::NoResponse) {
+    aGeneration->stage_ = MoveStage::Unanswered;
+    co_return true;
+  }
+  // An engine that has no connection left resets new ones, or its answer was
+  // lost or malformed. Only one that doesn't take a connection at all is gone.
+  const ConnectOutcome outcome =
+    co_await ProbeConnect(aGeneration->address_, kConnectTimeout);
+  const bool isGone = outcome == ConnectOutcome::Refused ||
+                      (outcome == ConnectOutcome::Unanswered &&
+                       aResult == MoveResult::Unreachable);
+  if (isGone && aGeneration->moveId_ == moveId) {
+    aGeneration->stage_ = MoveStage::EngineGone;
+    LogStep(*aGeneration, "stop", "engine gone");
+  }
+  co_return isGone;
+}
+
 asio::awaitable<MoveResult>
 GenerationMover::CopyWhileRunning(GenerationPtr aGeneration)
 {
@@ -251,10 +341,11 @@
   co_return moveResponse.result_;
 }
 
-asio::awaitable<void>
+asio::awaitable<MoveResult>
 GenerationMover::StopAndCopyRemainder(GenerationPtr aGeneration)
 {
   aGeneration->stage_ = MoveStage::Stopping;
+  aGeneration->stopRequestedAt_ = ReadMonotonicTime();
   MoveRequest moveRequest;
   moveRequest.attemptId_ = aGeneration->attemptId_;
   moveRequest.target_ = aGeneration->copy_->address_;
@@ -267,11 +358,11 @@
   if (aGeneration->moveId_ != moveId || !aGeneration->copy_) {
     // The stream broke, and its exchange resumes it from the copy without
     // waiting for this response.
-    co_return;
+    co_return MoveResult::Unknown;
   }
   if (moveResponse.result_ == MoveResult::NoSuchRun) {
     aGeneration->stage_ = MoveStage::AlreadyEnded;
-    co_return;
+    co_return MoveResult::NoSuchRun;
   }
   if (moveResponse.result_ == MoveResult::NoRoom &&
       !moveResponse.handle_.empty()) {
@@ -287,6 +378,7 @@
       aGeneration->onStopped_();
     }
   }
+  co_return moveResponse.result_;
 }
 
 asio::awaitable<MoveResponse>
@@ -297,7 +389,13 @@
   const AsyncResult<HttpResponse> response =
     co_await client_.Send(aEngine, std::move(request));
   if (!response) {
-    co_return MoveResponse{};
+    MoveResponse failure;
+    if (response.error().verdict_ == Verdict::NotRun) {
+      failure.result_ = MoveResult::Unreachable;
+    } else if (response.error().code_ == ErrorCode::DeadlineExceeded) {
+      failure.result_ = MoveResult::NoResponse;
+    }
+    co_return failure;
   }
   co_return services_.wire_.ParseMoveResponse(*response);
 }
--- a/modules/azurecross_serving/moves/GenerationMover.h
+++ b/modules/azurecross_serving/moves/GenerationMover.h
@@ -33,6 +33,12 @@
   /** Moves a generation whose engine is draining, for example because the
    * engine started to drain while the generation was moved to it. */
   void MoveIfDraining(const std::shared_ptr<ActiveGeneration>& aGeneration);
+  /**
+   * Makes sure that the engine of a generation whose stream broke off does not
+   * run it any more; the outcome is its `stage_` once `isMoving_` is false.
+   * Without a copy to resume from, it does nothing.
+   */
+  void StopBroken(const std::shared_ptr<ActiveGeneration>& aGeneration);
   /** Removes a generation that has ended and releases an unused copy. */
   void Remove(const std::shared_ptr<ActiveGeneration>& aGeneration);
 
@@ -50,6 +56,23 @@
    */
   boost::asio::awaitable<void> MoveGeneration(GenerationPtr aGeneration,
                                               unsigned aMoveId);
+  /** Makes the first copy, and repeats it until the generation can be stopped.
+   */
+  boost::asio::awaitable<void> CopyAndStop(GenerationPtr aGeneration,
+                                           unsigned aMoveId);
+  /** As `MoveGeneration`, for a generation with a copy and a broken stream. */
+  boost::asio::awaitable<void> StopGeneration(GenerationPtr aGeneration,
+                                              unsigned aMoveId);
+  /** Asks the engine to stop until it is known whether the generation may still
+   * run there. */
+  boost::asio::awaitable<void> StopUntilKnown(GenerationPtr aGeneration,
+                                              unsigned aMoveId);
+  /** Decides what a failed stop request says about the engine.
+   * @returns whether that is known. */
+  boost::asio::awaitable<bool> ExamineEngine(GenerationPtr aGeneration,
+                                             MoveResult aResult);
+  /** Leaves the generation in a state from which it can resume or end. */
+  void FinishMove(const GenerationPtr& aGeneration, unsigned aMoveId);
   /** Starts a move unless one has been started. */
   void StartMove(const GenerationPtr& aGeneration);
   /**
@@ -66,7 +89,8 @@
   /**
    * Stops the generation and copies the tokens generated since the last copy.
    */
-  boost::asio::awaitable<void> StopAndCopyRemainder(GenerationPtr aGeneration);
+  boost::asio::awaitable<MoveResult> StopAndCopyRemainder(
+    GenerationPtr aGeneration);
   boost::asio::awaitable<MoveResponse> SendMoveRequest(
     SocketAddress aEngine,
     MoveRequest aMoveRequest);
--- a/modules/azurecross_serving/wire/WireProtocol.h
+++ b/modules/azurecross_serving/wire/WireProtocol.h
@@ -111,14 +111,20 @@
   NoRoom,
   /** The generation is not running on that engine. */
   NoSuchRun,
+  /** No connection to the engine. */
+  Unreachable,
+  /** The engine took the request and did not respond in time. */
+  NoResponse,
   /** No usable response. */
   Unknown,
 };
 
-inline constexpr NameTable<MoveResult, 4> kMoveResultNames{
+inline constexpr NameTable<MoveResult, 6> kMoveResultNames{
   { { { MoveResult::Copied, "copied" },
       { MoveResult::NoRoom, "no_room" },
       { MoveResult::NoSuchRun, "no_such_run" },
+      { MoveResult::Unreachable, "unreachable" },
+      { MoveResult::NoResponse, "no_response" },
       { MoveResult::Unknown, "unknown" } } }
 };
 
--- a/tests/serving_tests/MoveTests.cpp
+++ b/tests/serving_tests/MoveTests.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
+#include <optional>
 
 namespace azurecross {
 
@@ -46,6 +47,15 @@
   }
 }
 
+/** Waits until the count is reached, for at most three seconds. */
+void
+WaitForCount(const std::atomic<int>& aCount, int aExpected)
+{
+  for (int wait = 0; wait < 300 && aCount < aExpected; ++wait) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+}
+
 /**
  * An engine that resumes a generation and sends the events from `aFirst` to
  * `aLast`.
@@ -222,30 +232,31 @@
 {
   std::atomic<int> copies = 0;
   std::atomic<int> resumes = 0;
-  FakeBackendServer source([&](FakeConnection& aConnection) {
+  std::optional<FakeBackendServer> source;
+  source.emplace([&](FakeConnection& aConnection) {
     const std::string request = aConnection.ReadRequest();
     if (IsMoveRequest(request)) {
       if (++copies == 1) {
         RespondToMove(aConnection, 200, "h1");
       }
-      // Later move requests get no response: the engine is gone.
+      // Later move requests get no response: the engine is about to end.
       return;
     }
     aConnection.StartStream();
     aConnection.SendChunk(MakeEvent(1));
-    for (int wait = 0; wait < 300 && copies < 2; ++wait) {
-      std::this_thread::sleep_for(std::chrono::milliseconds(10));
-    }
+    WaitForCount(copies, 2);
     aConnection.SendChunk("id: 2\nda");
   });
   FakeBackendServer target(MakeTarget(2, 3, resumes));
   SetTables(MakeTables());
-  AddServer("e1", "engines", source);
+  AddServer("e1", "engines", *source);
   TestCaller caller = Connect();
   caller.Send(MakeRequest("/stream/x"));
   caller.ReadUntil(MakeEvent(1));
   AddServer("e2", "engines", target);
-  SetDraining("e1", "engines", source);
+  SetDraining("e1", "engines", *source);
+  WaitForCount(copies, 2);
+  source.reset();
   const std::string remainder = caller.ReadUntil("0\r\n\r\n");
   BOOST_TEST(remainder.find(MakeEvent(2)) != std::string::npos);
   BOOST_TEST(remainder.find(MakeEvent(3)) != std::string::npos);
@@ -258,7 +269,8 @@
 {
   std::atomic<int> copies = 0;
   std::atomic<int> resumes = 0;
-  FakeBackendServer source([&](FakeConnection& aConnection) {
+  std::optional<FakeBackendServer> source;
+  source.emplace([&](FakeConnection& aConnection) {
     const std::string request = aConnection.ReadRequest();
     if (IsMoveRequest(request)) {
       if (++copies == 1) {
@@ -269,19 +281,19 @@
     aConnection.Send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                      "X-Request-Id: r1\r\n\r\n" +
                      MakeEvent(1));
-    for (int wait = 0; wait < 300 && copies < 2; ++wait) {
-      std::this_thread::sleep_for(std::chrono::milliseconds(10));
-    }
+    WaitForCount(copies, 2);
     aConnection.Send("id: 2\nda");
   });
   FakeBackendServer target(MakeTarget(2, 3, resumes));
   SetTables(MakeTables());
-  AddServer("e1", "engines", source);
+  AddServer("e1", "engines", *source);
   TestCaller caller = Connect();
   caller.Send(MakeRequest("/stream/x"));
   caller.ReadUntil(MakeEvent(1));
   AddServer("e2", "engines", target);
-  SetDraining("e1", "engines", source);
+  SetDraining("e1", "engines", *source);
+  WaitForCount(copies, 2);
+  source.reset();
   const std::string remainder = caller.ReadUntil("0\r\n\r\n");
   BOOST_TEST(remainder.find("id: 2\nda\r\n") == std::string::npos);
   BOOST_TEST(remainder.find(MakeEvent(2)) != std::string::npos);
@@ -425,4 +437,211 @@
   BOOST_TEST(resumes == 1);
 }
 
+// An engine that resets a stream and works on must be stopped before the
+// generation resumes elsewhere; it ran at two engines.
+BOOST_FIXTURE_TEST_CASE(LostAnswerStopsTheEngineBeforeTheResume, ServingFixture)
+{
+  std::atomic<bool> isStopped = false;
+  std::atomic<int> copies = 0;
+  std::atomic<int> resumes = 0;
+  std::atomic<int> doubleRuns = 0;
+  FakeBackendServer source([&](FakeConnection& aConnection) {
+    const std::string request = aConnection.ReadRequest();
+    if (IsMoveRequest(request)) {
+      isStopped = isStopped || IsFinalMoveRequest(request);
+      // The copies are slow, so that the mover does not stop the generation.
+      std::this_thread::sleep_for(std::chrono::milliseconds(80));
+      RespondToMove(aConnection, 200, "h" + std::to_string(++copies));
+      return;
+    }
+    aConnection.StartStream();
+    aConnection.SendChunk(MakeEvent(1));
+    WaitForCount(copies, 1);
+    aConnection.Abort();
+  });
+  FakeBackendServer target([&](FakeConnection& aConnection) {
+    if (aConnection.ReadRequest().empty()) {
+      return;
+    }
+    doubleRuns += isStopped ? 0 : 1;
+    ++resumes;
+    aConnection.StartStream();
+    aConnection.SendChunk(MakeEvent(2));
+    aConnection.Send("0\r\n\r\n");
+  });
+  SetTables(MakeTables());
+  AddServer("e1", "engines", source);
+  TestCaller caller = Connect();
+  caller.Send(MakeRequest("/stream/x"));
+  caller.ReadUntil(MakeEvent(1));
+  AddServer("e2", "engines", target);
+  SetDraining("e1", "engines", source);
+  const std::string remainder = caller.ReadUntil("0\r\n\r\n");
+  BOOST_TEST(remainder.find(MakeEvent(2)) != std::string::npos);
+  BOOST_TEST(resumes == 1);
+  BOOST_TEST(doubleRuns == 0);
+}
+
+// A generation whose copies have all been made, but which was never stopped,
+// must be stopped when its answer is lost later.
+BOOST_FIXTURE_TEST_CASE(LostAnswerAfterTheLastCopyStopsTheEngine,
+                        ServingFixture)
+{
+  std::atomic<bool> isStopped = false;
+  std::atomic<int> copies = 0;
+  std::atomic<int> resumes = 0;
+  std::atomic<int> doubleRuns = 0;
+  FakeBackendServer source([&](FakeConnection& aConnection) {
+    const std::string request = aConnection.ReadRequest();
+    if (IsFinalMoveRequest(request)) {
+      isStopped = true;
+      RespondToMove(aConnection, 200, "h9");
+      return;
+    }
+    if (IsMoveRequest(request)) {
+      // The second copy fails, which ends the move.
+      RespondToMove(aConnection, ++copies == 1 ? 200 : 503, "h1");
+      return;
+    }
+    aConnection.StartStream();
+    aConnection.SendChunk(MakeEvent(1));
+    WaitForCount(copies, 2);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    aConnection.Abort();
+  });
+  FakeBackendServer target([&](FakeConnection& aConnection) {
+    if (aConnection.ReadRequest().empty()) {
+      return;
+    }
+    doubleRuns += isStopped ? 0 : 1;
+    ++resumes;
+    aConnection.StartStream();
+    aConnection.SendChunk(MakeEvent(2));
+    aConnection.Send("0\r\n\r\n");
+  });
+  SetTables(MakeTables());
+  AddServer("e1", "engines", source);
+  TestCaller caller = Connect();
+  caller.Send(MakeRequest("/stream/x"));
+  caller.ReadUntil(MakeEvent(1));
+  AddServer("e2", "engines", target);
+  SetDraining("e1", "engines", source);
+  const std::string remainder = caller.ReadUntil("0\r\n\r\n");
+  BOOST_TEST(remainder.find(MakeEvent(2)) != std::string::npos);
+  BOOST_TEST(resumes == 1);
+  BOOST_TEST(doubleRuns == 0);
+}
+
+// A generation that its engine dropped when the connection broke must resume
+// from its copy.
+BOOST_FIXTURE_TEST_CASE(DroppedGenerationResumesFromItsCopy, ServingFixture)
+{
+  std::atomic<int> copies = 0;
+  std::atomic<int> resumes = 0;
+  FakeBackendServer source([&](FakeConnection& aConnection) {
+    const std::string request = aConnection.ReadRequest();
+    if (IsFinalMoveRequest(request)) {
+      RespondToMove(aConnection, 404, "");
+      return;
+    }
+    if (IsMoveRequest(request)) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(80));
+      RespondToMove(aConnection, 200, "h1");
+      ++copies;
+      return;
+    }
+    aConnection.StartStream();
+    aConnection.SendChunk(MakeEvent(1));
+    WaitForCount(copies, 1);
+    aConnection.Abort();
+  });
+  FakeBackendServer target(MakeTarget(2, 2, resumes));
+  SetTables(MakeTables());
+  AddServer("e1", "engines", source);
+  TestCaller caller = Connect();
+  caller.Send(MakeRequest("/stream/x"));
+  caller.ReadUntil(MakeEvent(1));
+  AddServer("e2", "engines", target);
+  SetDraining("e1", "engines", source);
+  const std::string remainder = caller.ReadUntil("0\r\n\r\n");
+  BOOST_TEST(remainder.find(MakeEvent(2)) != std::string::npos);
+  BOOST_TEST(resumes == 1);
+}
+
+// An engine that takes connections and never confirms the stop may work on: the
+// generation must not resume beside it.
+BOOST_FIXTURE_TEST_CASE(UnconfirmedStopDoesNotResume, ServingFixture)
+{
+  std::atomic<int> copies = 0;
+  std::atomic<int> resumes = 0;
+  FakeBackendServer source([&](FakeConnection& aConnection) {
+    const std::string request = aConnection.ReadRequest();
+    if (IsMoveRequest(request)) {
+      if (++copies == 1) {
+        RespondToMove(aConnection, 200, "h1");
+      } else {
+        aConnection.Abort();
+      }
+      return;
+    }
+    aConnection.StartStream();
+    aConnection.SendChunk(MakeEvent(1));
+    WaitForCount(copies, 2);
+    aConnection.Abort();
+  });
+  FakeBackendServer target(MakeTarget(2, 2, resumes));
+  SetTables(MakeTables());
+  AddServer("e1", "engines", source);
+  TestCaller caller = Connect();
+  caller.Send(MakeRequest("/stream/x"));
+  caller.ReadUntil(MakeEvent(1));
+  AddServer("e2", "engines", target);
+  SetDraining("e1", "engines", source);
+  const std::string remainder = caller.ReadUntil("0\r\n\r\n");
+  BOOST_TEST(remainder.find("0\r\n\r\n") == std::string::npos);
+  BOOST_TEST(resumes == 0);
+}
+
+// A target that may have begun, and whose answer was lost, must not run the
+// generation beside its source.
+BOOST_FIXTURE_TEST_CASE(LostAnswerOfTheTargetDoesNotResumeAtTheSource,
+                        ServingFixture)
+{
+  std::atomic<bool> isStopped = false;
+  std::atomic<int> resumes = 0;
+  std::atomic<int> sourceResumes = 0;
+  FakeBackendServer source([&](FakeConnection& aConnection) {
+    const std::string request = aConnection.ReadRequest();
+    if (IsMoveRequest(request)) {
+      isStopped = isStopped || IsFinalMoveRequest(request);
+      RespondToMove(aConnection, 200, "h1");
+      return;
+    }
+    if (!aConnection.FindHeader("X-Copy").empty()) {
+      ++sourceResumes;
+      return;
+    }
+    aConnection.StartStream();
+    aConnection.SendChunk(MakeEvent(1));
+    WaitForFlag(isStopped);
+  });
+  FakeBackendServer target([&](FakeConnection& aConnection) {
+    if (!aConnection.ReadRequest().empty()) {
+      ++resumes;
+      aConnection.Abort();
+    }
+  });
+  SetTables(MakeTables());
+  AddServer("e1", "engines", source);
+  TestCaller caller = Connect();
+  caller.Send(MakeRequest("/stream/x"));
+  caller.ReadUntil(MakeEvent(1));
+  AddServer("e2", "engines", target);
+  SetDraining("e1", "engines", source);
+  const std::string remainder = caller.ReadUntil("0\r\n\r\n");
+  BOOST_TEST(remainder.find("0\r\n\r\n") == std::string::npos);
+  BOOST_TEST(resumes == 1);
+  BOOST_TEST(sourceResumes == 0);
+}
+
 } // namespace azurecross
