--- a/modules/azurecross_gateway/backend/BackendConnection.cpp
+++ b/modules/azurecross_gateway/backend/BackendConnection.cpp
@@ -21,8 +21,11 @@
 
 /** Holds dozens of tokens; 2,000 streams take 16 MB. */
 constexpr std::size_t kReadBytes = 8192;
-/** The head of an answer may take at most this much. */
+/** The head of an answer may take at most this much, and so may the line with
+ * the size of a chunk and the trailer: the parser bounds the head only. */
 constexpr std::uint32_t kHeadLimitBytes = 32 * 1024;
+/** Interim answers that may precede an answer. */
+constexpr int kMaxInterimAnswers = 16;
 
 bool
 IsInterim(unsigned aStatus)
@@ -94,6 +97,7 @@
 {
   parser_->skip(aIsHeadRequest);
   deadline_.Set(aDeadline);
+  int interimAnswers = 0;
   for (;;) {
     boost::system::error_code code;
     const std::size_t length = co_await socket_.async_read_some(
@@ -106,6 +110,10 @@
       co_return error;
     }
     while (parser_->is_header_done() && IsInterim(GetHead().result_int())) {
+      if (++interimAnswers > kMaxInterimAnswers) {
+        co_return MakeError("too many interim answers from",
+                            http::error::bad_status);
+      }
       ResetParser();
       parser_->skip(aIsHeadRequest);
       if (auto error = ParseBuffer()) {
@@ -182,7 +190,7 @@
     begin_ = 0;
   }
   if (end_ == buffer_.size()) {
-    // Only a head can be longer than the buffer; the parser bounds it.
+    // `ParseBuffer` bounds what is kept.
     buffer_.resize(buffer_.size() * 2);
   }
   return asio::buffer(buffer_.data() + end_, buffer_.size() - end_);
@@ -216,7 +224,11 @@
       parser_->put(asio::buffer(buffer_.data() + begin_, end_ - begin_), code);
     begin_ += used;
     if (code == http::error::need_more) {
-      return std::nullopt;
+      const bool isTooLong = end_ - begin_ > kHeadLimitBytes;
+      return isTooLong ? std::optional(
+                           MakeError("an endless chunk size or trailer from",
+                                     http::error::buffer_overflow))
+                       : std::nullopt;
     }
     if (code) {
       return MakeError("malformed answer from", code);
@@ -236,7 +248,9 @@
 BackendConnection::Reset()
 {
   ResetParser();
-  buffer_.resize(std::max(buffer_.size(), kReadBytes));
+  if (buffer_.size() != kReadBytes) {
+    buffer_ = std::vector<char>(kReadBytes);
+  }
   begin_ = 0;
   end_ = 0;
   mayHaveSent_ = false;
--- a/modules/azurecross_gateway/backend/BufferBudget.h
+++ b/modules/azurecross_gateway/backend/BufferBudget.h
@@ -6,7 +6,8 @@
 namespace azurecross {
 
 /**
- * Limits the memory of all responses that are being read into memory together.
+ * Limits the memory of all responses and events that are being read into memory
+ * together.
  * The limit of one response alone doesn't protect a small VM from many servers
  * that send bytes without end.
  */
@@ -23,7 +24,7 @@
 
   std::size_t GetUsedBytes() const { return usedBytes_.load(); }
 
-  /** The part of one response, given back by its destructor. */
+  /** The part of one response or event, given back by its destructor. */
   class Reservation
   {
   public:
@@ -47,6 +48,18 @@
       return true;
     }
 
+    /** Sets the size of this part.
+     * @returns whether the budget allows it. */
+    bool Resize(std::size_t aBytes)
+    {
+      if (aBytes > bytes_) {
+        return Grow(aBytes - bytes_);
+      }
+      budget_.usedBytes_ -= bytes_ - aBytes;
+      bytes_ = aBytes;
+      return true;
+    }
+
   private:
     BufferBudget& budget_;
     std::size_t bytes_ = 0;
--- a/modules/azurecross_http/client/HttpClient.cpp
+++ b/modules/azurecross_http/client/HttpClient.cpp
@@ -20,6 +20,9 @@
 namespace http = boost::beast::http;
 
 constexpr std::size_t kPartBytes = 16384;
+/** Bytes that are kept until they are parsed. The parser bounds the head and
+ * the body, but neither the line with the size of a chunk nor the trailer. */
+constexpr std::size_t kUnparsedLimitBytes = std::size_t{ 64 } * 1024;
 
 asio::ip::tcp::endpoint
 MakeEndpoint(const SocketAddress& aAddress)
@@ -79,7 +82,7 @@
   }
 
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{ kUnparsedLimitBytes };
 };
 
 asio::awaitable<std::optional<Error>>
--- a/modules/azurecross_http/server/HttpServer.cpp
+++ b/modules/azurecross_http/server/HttpServer.cpp
@@ -26,6 +26,10 @@
 
 using Tcp = asio::ip::tcp;
 
+/** Bytes that are kept beyond a head until they are parsed, such as a chunk or
+ * the start of the next request. */
+constexpr std::size_t kReadAheadBytes = std::size_t{ 64 } * 1024;
+
 HttpRequest
 ConvertRequest(http::request<http::string_body>&& aRequest)
 {
@@ -57,6 +61,7 @@
 public:
   Connection(Tcp::socket aSocket, const HttpServerLimits& aLimits)
     : stream_(std::move(aSocket))
+    , buffer_(aLimits.headerLimitBytes_ + kReadAheadBytes)
     , limits_(aLimits)
   {
     boost::system::error_code ignored;
--- a/modules/azurecross_serving/forward/GenerationExchange.cpp
+++ b/modules/azurecross_serving/forward/GenerationExchange.cpp
@@ -31,6 +31,11 @@
  * still send the first event.
  */
 constexpr std::uint32_t kEventsOfAnswer = 2;
+/**
+ * Part of an incomplete event that takes nothing from the memory for all
+ * responses, so that servers which exhaust that memory cut no sound streams.
+ */
+constexpr std::size_t kUnbudgetedEventBytes = std::size_t{ 16 } * 1024;
 
 } // namespace
 
@@ -40,6 +45,7 @@
   : services_(aServices)
   , context_(aContext)
   , writer_(aWriter)
+  , eventMemory_(aServices.responseBudget_)
 {
 }
 
@@ -247,20 +253,31 @@
   if (readError_) {
     co_return ReadOutcome::Broken;
   }
-  if (buffer_.GetSize() > services_.limits_.eventLimitBytes_) {
+  if (!ReserveEventMemory()) {
     readError_ = Error{ ErrorCode::BackendServerFailed,
                         Verdict::Ran,
-                        "an event exceeds the size limit",
+                        "an event is larger than its limit or than the memory "
+                        "for all responses",
                         {} };
     co_return ReadOutcome::Broken;
   }
   co_return connection.IsDone() ? ReadOutcome::Complete : ReadOutcome::Data;
 }
 
+bool
+GenerationExchange::ReserveEventMemory()
+{
+  const std::size_t size = buffer_.GetSize();
+  return size <= services_.limits_.eventLimitBytes_ &&
+         eventMemory_.Resize(
+           size - std::min<std::size_t>(size, kUnbudgetedEventBytes));
+}
+
 asio::awaitable<bool>
 GenerationExchange::ForwardEvents()
 {
   const std::string completeEvents = buffer_.TakeCompleteEvents();
+  ReserveEventMemory();
   if (completeEvents.empty()) {
     co_return true;
   }
--- a/modules/azurecross_serving/forward/GenerationExchange.h
+++ b/modules/azurecross_serving/forward/GenerationExchange.h
@@ -70,6 +70,9 @@
    * @returns false if the caller has disconnected.
    */
   boost::asio::awaitable<bool> ForwardEvents();
+  /** Adjusts the memory that is reserved for an incomplete event.
+   * @returns whether the limits allow its size. */
+  bool ReserveEventMemory();
   /** Updates the token count, the metrics and the load tracker. */
   void RecordEvents();
   boost::asio::awaitable<AttemptResult> FinishStream();
@@ -106,6 +109,7 @@
   std::shared_ptr<ActiveGeneration> generation_;
   std::unique_ptr<BackendCall> call_;
   EventBuffer buffer_;
+  BufferBudget::Reservation eventMemory_;
   std::optional<Error> readError_;
   Time lastEventTime_;
   unsigned resumeCount_ = 0;
--- a/modules/azurecross_serving/moves/DrainProbe.cpp
+++ b/modules/azurecross_serving/moves/DrainProbe.cpp
@@ -24,6 +24,7 @@
   HttpClientLimits limits;
   limits.connectTimeout_ = kProbeTimeout;
   limits.answerTimeout_ = kProbeTimeout;
+  limits.bodyLimitBytes_ = kEngineResponseLimitBytes;
   return limits;
 }
 
--- a/modules/azurecross_serving/moves/GenerationMover.cpp
+++ b/modules/azurecross_serving/moves/GenerationMover.cpp
@@ -41,6 +41,7 @@
   HttpClientLimits limits;
   limits.connectTimeout_ = kConnectTimeout;
   limits.answerTimeout_ = kMoveTimeout;
+  limits.bodyLimitBytes_ = kEngineResponseLimitBytes;
   return limits;
 }
 
--- a/modules/azurecross_serving/wire/WireProtocol.h
+++ b/modules/azurecross_serving/wire/WireProtocol.h
@@ -80,6 +80,11 @@
   std::optional<Duration> keepAliveTimeout_;
 };
 
+/** Largest response of an engine to a request for its status or for a copy;
+ * sound ones have a few KB. */
+inline constexpr std::size_t kEngineResponseLimitBytes =
+  std::size_t{ 64 } * 1024;
+
 /** Status that an engine reports. */
 struct EngineStatus
 {
--- a/tests/http_tests/HttpTests.cpp
+++ b/tests/http_tests/HttpTests.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
 
 #include <atomic>
 #include <thread>
@@ -21,6 +22,26 @@
 
 std::atomic<int> gNoticedPeers = 0;
 
+/** More than the buffers of two sockets can hold. */
+constexpr std::size_t kSentBytes = std::size_t{ 64 } << 20;
+constexpr std::size_t kAcceptedBytes = std::size_t{ 24 } << 20;
+
+/** Sends a text and then the same byte until the peer closes or `kSentBytes`
+ * have been sent. @returns the number of these bytes. */
+std::size_t
+SendWithoutEnd(asio::ip::tcp::socket& aSocket, const std::string& aText)
+{
+  boost::system::error_code code;
+  asio::write(aSocket, asio::buffer(aText), code);
+  const std::string block(std::size_t{ 64 } * 1024, 'x');
+  std::size_t sentBytes = 0;
+  while (!code && sentBytes < kSentBytes) {
+    asio::write(aSocket, asio::buffer(block), code);
+    sentBytes += block.size();
+  }
+  return sentBytes;
+}
+
 asio::awaitable<void>
 AnswerForTest(HttpExchange& aExchange)
 {
@@ -190,6 +211,44 @@
   BOOST_TEST((response.has_error() || response->status_ == 413U));
 }
 
+// Guards against a chunk size line without end that fills the memory of a
+// client; the limits of head and body don't cover it.
+BOOST_FIXTURE_TEST_CASE(EndlessChunkSizeLineOfAnAnswerIsBounded, Fixture)
+{
+  asio::io_context peerContext;
+  asio::ip::tcp::acceptor acceptor(peerContext,
+                                   { asio::ip::address_v4::loopback(), 0 });
+  std::size_t sentBytes = 0;
+  std::thread peer([&] {
+    asio::ip::tcp::socket socket = acceptor.accept();
+    sentBytes = SendWithoutEnd(
+      socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;");
+  });
+  const auto response =
+    asio::co_spawn(
+      context_,
+      client_.Send({ "127.0.0.1", acceptor.local_endpoint().port() },
+                   HttpRequest{}),
+      asio::use_future)
+      .get();
+  peer.join();
+  BOOST_TEST(response.has_error());
+  BOOST_TEST(sentBytes < kAcceptedBytes);
+}
+
+// Guards against the same line in a request.
+BOOST_FIXTURE_TEST_CASE(EndlessChunkSizeLineOfARequestIsBounded, Fixture)
+{
+  asio::io_context peerContext;
+  asio::ip::tcp::socket socket(peerContext);
+  const SocketAddress address = server_.GetAddress();
+  socket.connect({ asio::ip::make_address(address.host_), address.port_ });
+  BOOST_TEST(SendWithoutEnd(socket,
+                            "POST / HTTP/1.1\r\nHost: x\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n1;") <
+             kAcceptedBytes);
+}
+
 // Guards against streams that our own end breaks off in a partition of a few
 // seconds: their connections bear more silence than the usual.
 BOOST_AUTO_TEST_CASE(SilenceOfAPeerIsBounded)
