--- a/modules/azurecross_dispatch/limits/IssuerSelector.cpp
+++ b/modules/azurecross_dispatch/limits/IssuerSelector.cpp
@@ -17,11 +17,7 @@
 {
   self_ = std::move(aSelf);
   members_ = std::move(aMembers);
-  const bool hasSelf =
-    std::any_of(members_.begin(), members_.end(), [&](const auto& aMember) {
-      return aMember.name_ == self_.name_;
-    });
-  if (!hasSelf) {
+  if (members_.empty()) {
     members_.push_back(self_);
   }
   std::set<AvailabilityZone> zones;
@@ -31,6 +27,15 @@
   zoneCount_ = zones.size();
 }
 
+bool
+IssuerSelector::IsListed() const
+{
+  return std::any_of(
+    members_.begin(), members_.end(), [this](const PermitPeer& aMember) {
+      return aMember.name_ == self_.name_;
+    });
+}
+
 const PermitPeer*
 IssuerSelector::FindHighest(const BackendServerId& aServer,
                             const AvailabilityZone* aZone,
@@ -80,7 +85,8 @@
   if (FindIssuer(aServer, aServerZone) == self_.name_) {
     return 1.0;
   }
-  const bool isSubstitute = FindSubstitute(aServer, aServerZone) == self_.name_;
+  const bool isSubstitute =
+    IsListed() && FindSubstitute(aServer, aServerZone) == self_.name_;
   return kSubstituteShare /
          static_cast<double>(isSubstitute ? zoneCount_ : members_.size());
 }
--- a/modules/azurecross_dispatch/limits/IssuerSelector.h
+++ b/modules/azurecross_dispatch/limits/IssuerSelector.h
@@ -29,7 +29,9 @@
 class IssuerSelector
 {
 public:
-  /** Sets this daemon and the live daemons, which may lack this one. */
+  /** Sets this daemon and the live daemons. A daemon that is missing in the
+   * list issues nothing but the share of a daemon that reaches no other,
+   * because the others don't know it. One without any list is alone. */
   void SetMembers(PermitPeer aSelf, std::vector<PermitPeer> aMembers);
 
   /** @returns the issuer of a server. */
@@ -45,6 +47,7 @@
   const std::string& GetSelf() const { return self_.name_; }
 
 private:
+  bool IsListed() const;
   /** @returns the member with the highest weight for the server, or null.
    * @param aZone only members of this zone are considered, if not null.
    * @param aExcluded a member that is not considered. */
--- a/modules/azurecross_serving/log/DecisionLog.h
+++ b/modules/azurecross_serving/log/DecisionLog.h
@@ -21,6 +21,7 @@
   StoreTablesCompared,
   ServerChanged,
   MemberChanged,
+  RecordMissing,
   FeedRoleChanged,
   RequestRefused,
   RequestFailed,
@@ -39,7 +40,7 @@
   RecordsDropped,
 };
 
-inline constexpr NameTable<Decision, 26> kDecisionNames{
+inline constexpr NameTable<Decision, 27> kDecisionNames{
   { { { Decision::Started, "started" },
       { Decision::Stopping, "stopping" },
       { Decision::Stopped, "stopped" },
@@ -50,6 +51,7 @@
       { Decision::StoreTablesCompared, "store_tables_compared" },
       { Decision::ServerChanged, "server_changed" },
       { Decision::MemberChanged, "member_changed" },
+      { Decision::RecordMissing, "member_record_missing" },
       { Decision::FeedRoleChanged, "feed_role_changed" },
       { Decision::RequestRefused, "request_refused" },
       { Decision::RequestFailed, "request_failed" },
--- a/modules/azurecross_serving/state/StateSync.h
+++ b/modules/azurecross_serving/state/StateSync.h
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <vector>
 
@@ -100,6 +101,10 @@
    * all daemons. */
   static constexpr Duration kMembershipIntervalPerDaemon =
     std::chrono::milliseconds(50);
+  /** Time after which a daemon that is missing in a list of members writes its
+   * record again, although its lease is renewed. Lists of other daemons are
+   * some seconds old. */
+  static constexpr Duration kMaxUnlistedTime = std::chrono::seconds(10);
   /** Less than half of the lifetime of a lease, so that one renewal may fail.
    */
   static constexpr Duration kMaxMembershipInterval = std::chrono::seconds(8);
@@ -326,12 +331,25 @@
         co_await Sleep(GetRetryDelay(++failures, kMaxMembershipRetryDelay));
         continue;
       }
-      isRegistered = true;
+      if (!isRegistered) {
+        isRegistered = true;
+        lastListedAt_ = ReadMonotonicTime();
+        isUnlisted_ = false;
+      }
       failures = 0;
       if (!hasMemberList_) {
         co_await Sleep(kRegistrationSettleTime);
       }
       const std::size_t count = co_await UpdateMembers();
+      if (isUnlisted_) {
+        log_.Write(Decision::RecordMissing,
+                   { { "members", count },
+                     { "unlisted_for_s",
+                       ToSeconds(ReadMonotonicTime() - lastListedAt_) } });
+        isRegistered = false;
+        isUnlisted_ = false;
+        continue;
+      }
       // Daemons that were started together are listed completely soon after.
       const Duration interval =
         renewals++ == 0 ? kMembershipInterval
@@ -343,7 +361,8 @@
     }
   }
 
-  /** Reads the list of live daemons, which may be some seconds old.
+  /** Reads the list of live daemons, which may be some seconds old, and whether
+   * this daemon is missing in it.
    * @returns the number of daemons; 0 if the list can't be read. */
   boost::asio::awaitable<std::size_t> UpdateMembers()
   {
@@ -353,6 +372,13 @@
     if (!members || members->empty()) {
       co_return 0;
     }
+    const bool isListed = std::any_of(
+      members->begin(), members->end(), [this](const MemberRecord& aMember) {
+        return aMember.peerAddress_ == self_.peerAddress_;
+      });
+    const Time now = ReadMonotonicTime();
+    lastListedAt_ = isListed ? now : lastListedAt_;
+    isUnlisted_ = now - lastListedAt_ > kMaxUnlistedTime;
     onMemberList_(*members);
     hasMemberList_ = true;
     memberListReceived_.Notify();
@@ -389,6 +415,10 @@
    * first. */
   std::uint64_t tablesRevision_ = 0;
   bool hasMemberList_ = false;
+  /** When a list of members last had this daemon, or its record was written. */
+  Time lastListedAt_;
+  /** Whether the last list lacks this daemon for longer than a list is old. */
+  bool isUnlisted_ = false;
   Time joinDeadline_;
   MemberRecord self_;
   MemberListHandler onMemberList_;
--- a/tests/dispatch_tests/ServerLimitTests.cpp
+++ b/tests/dispatch_tests/ServerLimitTests.cpp
@@ -149,6 +149,28 @@
   BOOST_TEST(others <= 0.5);
 }
 
+// Guards against two issuers of one limit: a daemon that the list of members
+// lacks counted itself among the issuers, which nobody else did.
+BOOST_AUTO_TEST_CASE(UnlistedDaemonIsNoSecondIssuer)
+{
+  const std::vector<PermitPeer> members = { { "d0", kZone },
+                                            { "d1", AvailabilityZone("b") } };
+  const PermitPeer unlisted{ "hidden", kZone };
+  for (int index = 0; index < 50; ++index) {
+    const BackendServerId server("s" + std::to_string(index));
+    IssuerSelector selector;
+    selector.SetMembers(unlisted, members);
+    BOOST_TEST(selector.FindIssuer(server, kZone) == "d0");
+    BOOST_TEST(selector.GetShare(server, kZone) <= 0.25);
+    IssuerSelector listed;
+    listed.SetMembers(members[0], members);
+    BOOST_TEST(listed.GetShare(server, kZone) == 1.0);
+  }
+  IssuerSelector alone;
+  alone.SetMembers(unlisted, {});
+  BOOST_TEST(alone.GetShare(kServer, kZone) == 1.0);
+}
+
 // Guards against a daemon that sends before the issuer has granted a permit, or
 // sends two requests on one.
 BOOST_AUTO_TEST_CASE(PermitIsForOneRequest)
--- a/tests/serving_tests/SyncTests.cpp
+++ b/tests/serving_tests/SyncTests.cpp
@@ -61,6 +61,9 @@
   {
     std::vector<MemberRecord> members;
     members.resize(1);
+    if (isHidden_ && registrations_ < 2) {
+      members.front().peerAddress_ = { "127.0.0.9", 7200 };
+    }
     co_return members;
   }
   AsyncResult<ServingTables::Content> ParseTables(const std::string&) const
@@ -115,6 +118,8 @@
   bool rejectsMembers_ = false;
   bool losesHistory_ = false;
   bool isRestored_ = false;
+  /** Whether the record of the first registration is lost. */
+  bool isHidden_ = false;
   std::vector<ServerEvent> servers_;
   int reads_ = 0;
   int lists_ = 0;
@@ -244,6 +249,17 @@
   BOOST_TEST(store_.renewals_ >= 1);
 }
 
+// Guards against a daemon whose lease is renewed while its record is gone: no
+// other daemon knows it any more.
+BOOST_FIXTURE_TEST_CASE(DaemonWithoutRecordRegistersAgain, SyncFixture)
+{
+  store_.isHidden_ = true;
+  Start();
+  RunFor(16s);
+  BOOST_TEST(store_.registrations_ == 2);
+  BOOST_TEST(store_.renewals_ > 0);
+}
+
 // Guards against live servers that get no requests, because the backup of the
 // store lacks them until they have registered again.
 BOOST_FIXTURE_TEST_CASE(ServersMissingAfterARestoreAreKept, SyncFixture)
