--- a/modules/azurecross_http/client/HttpClient.cpp
+++ b/modules/azurecross_http/client/HttpClient.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace azurecross {
@@ -122,6 +123,7 @@
 asio::awaitable<AsyncResult<HttpResponse>>
 HttpClient::Send(SocketAddress aAddress, HttpRequest aRequest)
 {
+  const Time start = ReadMonotonicTime();
   SentRequest sent(executor_);
   if (auto error = co_await ConnectAndWrite(
         sent, aAddress, limits_, std::move(aRequest))) {
@@ -130,10 +132,22 @@
   boost::system::error_code code;
   http::response_parser<http::string_body> parser;
   parser.body_limit(limits_.bodyLimitBytes_);
-  co_await http::async_read(sent.stream_,
-                            sent.buffer_,
-                            parser,
-                            asio::redirect_error(asio::use_awaitable, code));
+  const Time answerEnd = ReadMonotonicTime() + limits_.answerTimeout_;
+  Time lastRead = start;
+  while (!code && !parser.is_done()) {
+    if (limits_.silenceTimeout_) {
+      const Time readEnd =
+        std::min(answerEnd, lastRead + *limits_.silenceTimeout_);
+      sent.stream_.expires_after(
+        std::max<Duration>(readEnd - ReadMonotonicTime(), Duration(1)));
+    }
+    co_await http::async_read_some(
+      sent.stream_,
+      sent.buffer_,
+      parser,
+      asio::redirect_error(asio::use_awaitable, code));
+    lastRead = ReadMonotonicTime();
+  }
   if (code) {
     co_return MakeTransportError(
       Verdict::MayHaveRun, aAddress, "cannot read the answer of", code);
--- a/modules/azurecross_serving/peers/RelayedStateSource.h
+++ b/modules/azurecross_serving/peers/RelayedStateSource.h
@@ -14,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -39,9 +40,12 @@
     , store_(aStore)
     , feed_(aFeed)
     , readerSelector_(std::move(aSelf))
-    , client_(aExecutor, MakeLimits(kCallTimeout))
-    , watchClient_(aExecutor, MakeLimits(kWatchTimeout + kCallTimeout))
-    , listClient_(aExecutor, MakeLimits(kListTimeout))
+    , client_(aExecutor, MakeLimits(kCallTimeout, kCallTimeout))
+    , watchClient_(aExecutor, MakeLimits(kWatchTimeout + kCallTimeout, {}))
+    , transferClient_(aExecutor,
+                      MakeLimits(kWatchTimeout + kCallTimeout, kCallTimeout))
+    , startListClient_(aExecutor, MakeLimits(kListTimeout, {}))
+    , listClient_(aExecutor, MakeLimits(kListTimeout, kCallTimeout))
     , tablesReceived_(aExecutor)
   {
   }
@@ -59,12 +63,35 @@
 
   FeedRole GetRole() const { return readerSelector_.GetRole(); }
 
+  /**
+   * @returns the longest time after which a daemon calls the store itself to
+   * learn of a change of the servers, although all its readers are silent: the
+   * confirmation of the tables finds the first reader silent, which cancels the
+   * watch of the servers, and the list from another reader is not answered.
+   * @param aConfirmationInterval between two confirmations of the tables.
+   * @param aWatchDelay between the end of a watch and the next read.
+   */
+  static constexpr Duration GetMaxServersDelay(Duration aConfirmationInterval,
+                                               Duration aWatchDelay)
+  {
+    return std::max<Duration>(aConfirmationInterval, kTransferTimeout) +
+           kCallTimeout + kWatchPollInterval + aWatchDelay + kCallTimeout;
+  }
+  /** @returns the same time for a change of the tables. */
+  static constexpr Duration GetMaxTablesDelay(Duration aConfirmationInterval)
+  {
+    return std::max<Duration>(aConfirmationInterval, kTransferTimeout) +
+           kMaxReaderSearchTime;
+  }
+
   boost::asio::awaitable<AsyncResult<TablesSnapshot>> ReadTables()
   {
     co_await AwaitReaderStart(knownVersion_ > 0, "&tables=1");
     // The selector skips each reader that has failed.
+    const Time searchEnd = ReadMonotonicTime() + kMaxReaderSearchTime;
     auto reader = readerSelector_.SelectReader(ReadMonotonicTime());
-    for (int attempts = 0; reader && attempts < kMaxReaderAttempts;
+    for (int attempts = 0; reader && attempts < kMaxReaderAttempts &&
+                           ReadMonotonicTime() + kCallTimeout <= searchEnd;
          ++attempts) {
       const Time sentAt = ReadBootTime();
       std::optional<TablesSnapshot> result = co_await ConfirmTables(*reader);
@@ -99,8 +126,8 @@
   {
     const auto reader = readerSelector_.SelectReader(ReadMonotonicTime());
     if (reader) {
-      isReaderWatchPending_ = true;
-      const ScopeGuard clearPending([this] { isReaderWatchPending_ = false; });
+      watchedReader_ = *reader;
+      const ScopeGuard clearWatched([this] { watchedReader_.reset(); });
       std::optional<TablesSnapshot> result =
         co_await FetchTables(watchClient_, *reader, kWatchTimeout, true);
       if (result) {
@@ -130,7 +157,9 @@
     for (int attempts = 0; reader && attempts < maxAttempts; ++attempts) {
       serversEpoch_ = 0;
       std::optional<ServersUpdate> result =
-        co_await FetchServers(listClient_, *reader, Duration::zero());
+        co_await FetchServers(hasServerList_ ? listClient_ : startListClient_,
+                              *reader,
+                              Duration::zero());
       if (result) {
         hasServerList_ = true;
         co_return std::move(*result);
@@ -228,11 +257,14 @@
     std::chrono::milliseconds(250);
   static constexpr Duration kReaderStartPollInterval =
     std::chrono::milliseconds(60);
-  /** Readers tried before the store. In a zone that is cut off, each attempt
-   * takes the whole `kCallTimeout`. */
+  /** Readers tried before the store, if they fail at once. */
   static constexpr int kMaxReaderAttempts = 3;
+  /** Longest search for a reader: two of them may be silent. In a zone that is
+   * cut off, each attempt takes the whole `kCallTimeout`. */
+  static constexpr Duration kMaxReaderSearchTime =
+    2 * kCallTimeout + std::chrono::milliseconds(50);
   /** Longest wait for tables that a watch is receiving. */
-  static constexpr Duration kTransferTimeout = std::chrono::seconds(1);
+  static constexpr Duration kTransferTimeout = std::chrono::milliseconds(750);
   /** Limits the time for which a stalled connection hides changes. */
   static constexpr std::chrono::milliseconds kWatchTimeout{ 2000 };
   /** Interval at which a pending watch checks for its cancellation. */
@@ -243,11 +275,13 @@
   static constexpr Duration kMaxConfirmationAge =
     std::chrono::milliseconds(1200);
 
-  static HttpClientLimits MakeLimits(Duration aResponseTimeout)
+  static HttpClientLimits MakeLimits(Duration aResponseTimeout,
+                                     std::optional<Duration> aSilenceTimeout)
   {
     HttpClientLimits limits;
     limits.connectTimeout_ = kCallTimeout;
     limits.answerTimeout_ = aResponseTimeout;
+    limits.silenceTimeout_ = aSilenceTimeout;
     return limits;
   }
 
@@ -413,9 +447,10 @@
   boost::asio::awaitable<std::optional<TablesSnapshot>> ConfirmTables(
     SocketAddress aReader)
   {
-    const bool isTransferNeeded = knownVersion_ == 0 || !isReaderWatchPending_;
+    const bool isTransferNeeded =
+      knownVersion_ == 0 || watchedReader_ != aReader;
     std::optional<TablesSnapshot> result =
-      co_await FetchTables(isTransferNeeded ? watchClient_ : client_,
+      co_await FetchTables(isTransferNeeded ? transferClient_ : client_,
                            aReader,
                            Duration::zero(),
                            isTransferNeeded);
@@ -427,7 +462,7 @@
       co_return result;
     }
     co_return co_await FetchTables(
-      watchClient_, aReader, Duration::zero(), true);
+      transferClient_, aReader, Duration::zero(), true);
   }
 
   boost::asio::awaitable<std::optional<TablesSnapshot>> FetchTables(
@@ -522,12 +557,17 @@
   ReaderSelector readerSelector_;
   HttpClient client_;
   HttpClient watchClient_;
-  /** Client for complete lists of servers. */
+  /** Client for tables that are sent at once and may be large. */
+  HttpClient transferClient_;
+  /** Clients for complete lists of servers. After a common start, the readers
+   * are busy with the lists of all daemons. */
+  HttpClient startListClient_;
   HttpClient listClient_;
   std::uint64_t knownVersion_ = 0;
   /** Notified when tables have been received from a reader. */
   AsyncCondition tablesReceived_;
-  bool isReaderWatchPending_ = false;
+  /** The reader from which a pending watch receives changed tables. */
+  std::optional<SocketAddress> watchedReader_;
   bool areTablesFromStore_ = false;
   bool hasServerList_ = false;
   /** The start of the wait for readers that were started with this daemon. */
--- a/modules/azurecross_serving/state/StateSync.h
+++ b/modules/azurecross_serving/state/StateSync.h
@@ -90,6 +90,8 @@
    * and the limit of two seconds for changes that a watch missed. */
   static constexpr Duration kConfirmationInterval =
     std::chrono::milliseconds(750);
+  /** Delay before the next watch, which batches changes in quick succession. */
+  static constexpr Duration kWatchDelay = std::chrono::milliseconds(30);
 
 private:
   static constexpr Duration kMembershipInterval = std::chrono::seconds(3);
@@ -122,8 +124,6 @@
   static constexpr Duration kMaxJoinWait = std::chrono::milliseconds(1500);
   /** Consecutive failed calls after which the store counts as lost. */
   static constexpr unsigned kFailuresUntilLost = 2;
-  /** Delay before the next watch, which batches changes in quick succession. */
-  static constexpr Duration kWatchDelay = std::chrono::milliseconds(30);
   /** Time after the recovery of the store in which a missing registration may
    * have expired during the outage. */
   static constexpr Duration kOutageRecoveryTime = std::chrono::seconds(2);
--- a/tests/serving_tests/FeedTests.cpp
+++ b/tests/serving_tests/FeedTests.cpp
@@ -4,6 +4,7 @@
 #include "azurecross_serving/peers/ReaderSelector.h"
 #include "azurecross_serving/peers/RelayedStateSource.h"
 #include "azurecross_serving/peers/StateFeed.h"
+#include "azurecross_serving/state/StateSync.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -48,6 +49,8 @@
     }
     ServerRecord record;
     record.id_ = BackendServerId("e1");
+    record.state_ =
+      isServerDraining_ ? ServerState::Draining : ServerState::Ready;
     ServersUpdate result;
     result.servers_ = { { record.id_, record, "text" } };
     result.revision_ = 7;
@@ -91,6 +94,7 @@
   mutable std::atomic<int> parses_ = 0;
   std::atomic<bool> isDown_ = false;
   std::atomic<bool> isRestored_ = false;
+  std::atomic<bool> isServerDraining_ = false;
   std::atomic<std::uint64_t> version_ = 1;
 };
 
@@ -293,8 +297,156 @@
   std::thread thread_;
 };
 
+/** A store whose watch of the tables waits for a change that doesn't come. */
+struct WaitingStore : FakeStore
+{
+  asio::awaitable<AsyncResult<TablesSnapshot>> WatchTables(std::uint64_t)
+  {
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    timer.expires_after(std::chrono::seconds(5));
+    co_await timer.async_wait(asio::use_awaitable);
+    co_return MakeError();
+  }
+  asio::awaitable<AsyncResult<std::vector<MemberRecord>>> ListMembers(bool)
+  {
+    co_return members_;
+  }
+
+  std::vector<MemberRecord> members_;
+};
+
+/** Two daemons that read from the store and freeze together, and one that reads
+ * from them. */
+struct FrozenReadersFixture
+{
+  struct Daemon
+  {
+    Daemon(asio::io_context& aContext, const std::string& aHost)
+      : feed_(aContext, { aHost, 0 }, 1234567)
+      , address_{ aHost, feed_.GetAddress().port_ }
+      , source_(aContext.get_executor(), store_, feed_, address_)
+      , metrics_(registry_)
+      , state_(settings_, log_, metrics_)
+      , sync_(aContext, source_, state_, log_, metrics_, 1)
+    {
+    }
+
+    WaitingStore store_;
+    StateFeed feed_;
+    SocketAddress address_;
+    RelayedStateSource<WaitingStore> source_;
+    ServingSettings settings_;
+    Metrics registry_;
+    DecisionLog log_;
+    ServingMetrics metrics_;
+    ServingState state_;
+    StateSync<RelayedStateSource<WaitingStore>> sync_;
+  };
+
+  FrozenReadersFixture()
+  {
+    constexpr std::uint32_t kFastLinkMbps = 1000;
+    std::vector<MemberRecord> members;
+    for (Daemon* daemon : { &first_, &second_, &reading_ }) {
+      const bool isReader = daemon != &reading_;
+      members.push_back({ daemon->address_,
+                          AvailabilityZone("a"),
+                          isReader ? kFastLinkMbps : 1 });
+    }
+    for (Daemon* daemon : { &first_, &second_, &reading_ }) {
+      daemon->store_.members_ = members;
+      daemon->source_.SetMembers(members);
+      daemon->feed_.Start();
+      daemon->sync_.Start({ daemon->address_, AvailabilityZone("a") },
+                          [](const std::vector<MemberRecord>&) {});
+    }
+    thread_ = std::thread([this] { readerContext_.run(); });
+  }
+
+  ~FrozenReadersFixture() { Freeze(); }
+
+  FrozenReadersFixture(const FrozenReadersFixture&) = delete;
+  FrozenReadersFixture& operator=(const FrozenReadersFixture&) = delete;
+
+  /** Stops the readers; their connections stay open. */
+  void Freeze()
+  {
+    readerContext_.stop();
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+
+  DaemonContext readerContext_;
+  DaemonContext context_;
+  Daemon first_{ readerContext_, "127.0.0.21" };
+  Daemon second_{ readerContext_, "127.0.0.22" };
+  Daemon reading_{ context_, "127.0.0.23" };
+  std::thread thread_;
+};
+
+/** The shortest time for which a server goes on serving after it has announced
+ * its end, on any deployment. */
+constexpr Duration kShortestDrainTime = std::chrono::seconds(2);
+/** Time for the store to answer, and for the change to be applied. */
+constexpr Duration kStoreReadTime = std::chrono::milliseconds(250);
+
 } // namespace
 
+// Guards against waits for silent readers that are bounded one by one, while
+// their sum exceeds the time for which a server drains.
+BOOST_AUTO_TEST_CASE(SumOfWaitsForReadersIsBelowTheDrainTime)
+{
+  using Source = RelayedStateSource<FakeStore>;
+  using Sync = StateSync<Source>;
+  constexpr Duration kServersDelay =
+    Source::GetMaxServersDelay(Sync::kConfirmationInterval, Sync::kWatchDelay);
+  BOOST_TEST((kServersDelay + kStoreReadTime <= kShortestDrainTime));
+  constexpr Duration kTablesDelay =
+    Source::GetMaxTablesDelay(Sync::kConfirmationInterval);
+  BOOST_TEST((kTablesDelay + kStoreReadTime <= kShortestDrainTime));
+}
+
+// Guards against requests to a server that drains while all readers are frozen:
+// a list from the second one was awaited for 1.5 s more.
+BOOST_AUTO_TEST_CASE(FrozenReadersDoNotHideADrainingServer)
+{
+  for (const int phaseMilliseconds : { 0, 250, 500, 700 }) {
+    FrozenReadersFixture fixture;
+    FrozenReadersFixture::Daemon& daemon = fixture.reading_;
+    fixture.context_.run_for(std::chrono::milliseconds(2500));
+    BOOST_REQUIRE(daemon.state_.GetLoadTracker().Find(BackendServerId("e1")) !=
+                  nullptr);
+    BOOST_TEST(daemon.store_.reads_ == 0);
+    fixture.context_.run_for(std::chrono::milliseconds(phaseMilliseconds));
+    fixture.Freeze();
+    daemon.store_.isServerDraining_ = true;
+    const Time drainingSince = ReadMonotonicTime();
+    while (daemon.state_.GetLeavingServers().empty() &&
+           ReadMonotonicTime() - drainingSince < 2 * kShortestDrainTime) {
+      fixture.context_.run_for(std::chrono::milliseconds(10));
+    }
+    BOOST_TEST((ReadMonotonicTime() - drainingSince < kShortestDrainTime));
+  }
+}
+
+// Guards against tables that are read late because a reader accepts a
+// connection and stays silent.
+BOOST_AUTO_TEST_CASE(TablesAreReadWhileAllReadersAreFrozen)
+{
+  FrozenReadersFixture fixture;
+  FrozenReadersFixture::Daemon& daemon = fixture.reading_;
+  fixture.context_.run_for(std::chrono::milliseconds(2500));
+  fixture.Freeze();
+  daemon.store_.version_ = 2;
+  const Time changedAt = ReadMonotonicTime();
+  while (daemon.state_.GetTables()->GetVersion() < 2 &&
+         ReadMonotonicTime() - changedAt < 2 * kShortestDrainTime) {
+    fixture.context_.run_for(std::chrono::milliseconds(10));
+  }
+  BOOST_TEST((ReadMonotonicTime() - changedAt < kShortestDrainTime));
+}
+
 // Guards against a load on the store that grows with the number of daemons, and
 // against relays that each serve more daemons than their link carries.
 BOOST_AUTO_TEST_CASE(FewDaemonsAreReaders)
