--- a/modules/azurecross_core/types/Error.h
+++ b/modules/azurecross_core/types/Error.h
@@ -20,6 +20,7 @@
   InvalidRequest,
   HeaderTooLarge,
   BodyTooLarge,
+  BodyMemoryExhausted,
   RequestTimeout,
   KeyUnknown,
   RouteNotFound,
@@ -45,10 +46,11 @@
   Internal,
 };
 
-inline constexpr NameTable<ErrorCode, 26> kErrorCodeNames{
+inline constexpr NameTable<ErrorCode, 27> kErrorCodeNames{
   { { { ErrorCode::InvalidRequest, "invalid_request" },
       { ErrorCode::HeaderTooLarge, "header_too_large" },
       { ErrorCode::BodyTooLarge, "body_too_large" },
+      { ErrorCode::BodyMemoryExhausted, "body_memory_exhausted" },
       { ErrorCode::RequestTimeout, "request_timeout" },
       { ErrorCode::KeyUnknown, "key_unknown" },
       { ErrorCode::RouteNotFound, "route_not_found" },
--- a/modules/azurecross_gateway/filters/WorkerServices.h
+++ b/modules/azurecross_gateway/filters/WorkerServices.h
@@ -23,6 +23,7 @@
   WorkerMetrics& metrics_;
   BackendPool& pool_;
   BufferBudget& answerBudget_;
+  BufferBudget& bodyBudget_;
   RunningRequests& running_;
   Random& random_;
 };
--- a/modules/azurecross_gateway/messages/ErrorReply.cpp
+++ b/modules/azurecross_gateway/messages/ErrorReply.cpp
@@ -58,6 +58,7 @@
     case ErrorCode::AnswerMismatched:
     case ErrorCode::AnswerTruncated:
       return 502;
+    case ErrorCode::BodyMemoryExhausted:
     case ErrorCode::NoBackendServer:
     case ErrorCode::PromptQuarantined:
     case ErrorCode::OwnerUnreachable:
--- a/modules/azurecross_gateway/relay/CallerChannel.cpp
+++ b/modules/azurecross_gateway/relay/CallerChannel.cpp
@@ -21,6 +21,13 @@
 /** How long a caller may take to read the last answer and close. */
 constexpr Duration kLingerTime = std::chrono::seconds(1);
 
+/** Part of a body that takes nothing from the memory for all bodies, so that
+ * small requests are read beside large ones. */
+constexpr std::size_t kUnbudgetedBodyBytes = std::size_t{ 16 } * 1024;
+/** When a body may find memory that there is none for now: others are read and
+ * answered meanwhile. */
+constexpr std::chrono::milliseconds kBodyRetryAfter{ 500 };
+
 constexpr std::string_view kHeaderEnd = "\r\n\r\n";
 
 /** @returns whether a read failed because the caller closed or vanished. */
@@ -38,11 +45,13 @@
 
 CallerChannel::CallerChannel(WorkerSocket aSocket,
                              DeadlineList& aDeadlines,
-                             const GatewayLimits& aLimits)
+                             const GatewayLimits& aLimits,
+                             BufferBudget& aBodyBudget)
   : socket_(std::move(aSocket))
   , deadline_([this] { Expire(); })
   , limits_(aLimits)
   , buffer_(aLimits.headerLimitBytes_ + aLimits.readAheadBytes_)
+  , bodyMemory_(aBodyBudget)
 {
   boost::system::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -114,6 +123,7 @@
 CallerChannel::ReadRequest(RequestParser& aParser)
 {
   timedOut_ = false;
+  ReserveBody(0);
   if (hasLeft_ || !co_await WaitForRequest()) {
     co_return ReadOutcome();
   }
@@ -127,14 +137,23 @@
     socket_, buffer_, aParser, asio::redirect_error(asio::use_awaitable, code));
   if (!code && !aParser.is_done()) {
     deadline_.Set(ReadMonotonicTime() + limits_.bodyTimeout_);
+    if (!ReserveBody(aParser.content_length().value_or(0))) {
+      co_return RefuseBody();
+    }
     if (!co_await Continue(aParser)) {
       SetCloseReason(CloseReason::CallerLeft);
       co_return ReadOutcome();
     }
-    co_await http::async_read(socket_,
-                              buffer_,
-                              aParser,
-                              asio::redirect_error(asio::use_awaitable, code));
+    while (!code && !aParser.is_done()) {
+      co_await http::async_read_some(
+        socket_,
+        buffer_,
+        aParser,
+        asio::redirect_error(asio::use_awaitable, code));
+      if (!ReserveBody(aParser.get().body().capacity())) {
+        co_return RefuseBody();
+      }
+    }
   }
   deadline_.Clear();
   if (code || timedOut_) {
@@ -145,6 +164,28 @@
   co_return done;
 }
 
+bool
+CallerChannel::ReserveBody(std::size_t aBytes)
+{
+  return bodyMemory_.Resize(
+    aBytes - std::min<std::size_t>(aBytes, kUnbudgetedBodyBytes));
+}
+
+CallerChannel::ReadOutcome
+CallerChannel::RefuseBody()
+{
+  deadline_.Clear();
+  ReserveBody(0);
+  ReadOutcome outcome;
+  outcome.end_ = ReadEnd::Refused;
+  outcome.error_ = Error{ ErrorCode::BodyMemoryExhausted,
+                          Verdict::NotRun,
+                          "no memory for another body of this size at present",
+                          kBodyRetryAfter };
+  SetCloseReason(CloseReason::RequestRefused);
+  return outcome;
+}
+
 asio::awaitable<bool>
 CallerChannel::Continue(RequestParser& aParser)
 {
--- a/modules/azurecross_gateway/relay/CallerChannel.h
+++ b/modules/azurecross_gateway/relay/CallerChannel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../backend/BufferBudget.h"
 #include "../server/DeadlineList.h"
 #include "../server/GatewayLimits.h"
 #include "ConnectionClose.h"
@@ -49,9 +50,11 @@
 
   CallerChannel(WorkerSocket aSocket,
                 DeadlineList& aDeadlines,
-                const GatewayLimits& aLimits);
+                const GatewayLimits& aLimits,
+                BufferBudget& aBodyBudget);
 
-  /** Reads the next request, header and body. */
+  /** Reads the next request, header and body. The memory of its body is
+   * reserved until the next call; without memory the request is refused. */
   boost::asio::awaitable<ReadOutcome> ReadRequest(RequestParser& aParser);
 
   /**
@@ -122,6 +125,10 @@
   void Expire();
   boost::asio::awaitable<bool> WaitForRequest();
   boost::asio::awaitable<bool> Continue(RequestParser& aParser);
+  /** Sets the memory that is reserved for a body of this size.
+   * @returns whether there is enough. */
+  bool ReserveBody(std::size_t aBytes);
+  ReadOutcome RefuseBody();
   ReadOutcome Refuse(const RequestParser& aParser,
                      const boost::system::error_code& aCode);
   /** Reads and drops what the caller sends until it closes. */
@@ -133,6 +140,7 @@
   Deadline deadline_;
   const GatewayLimits& limits_;
   boost::beast::flat_buffer buffer_;
+  BufferBudget::Reservation bodyMemory_;
   std::function<void()> onLeft_;
   /** When the current or last wait for a request began. */
   Time idleSince_;
--- a/modules/azurecross_gateway/server/CallerConnection.cpp
+++ b/modules/azurecross_gateway/server/CallerConnection.cpp
@@ -11,7 +11,8 @@
   : services_(aServices)
   , channel_(std::make_shared<CallerChannel>(std::move(aSocket),
                                              aServices.deadlines_,
-                                             aServices.limits_))
+                                             aServices.limits_,
+                                             aServices.bodyBudget_))
 {
   services_.metrics_.CountConnection(1);
 }
--- a/modules/azurecross_gateway/server/GatewayLimits.h
+++ b/modules/azurecross_gateway/server/GatewayLimits.h
@@ -12,6 +12,8 @@
 {
   std::uint32_t headerLimitBytes_ = 16 * 1024;
   std::size_t bodyLimitBytes_ = std::size_t{ 8 } << 20;
+  /** Largest total of the bodies of the requests that one worker holds. */
+  std::size_t bodiesLimitBytes_ = std::size_t{ 128 } << 20;
   /** Largest answer that is not an event stream. */
   std::size_t answerLimitBytes_ = std::size_t{ 8 } << 20;
   /** Largest total of the answers that one worker reads at the same time. */
--- a/modules/azurecross_gateway/server/GatewayWorker.cpp
+++ b/modules/azurecross_gateway/server/GatewayWorker.cpp
@@ -38,6 +38,7 @@
                                                      metrics_,
                                                      *pool_,
                                                      answerBudget_,
+                                                     bodyBudget_,
                                                      aRunning,
                                                      random_ });
 }
--- a/modules/azurecross_gateway/server/GatewayWorker.h
+++ b/modules/azurecross_gateway/server/GatewayWorker.h
@@ -43,6 +43,7 @@
 
   const GatewayLimits& limits_;
   BufferBudget answerBudget_{ limits_.answersLimitBytes_ };
+  BufferBudget bodyBudget_{ limits_.bodiesLimitBytes_ };
   // Coroutines that are still suspended when the context is destroyed use
   // these, so they come first.
   DeadlineList deadlines_;
--- a/modules/azurecross_serving/daemon/ServingDaemon.h
+++ b/modules/azurecross_serving/daemon/ServingDaemon.h
@@ -46,6 +46,7 @@
     , loadSettings_(std::move(aLoadSettings))
     , servingMetrics_(metrics_)
     , responseBudget_(settings_.memoryLimitBytes_ / kResponseMemoryDivisor)
+    , requestBudget_(settings_.memoryLimitBytes_ / kRequestMemoryDivisor)
     , state_(settings_, log_, servingMetrics_)
     , random_(DrawSystemSeed())
     , dispatch_(state_, settings_.zone_, servingMetrics_, random_.DrawBits())
@@ -59,6 +60,7 @@
                  connections_,
                  limits_,
                  responseBudget_,
+                 requestBudget_,
                  random_,
                  [this](Duration aTimeout) {
                    return stateSync_.AwaitTablesConfirmation(aTimeout);
@@ -173,6 +175,9 @@
   static constexpr Duration kTickInterval = std::chrono::milliseconds(20);
   /** Responses that are being read may take this part of the memory. */
   static constexpr std::size_t kResponseMemoryDivisor = 4;
+  /** The bodies of requests may take this part, which leaves a quarter for all
+   * else. */
+  static constexpr std::size_t kRequestMemoryDivisor = 2;
   /** Time before the end of the grace period from which on the daemon accepts
    * no connections and refuses all requests. */
   static constexpr Duration kShutdownMargin = std::chrono::milliseconds(700);
@@ -357,6 +362,7 @@
   BackendPool connections_;
   GatewayLimits limits_;
   BufferBudget responseBudget_;
+  BufferBudget requestBudget_;
   ServingState state_;
   Random random_;
   AsyncDispatcher dispatch_;
--- a/modules/azurecross_serving/forward/ForwardServices.h
+++ b/modules/azurecross_serving/forward/ForwardServices.h
@@ -29,6 +29,8 @@
   GatewayLimits& limits_;
   /** Memory of the responses that are being read. */
   BufferBudget& responseBudget_;
+  /** Memory of the bodies of the requests that are read or in progress. */
+  BufferBudget& requestBudget_;
   Random& random_;
   /**
    * Waits up to the given time for a read that confirms the tables as fresh.
--- a/modules/azurecross_serving/server/FrontConnection.cpp
+++ b/modules/azurecross_serving/server/FrontConnection.cpp
@@ -12,7 +12,8 @@
   : services_(aServices)
   , channel_(std::make_shared<CallerChannel>(std::move(aSocket),
                                              aServices.deadlines_,
-                                             aServices.limits_))
+                                             aServices.limits_,
+                                             aServices.requestBudget_))
 {
 }
 
--- a/tests/serving_tests/EndlessBytesTests.cpp
+++ b/tests/serving_tests/EndlessBytesTests.cpp
@@ -3,7 +3,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
+#include <future>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -134,4 +136,73 @@
   BOOST_TEST(peakBytes <= kResponseBudgetBytes);
 }
 
+// Bodies of many requests must not fill the memory together; those that find no
+// memory are refused, and small requests are served beside them.
+BOOST_FIXTURE_TEST_CASE(RequestBodiesAreBoundedTogether, ServingFixture)
+{
+  constexpr std::size_t kBodyBytes = std::size_t{ 1 } << 20;
+  constexpr int kCallers = 12;
+  std::atomic<int> received = 0;
+  std::atomic<bool> mayAnswer = false;
+  FakeBackendServer server([&](FakeConnection& aConnection) {
+    while (!aConnection.ReadRequest().empty()) {
+      ++received;
+      for (int wait = 0; wait < 300 && !mayAnswer; ++wait) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+      }
+      aConnection.Answer(200, "{}");
+    }
+  });
+  SetTables(MakeTables());
+  for (int index = 0; index < kCallers; ++index) {
+    AddServer("s" + std::to_string(index), "desk", server);
+  }
+  const auto makeRequest = [](std::size_t aSize, bool aIsChunked) {
+    const std::string head = "POST /once/x HTTP/1.1\r\nHost: test.example\r\n"
+                             "X-Request-Id: r1\r\n";
+    const std::string body(aSize, 'b');
+    if (!aIsChunked) {
+      return head + "Content-Length: " + std::to_string(aSize) + "\r\n\r\n" +
+             body;
+    }
+    std::ostringstream size;
+    size << std::hex << aSize;
+    return head + "Transfer-Encoding: chunked\r\n\r\n" + size.str() + "\r\n" +
+           body + "\r\n0\r\n\r\n";
+  };
+  std::vector<std::future<CallerAnswer>> answers;
+  for (int caller = 0; caller < kCallers; ++caller) {
+    answers.push_back(std::async(std::launch::async, [&, caller] {
+      return Call(makeRequest(kBodyBytes, caller % 2 == 0));
+    }));
+  }
+  std::size_t peakBytes = 0;
+  for (int wait = 0; wait < 50; ++wait) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    peakBytes =
+      std::max(peakBytes, GetServices().requestBudget_.GetUsedBytes());
+  }
+  std::future<CallerAnswer> smallAnswer = std::async(
+    std::launch::async, [&] { return Call(makeRequest(100, false)); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  mayAnswer = true;
+  int served = 0;
+  for (auto& future : answers) {
+    const CallerAnswer answer = future.get();
+    served += answer.status_ == 200U ? 1 : 0;
+    if (answer.status_ != 200U) {
+      BOOST_TEST(answer.status_ == 503U);
+      BOOST_TEST(!answer.FindHeader("Retry-After").empty());
+      BOOST_TEST(answer.Count("body_memory_exhausted") == 1);
+    }
+  }
+  BOOST_TEST(smallAnswer.get().status_ == 200U);
+  BOOST_TEST(served > 0);
+  BOOST_TEST(served < kCallers);
+  BOOST_TEST(received == served + 1);
+  BOOST_TEST(peakBytes > 0U);
+  BOOST_TEST(peakBytes <= kRequestBudgetBytes);
+  BOOST_TEST(Call(makeRequest(kBodyBytes, false)).status_ == 200U);
+}
+
 } // namespace azurecross
--- a/tests/serving_tests/ServingFixture.cpp
+++ b/tests/serving_tests/ServingFixture.cpp
@@ -64,6 +64,7 @@
                      connections_,
                      limits_,
                      responseBudget_,
+                     requestBudget_,
                      random_,
                      [](Duration) -> asio::awaitable<bool> { co_return false; },
                      nullptr,
--- a/tests/serving_tests/ServingFixture.h
+++ b/tests/serving_tests/ServingFixture.h
@@ -23,6 +23,8 @@
 public:
   /** Memory for all responses that are read at the same time. */
   static constexpr std::size_t kResponseBudgetBytes = std::size_t{ 1 } << 20;
+  /** Memory for the bodies of all requests. */
+  static constexpr std::size_t kRequestBudgetBytes = std::size_t{ 4 } << 20;
 
   ServingFixture();
   ~ServingFixture();
@@ -89,6 +91,7 @@
   BackendPool connections_;
   GatewayLimits limits_;
   BufferBudget responseBudget_{ kResponseBudgetBytes };
+  BufferBudget requestBudget_{ kRequestBudgetBytes };
   Random random_{ 1 };
   TestWireProtocol wire_;
   ServingState state_;
