--- a/modules/azurecross_http/client/HttpClient.h
+++ b/modules/azurecross_http/client/HttpClient.h
@@ -21,10 +21,10 @@
   Duration connectTimeout_ = std::chrono::seconds(2);
   /** From the connection until the last byte; for streams, between reads. */
   Duration answerTimeout_ = std::chrono::seconds(5);
+  std::size_t bodyLimitBytes_ = std::size_t{ 8 } << 20;
   /** If set, the longest time from the start of the call to the first byte of
    * the answer, and between two reads of it. Not used for streams. */
   std::optional<Duration> silenceTimeout_;
-  std::size_t bodyLimitBytes_ = std::size_t{ 8 } << 20;
 };
 
 /**
