Give the silence limit of HttpClient a default

EtcdClient sets the other limits by position, and the compiler warns of a member without a value there, which is an error in this build. No behaviour changes.

--- a/modules/azurecross_http/client/HttpClient.h
+++ b/modules/azurecross_http/client/HttpClient.h
@@ -24,7 +24,7 @@
   std::size_t bodyLimitBytes_ = std::size_t{ 8 } << 20;
   /** If set, the longest time from the start of the call to the first byte of
    * the answer, and between two reads of it. Not used for streams. */
-  std::optional<Duration> silenceTimeout_;
+  std::optional<Duration> silenceTimeout_ = std::nullopt;
 };
 
 /**
