--- a/tests/serving_tests/EndlessBytesTests.cpp
+++ b/tests/serving_tests/EndlessBytesTests.cpp
@@ -105,6 +105,7 @@
   constexpr int kStreams = 24;
   std::atomic<int> broken = 0;
   std::vector<std::unique_ptr<FakeBackendServer>> servers;
+  servers.reserve(kStreams);
   SetTables(MakeTables());
   for (int index = 0; index < kStreams; ++index) {
     servers.push_back(
@@ -121,6 +122,7 @@
     AddServer("s" + std::to_string(index), "engines", *servers.back());
   }
   std::vector<std::unique_ptr<TestCaller>> callers;
+  callers.reserve(kStreams);
   for (int index = 0; index < kStreams; ++index) {
     callers.emplace_back(new TestCaller(Connect()));
     callers.back()->Send(MakeRequest("/stream/x"));
@@ -171,6 +173,7 @@
            body + "\r\n0\r\n\r\n";
   };
   std::vector<std::future<CallerAnswer>> answers;
+  answers.reserve(kCallers);
   for (int caller = 0; caller < kCallers; ++caller) {
     answers.push_back(std::async(std::launch::async, [&, caller] {
       return Call(makeRequest(kBodyBytes, caller % 2 == 0));
