Cut a stream inside its event before its engine ends, in a test

Trace: the engine of the test was ended as soon as it had been asked for the second copy, which shuts down its stream; if that came before the part of event 2, the unframed stream ended at an event boundary and was complete. The test now waits for the part of the event; its checks are unchanged.

--- a/tests/serving_tests/MoveTests.cpp
+++ b/tests/serving_tests/MoveTests.cpp
@@ -267,6 +267,7 @@
 // copy; the part of the event was sent to the caller.
 BOOST_FIXTURE_TEST_CASE(UnframedStreamCutInsideEventResumes, ServingFixture)
 {
+  std::atomic<bool> isCut = false;
   std::atomic<int> copies = 0;
   std::atomic<int> resumes = 0;
   std::optional<FakeBackendServer> source;
@@ -283,6 +284,7 @@
                      MakeEvent(1));
     WaitForCount(copies, 2);
     aConnection.Send("id: 2\nda");
+    isCut = true;
   });
   FakeBackendServer target(MakeTarget(2, 3, resumes));
   SetTables(MakeTables());
@@ -292,7 +294,8 @@
   caller.ReadUntil(MakeEvent(1));
   AddServer("e2", "engines", target);
   SetDraining("e1", "engines", *source);
-  WaitForCount(copies, 2);
+  // The end of the engine closes its stream as well.
+  WaitForFlag(isCut);
   source.reset();
   const std::string remainder = caller.ReadUntil("0\r\n\r\n");
   BOOST_TEST(remainder.find("id: 2\nda\r\n") == std::string::npos);
