End the pending work of a fixture before its daemons, in a test

FrozenReadersFixture left suspended coroutines to the destructor of their event loop, after the objects that they refer to. The other fixture of this file does the same as is done now. Found by reading, before a run under AddressSanitizer.

--- a/tests/serving_tests/FeedTests.cpp
+++ b/tests/serving_tests/FeedTests.cpp
@@ -363,7 +363,12 @@
     thread_ = std::thread([this] { readerContext_.run(); });
   }
 
-  ~FrozenReadersFixture() { Freeze(); }
+  ~FrozenReadersFixture()
+  {
+    Freeze();
+    readerContext_.DestroyPending();
+    context_.DestroyPending();
+  }
 
   FrozenReadersFixture(const FrozenReadersFixture&) = delete;
   FrozenReadersFixture& operator=(const FrozenReadersFixture&) = delete;
