--- a/modules/azurecross_gateway/backend/BufferBudget.h
+++ b/modules/azurecross_gateway/backend/BufferBudget.h
@@ -6,10 +6,9 @@
 namespace azurecross {
 
 /**
- * Limits the memory of all responses and events that are being read into memory
- * together.
- * The limit of one response alone doesn't protect a small VM from many servers
- * that send bytes without end.
+ * Limits the memory of all messages of one kind together: responses and
+ * incomplete events, or the bodies of requests. The limit of one message alone
+ * doesn't protect a small VM from many of them.
  */
 class BufferBudget
 {
@@ -24,7 +23,7 @@
 
   std::size_t GetUsedBytes() const { return usedBytes_.load(); }
 
-  /** The part of one response or event, given back by its destructor. */
+  /** The part of one message, given back by its destructor. */
   class Reservation
   {
   public:
