Log rejections by backend servers and skipped responses (TWICE)

A rejection by a server was only visible as the reason of a further send, and a response with another request's id was dropped without a trace.

Change: request_rejected names server, address, status, whether the connection had carried other requests, its local port, and whether the response named the request; response_skipped names a dropped response. Two counters beside them.

No decision changes.

--- a/modules/azurecross_gateway/backend/BackendConnection.cpp
+++ b/modules/azurecross_gateway/backend/BackendConnection.cpp
@@ -244,6 +244,14 @@
          parser_->is_done() && parser_->keep_alive() && begin_ == end_;
 }
 
+std::uint16_t
+BackendConnection::GetLocalPort() const
+{
+  boost::system::error_code code;
+  const asio::ip::tcp::endpoint endpoint = socket_.local_endpoint(code);
+  return code ? 0 : endpoint.port();
+}
+
 void
 BackendConnection::Reset()
 {
--- a/modules/azurecross_gateway/backend/BackendConnection.h
+++ b/modules/azurecross_gateway/backend/BackendConnection.h
@@ -10,6 +10,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -82,6 +83,8 @@
   bool MayHaveSent() const { return mayHaveSent_; }
 
   const SocketAddress& GetAddress() const { return address_; }
+  /** @returns the port of this process, or 0 if the connection is closed. */
+  std::uint16_t GetLocalPort() const;
 
   /** The steps of one read, for the relay: prepare, receive, take. */
   boost::asio::mutable_buffer PrepareRead();
--- a/modules/azurecross_serving/forward/BackendCall.cpp
+++ b/modules/azurecross_serving/forward/BackendCall.cpp
@@ -55,6 +55,7 @@
 {
   connection_ = std::make_unique<BackendConnection>(services_.executor_,
                                                     services_.deadlines_);
+  isReused_ = false;
   services_.metrics_.CountBackendConnection(false);
   const Time connectDeadline =
     std::min(aDeadline, ReadMonotonicTime() + kConnectTimeout);
@@ -74,8 +75,8 @@
   if (aMayReuse) {
     connection_ = services_.connections_.Take(aOptions.address_);
   }
-  const bool isReused = connection_ != nullptr;
-  if (isReused) {
+  isReused_ = connection_ != nullptr;
+  if (isReused_) {
     services_.metrics_.CountBackendConnection(true);
   } else {
     error = co_await Connect(aOptions, aDeadline);
@@ -85,7 +86,7 @@
   }
   error = co_await SendAndReadHead(aOptions, aDeadline);
   const bool isConnectionStale =
-    error && isReused && context_.IsIdempotent() &&
+    error && isReused_ && context_.IsIdempotent() &&
     error->code_ == ErrorCode::BackendServerFailed && !context_.IsAborted();
   if (!isConnectionStale) {
     co_return error;
@@ -121,10 +122,27 @@
   }
   if (!error) {
     RecordStatements(aOptions.server_, sentAt);
+    if (info_.isNotExecuted_ || info_.isFromOtherServer_) {
+      LogRejection(aOptions.server_);
+    }
   }
   co_return error;
 }
 
+void
+BackendCall::LogRejection(const BackendServerId& aServer)
+{
+  services_.metrics_.CountRejection(isReused_);
+  services_.log_.Write(Decision::RequestRejected,
+                       { { "request", context_.metadata_.attemptId_ },
+                         { "backend_server", aServer },
+                         { "address", connection_->GetAddress().Format() },
+                         { "status", connection_->GetHead().result_int() },
+                         { "connection", isReused_ ? "reused" : "new" },
+                         { "local_port", connection_->GetLocalPort() },
+                         { "names_request", info_.isIdentified_ } });
+}
+
 void
 BackendCall::RecordStatements(const BackendServerId& aServer, Time aSentAt)
 {
@@ -155,6 +173,12 @@
     if (!info_.isForOtherRequest_) {
       co_return std::nullopt;
     }
+    services_.metrics_.CountSkippedResponse();
+    services_.log_.Write(Decision::ResponseSkipped,
+                         { { "request", context_.metadata_.attemptId_ },
+                           { "address", connection_->GetAddress().Format() },
+                           { "status", connection_->GetHead().result_int() },
+                           { "local_port", connection_->GetLocalPort() } });
     const auto body = co_await ReadBody(aDeadline);
     if (!body) {
       co_return body.error();
--- a/modules/azurecross_serving/forward/BackendCall.h
+++ b/modules/azurecross_serving/forward/BackendCall.h
@@ -63,11 +63,15 @@
     Time aDeadline);
   /** Records what the response states about the server itself. */
   void RecordStatements(const BackendServerId& aServer, Time aSentAt);
+  /** Logs a response that states that the request has not run. */
+  void LogRejection(const BackendServerId& aServer);
   bool IsHeadRequest() const;
 
   ForwardServices& services_;
   ForwardContext& context_;
   std::unique_ptr<BackendConnection> connection_;
+  /** Whether the connection has carried other requests. */
+  bool isReused_ = false;
   ResponseInfo info_;
 };
 
--- a/modules/azurecross_serving/log/DecisionLog.h
+++ b/modules/azurecross_serving/log/DecisionLog.h
@@ -28,6 +28,8 @@
   RequestServed,
   RequestSent,
   RequestRetried,
+  RequestRejected,
+  ResponseSkipped,
   CallerLeft,
   ConnectionClosed,
   MovePlanned,
@@ -40,7 +42,7 @@
   RecordsDropped,
 };
 
-inline constexpr NameTable<Decision, 27> kDecisionNames{
+inline constexpr NameTable<Decision, 29> kDecisionNames{
   { { { Decision::Started, "started" },
       { Decision::Stopping, "stopping" },
       { Decision::Stopped, "stopped" },
@@ -58,6 +60,8 @@
       { Decision::RequestServed, "request_served" },
       { Decision::RequestSent, "request_sent" },
       { Decision::RequestRetried, "request_retried" },
+      { Decision::RequestRejected, "request_rejected" },
+      { Decision::ResponseSkipped, "response_skipped" },
       { Decision::CallerLeft, "caller_left" },
       { Decision::ConnectionClosed, "connection_closed" },
       { Decision::MovePlanned, "move_planned" },
--- a/modules/azurecross_serving/metrics/ServingMetrics.cpp
+++ b/modules/azurecross_serving/metrics/ServingMetrics.cpp
@@ -176,6 +176,26 @@
     .Increment();
 }
 
+void
+ServingMetrics::CountSkippedResponse()
+{
+  metrics_
+    .GetCounter("azurecross_forward_skipped_responses_total",
+                "Responses that carried the id of another request")
+    .Increment();
+}
+
+void
+ServingMetrics::CountRejection(bool aIsReused)
+{
+  metrics_
+    .GetCounter("azurecross_forward_rejections_total",
+                "Responses by which a backend server stated that it did not "
+                "run the request",
+                { { "reused_connection", aIsReused ? "yes" : "no" } })
+    .Increment();
+}
+
 void
 ServingMetrics::CountQuarantineChange(QuarantineChange aChange)
 {
--- a/modules/azurecross_serving/metrics/ServingMetrics.h
+++ b/modules/azurecross_serving/metrics/ServingMetrics.h
@@ -36,6 +36,8 @@
   void CountResume(bool aIsSuccessful);
   void CountStoreCall(std::string_view aCall, bool aIsAnswered);
   void CountBackendConnection(bool aIsReused);
+  void CountSkippedResponse();
+  void CountRejection(bool aIsReused);
   void CountQuarantineChange(QuarantineChange aChange);
   void SetQuarantinedParts(std::size_t aCount);
   void SetLimitedServers(std::size_t aCount);
--- a/modules/azurecross_serving/wire/WireProtocol.h
+++ b/modules/azurecross_serving/wire/WireProtocol.h
@@ -56,6 +56,8 @@
 /** Properties of a response, taken from its head. */
 struct ResponseInfo
 {
+  /** Whether the response carries the ID of the request. */
+  bool isIdentified_ = false;
   /** Whether the response carries the ID of another request. */
   bool isForOtherRequest_ = false;
   /** Whether the server states that it did not execute the request. */
--- a/tests/serving_tests/TestWireProtocol.cpp
+++ b/tests/serving_tests/TestWireProtocol.cpp
@@ -68,10 +68,11 @@
 {
   ResponseInfo info;
   const std::string id = FindHeader(aHead, "X-Request-Id");
-  info.isForOtherRequest_ = !id.empty() && id != aAttemptId;
+  info.isIdentified_ = id == aAttemptId;
+  info.isForOtherRequest_ = !id.empty() && !info.isIdentified_;
   info.isNotExecuted_ = !FindHeader(aHead, "X-Not-Run").empty();
   info.isFromOtherServer_ = aHead.result_int() == 421;
-  info.isVerified_ = id == aAttemptId;
+  info.isVerified_ = info.isIdentified_;
   const std::string pause = FindHeader(aHead, "X-Pause-Ms");
   if (!pause.empty()) {
     info.pause_ = std::chrono::milliseconds(std::stoi(pause));
