Convert a character explicitly in a test, as the linter asks on x86-64

Cause: char is signed on x86-64 and unsigned on arm64, so bugprone-narrowing-conversions refuses the line on the former only. No check changes.

--- a/tests/dispatch_tests/ServerLimitTests.cpp
+++ b/tests/dispatch_tests/ServerLimitTests.cpp
@@ -122,8 +122,9 @@
   std::vector<PermitPeer> members;
   members.reserve(30);
   for (int index = 0; index < 30; ++index) {
-    members.push_back({ "d" + std::to_string(index),
-                        AvailabilityZone(std::string(1, 'a' + index % 3)) });
+    members.push_back(
+      { "d" + std::to_string(index),
+        AvailabilityZone(std::string(1, static_cast<char>('a' + index % 3))) });
   }
   std::size_t issuers = 0;
   std::map<std::string, double> shares;
