--- a/apps/azurecross/RequestTrace.cpp
+++ b/apps/azurecross/RequestTrace.cpp
@@ -238,7 +238,7 @@
 {
   std::string text;
   for (const Record& record : own_) {
-    if (record.message_ == "engine_examined") {
+    if (record.message_ == "server_examined") {
       text += "; engine ";
       text += FindText(record.fields_, "backend_server");
       text += " was found ";
--- a/bench/policy/Scenario.cpp
+++ b/bench/policy/Scenario.cpp
@@ -171,8 +171,8 @@
       [](Scenario& aScenario) { AddLargeCustomers(aScenario, 3, false); } },
     { "engine-death",
       [](Scenario& aScenario) {
-        aScenario.faults_ = { { FaultKind::EngineDeath, 80.0, 3, 0.0 },
-                              { FaultKind::EngineDeath, 90.0, 1, 0.0 },
+        aScenario.faults_ = { { FaultKind::ServerDeath, 80.0, 3, 0.0 },
+                              { FaultKind::ServerDeath, 90.0, 1, 0.0 },
                               { FaultKind::EngineReturn, 140.0, 3, 0.0 } };
       } },
     { "slow-engine",
--- a/bench/policy/Scenario.h
+++ b/bench/policy/Scenario.h
@@ -10,7 +10,7 @@
 
 enum class FaultKind
 {
-  EngineDeath,
+  ServerDeath,
   EngineReturn,
   /** Sets the engine's speed to `factor_` times its normal one. */
   EngineSpeed,
@@ -25,7 +25,7 @@
 /** Something that breaks or returns at a point of a run. */
 struct Fault
 {
-  FaultKind kind_ = FaultKind::EngineDeath;
+  FaultKind kind_ = FaultKind::ServerDeath;
   double seconds_ = 0.0;
   std::size_t server_ = 0;
   double factor_ = 1.0;
--- a/bench/policy/SimulationFaults.cpp
+++ b/bench/policy/SimulationFaults.cpp
@@ -17,7 +17,7 @@
 {
   EngineState& state = engines_[aFault.server_];
   switch (aFault.kind_) {
-    case FaultKind::EngineDeath:
+    case FaultKind::ServerDeath:
       KillEngine(aFault.server_);
       break;
     case FaultKind::EngineReturn:
--- a/modules/azurecross_dispatch/azurecross_dispatch.h
+++ b/modules/azurecross_dispatch/azurecross_dispatch.h
@@ -22,7 +22,7 @@
 #include "moves/MovePlanner.h"
 #include "placement/ServerLoadTracker.h"
 #include "placement/ServerPlacement.h"
-#include "quarantine/PromptQuarantine.h"
+#include "quarantine/RequestQuarantine.h"
 #include "queue/Dispatcher.h"
 #include "servers/ServerDirectory.h"
 #include "shutdown/ShutdownPlan.h"
--- a/modules/azurecross_dispatch/placement/ServerPlacement.h
+++ b/modules/azurecross_dispatch/placement/ServerPlacement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../limits/ServerLimiter.h"
+#include "../quarantine/Fingerprint.h"
 #include "ServerLoadTracker.h"
 
 #include <azurecross_core/azurecross_core.h>
@@ -18,6 +19,8 @@
   CustomerId customer_;
   CallKind kind_ = CallKind::NonIdempotentCall;
   GenerationDemand demand_;
+  /** What in the request may be in quarantine. */
+  std::vector<Fingerprint> fingerprints_;
   /** Output tokens produced so far by a run that moves; 0 for a new run. */
   std::uint32_t outputTokens_ = 0;
   /** Time left until the answer or first event is late; negative if late. */
--- a/modules/azurecross_dispatch/quarantine/PromptQuarantine.cpp
+++ b/modules/azurecross_dispatch/quarantine/RequestQuarantine.cpp
@@ -1,41 +1,41 @@
-#include "PromptQuarantine.h"
+#include "RequestQuarantine.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 
 namespace azurecross {
 
 namespace {
 
-/** An answer this recent shows that a part is sound in spite of the death of an
- * engine. Later deaths count, because the engines' software may have changed.
- */
+/** An answer this recent shows that a fingerprint is sound in spite of the
+ * death of a server. Later deaths count, because the servers' software may have
+ * changed. */
 constexpr Duration kSoundLifetime = std::chrono::seconds(30);
 /** Other daemons are told of an answer for this time, several report intervals.
  */
 constexpr Duration kSoundReportTime = std::chrono::seconds(5);
-/** Shortest time between two corrections of the same part, while reports that
- * were sent before the first one still arrive. */
+/** Shortest time between two corrections of the same fingerprint, while reports
+ * that were sent before the first one still arrive. */
 constexpr Duration kCorrectionInterval = std::chrono::milliseconds(300);
 /** A process under the same id cannot die again within this time: it has to
  * start first. Used where the start time is unknown. */
-constexpr Duration kShortestEngineLife = std::chrono::seconds(2);
-/** A part that ended a single engine is forgotten after this time. */
+constexpr Duration kShortestServerLife = std::chrono::seconds(2);
+/** A fingerprint that ended a single server is forgotten after this time. */
 constexpr Duration kSuspicionLifetime = std::chrono::minutes(10);
-/** A quarantined part is forgotten after this time without another death. */
+/** A quarantined fingerprint is forgotten after this time without another
+ * death.
+ */
 constexpr Duration kQuarantineLifetime = std::chrono::hours(2);
 /** Delay of the trial after the fewest deaths that lead to quarantine. Each
  * further death makes it four times as long, up to the maximum. */
 constexpr Duration kFirstTrialDelay = std::chrono::seconds(60);
 constexpr unsigned kTrialDelayFactor = 4;
 constexpr Duration kMaxTrialDelay = std::chrono::minutes(30);
-/** Dropped deaths that are remembered for each part: more engines than one
- * burst of requests is expected to end. */
+/** Dropped deaths that are remembered for each fingerprint: more servers than
+ * one burst of requests is expected to end. */
 constexpr std::size_t kMaxDroppedDeaths = 32;
 
 bool
-IsSameDeath(const EngineDeath& aLeft, const EngineDeath& aRight)
+IsSameDeath(const ServerDeath& aLeft, const ServerDeath& aRight)
 {
   if (aLeft.server_ != aRight.server_) {
     return false;
@@ -44,58 +44,37 @@
     aLeft.startedUnixMs_ != 0 && aRight.startedUnixMs_ != 0;
   return haveStartTimes
            ? aLeft.startedUnixMs_ == aRight.startedUnixMs_
-           : std::chrono::abs(aLeft.at_ - aRight.at_) < kShortestEngineLife;
+           : std::chrono::abs(aLeft.at_ - aRight.at_) < kShortestServerLife;
 }
 
 bool
-ContainsDeath(const std::vector<EngineDeath>& aList, const EngineDeath& aDeath)
+ContainsDeath(const std::vector<ServerDeath>& aList, const ServerDeath& aDeath)
 {
   return std::any_of(
-    aList.begin(), aList.end(), [&](const EngineDeath& aOther) {
+    aList.begin(), aList.end(), [&](const ServerDeath& aOther) {
       return IsSameDeath(aDeath, aOther);
     });
 }
 
 /** @returns whether a list contains all deaths of another one. */
 bool
-ContainsDeaths(const std::vector<EngineDeath>& aList,
-               const std::vector<EngineDeath>& aDeaths)
+ContainsDeaths(const std::vector<ServerDeath>& aList,
+               const std::vector<ServerDeath>& aDeaths)
 {
   return std::all_of(
-    aDeaths.begin(), aDeaths.end(), [&](const EngineDeath& aDeath) {
+    aDeaths.begin(), aDeaths.end(), [&](const ServerDeath& aDeath) {
       return ContainsDeath(aList, aDeath);
     });
 }
 
 } // namespace
 
-std::string
-FormatPromptPartId(PromptPartId aPart)
-{
-  std::array<char, 16> text{};
-  const auto end =
-    std::to_chars(text.data(), text.data() + text.size(), aPart, 16).ptr;
-  return { text.data(), end };
-}
-
-std::optional<PromptPartId>
-ParsePromptPartId(std::string_view aText)
-{
-  PromptPartId part = 0;
-  const char* const textEnd = aText.data() + aText.size();
-  const auto [end, code] = std::from_chars(aText.data(), textEnd, part, 16);
-  if (code != std::errc() || end != textEnd) {
-    return std::nullopt;
-  }
-  return part;
-}
-
 bool
-PromptQuarantine::Suspect::IsQuarantined() const
+RequestQuarantine::Suspect::IsQuarantined() const
 {
   std::size_t moments = 0;
   std::optional<Time> momentStart;
-  for (const EngineDeath& death : deaths_) {
+  for (const ServerDeath& death : deaths_) {
     if (!momentStart || death.at_ - *momentStart > kCommonCauseTime) {
       ++moments;
       momentStart = death.at_;
@@ -104,31 +83,31 @@
   return moments >= kFatalDeaths;
 }
 
-PromptQuarantine::PromptQuarantine(std::uint64_t aSeed)
+RequestQuarantine::RequestQuarantine(std::uint64_t aSeed)
   : seed_(aSeed)
 {
 }
 
 void
-PromptQuarantine::SetExemptParts(std::set<PromptPartId> aParts)
+RequestQuarantine::SetExempt(std::set<Fingerprint> aFingerprints)
 {
-  exemptParts_ = std::move(aParts);
+  exempt_ = std::move(aFingerprints);
 }
 
 bool
-PromptQuarantine::IsSound(PromptPartId aPart, Time aAt) const
+RequestQuarantine::IsSound(const Fingerprint& aFingerprint, Time aAt) const
 {
-  const auto soundAt = soundParts_.Find(aPart);
+  const auto soundAt = soundFingerprints_.Find(aFingerprint);
   return soundAt && *soundAt + kSoundLifetime > aAt;
 }
 
 void
-PromptQuarantine::RecordAnswer(const std::vector<PromptPartId>& aParts,
-                               Time aNow)
+RequestQuarantine::RecordAnswer(const std::vector<Fingerprint>& aFingerprints,
+                                Time aNow)
 {
-  for (const PromptPartId part : aParts) {
-    soundParts_.Record(part, aNow);
-    const auto suspect = suspects_.find(part);
+  for (const Fingerprint& fingerprint : aFingerprints) {
+    soundFingerprints_.Record(fingerprint, aNow);
+    const auto suspect = suspects_.find(fingerprint);
     if (suspect != suspects_.end()) {
       MarkSound(suspect, aNow);
     }
@@ -136,7 +115,7 @@
 }
 
 bool
-PromptQuarantine::MarkSound(Suspects::iterator aSuspect, Time aAt)
+RequestQuarantine::MarkSound(Suspects::iterator aSuspect, Time aAt)
 {
   Suspect& suspect = aSuspect->second;
   if (suspect.deaths_.empty()) {
@@ -145,8 +124,8 @@
     return false;
   }
   const Suspect before = suspect;
-  // A report can bring an old answer, after which the part became fatal.
-  std::erase_if(suspect.deaths_, [&](const EngineDeath& aDeath) {
+  // A report can bring an old answer, after which the fingerprint became fatal.
+  std::erase_if(suspect.deaths_, [&](const ServerDeath& aDeath) {
     return aAt + kSoundLifetime > aDeath.at_;
   });
   if (suspect.deaths_.empty()) {
@@ -168,12 +147,12 @@
 }
 
 bool
-PromptQuarantine::RecordDeath(const std::vector<PromptPartId>& aParts,
-                              const EngineDeath& aDeath)
+RequestQuarantine::RecordDeath(const std::vector<Fingerprint>& aFingerprints,
+                               const ServerDeath& aDeath)
 {
   bool isNew = false;
-  for (const PromptPartId part : aParts) {
-    isNew = AddDeath(part, aDeath) || isNew;
+  for (const Fingerprint& fingerprint : aFingerprints) {
+    isNew = AddDeath(fingerprint, aDeath) || isNew;
   }
   if (isNew) {
     CompareSuspects();
@@ -182,32 +161,34 @@
 }
 
 void
-PromptQuarantine::CompareSuspects()
+RequestQuarantine::CompareSuspects()
 {
-  for (auto& [part, suspect] : suspects_) {
-    RemoveExplainedDeaths(part, suspect);
+  for (auto& [fingerprint, suspect] : suspects_) {
+    RemoveExplainedDeaths(fingerprint, suspect);
   }
-  for (auto& [part, suspect] : suspects_) {
+  for (auto& [fingerprint, suspect] : suspects_) {
     suspect.companions_.clear();
     if (!suspect.IsQuarantined()) {
       continue;
     }
-    for (const auto& [otherPart, other] : suspects_) {
+    for (const auto& [otherFingerprint, other] : suspects_) {
       const bool isAccusedAlike =
-        otherPart != part && other.deaths_.size() == suspect.deaths_.size() &&
+        otherFingerprint != fingerprint &&
+        other.deaths_.size() == suspect.deaths_.size() &&
         ContainsDeaths(other.deaths_, suspect.deaths_);
       if (isAccusedAlike) {
-        suspect.companions_.push_back(otherPart);
+        suspect.companions_.push_back(otherFingerprint);
       }
     }
   }
 }
 
 void
-PromptQuarantine::RemoveExplainedDeaths(PromptPartId aPart, Suspect& aSuspect)
+RequestQuarantine::RemoveExplainedDeaths(const Fingerprint& aFingerprint,
+                                         Suspect& aSuspect)
 {
   const std::size_t deathCount = aSuspect.deaths_.size();
-  const auto isExplained = [&](const EngineDeath& aDeath) {
+  const auto isExplained = [&](const ServerDeath& aDeath) {
     return std::any_of(
       suspects_.begin(), suspects_.end(), [&](const auto& aEntry) {
         const Suspect& other = aEntry.second;
@@ -215,7 +196,7 @@
                ContainsDeath(other.deaths_, aDeath);
       });
   };
-  std::vector<EngineDeath>& deaths = aSuspect.deaths_;
+  std::vector<ServerDeath>& deaths = aSuspect.deaths_;
   if (std::none_of(deaths.begin(), deaths.end(), isExplained)) {
     return;
   }
@@ -224,15 +205,16 @@
   if (before.IsQuarantined() && !aSuspect.IsQuarantined()) {
     --quarantinedCount_;
     aSuspect.trialAt_ = Time();
-    RecordExplained(aPart, before);
+    RecordExplained(aFingerprint, before);
   }
 }
 
 void
-PromptQuarantine::RecordExplained(PromptPartId aPart, const Suspect& aBefore)
+RequestQuarantine::RecordExplained(const Fingerprint& aFingerprint,
+                                   const Suspect& aBefore)
 {
   const auto isOfPart = [&](const QuarantineEvent& aEvent) {
-    return aEvent.evidence_.part_ == aPart;
+    return aEvent.evidence_.fingerprint_ == aFingerprint;
   };
   const auto verdict = std::find_if(
     events_.begin(), events_.end(), [&](const QuarantineEvent& aEvent) {
@@ -240,7 +222,7 @@
              aEvent.change_ == QuarantineChange::Quarantined;
     });
   if (verdict == events_.end()) {
-    AddEvent(QuarantineChange::Lifted, aPart, aBefore);
+    AddEvent(QuarantineChange::Lifted, aFingerprint, aBefore);
     return;
   }
   // The verdict came with the same report and was never in force.
@@ -249,17 +231,18 @@
 }
 
 bool
-PromptQuarantine::AddDeath(PromptPartId aPart, const EngineDeath& aDeath)
+RequestQuarantine::AddDeath(const Fingerprint& aFingerprint,
+                            const ServerDeath& aDeath)
 {
-  if (exemptParts_.contains(aPart) || IsSound(aPart, aDeath.at_)) {
+  if (exempt_.contains(aFingerprint) || IsSound(aFingerprint, aDeath.at_)) {
     return false;
   }
-  Suspect& suspect = FindOrAddSuspect(aPart);
-  std::vector<EngineDeath>& deaths = suspect.deaths_;
+  Suspect& suspect = FindOrAddSuspect(aFingerprint);
+  std::vector<ServerDeath>& deaths = suspect.deaths_;
   const bool isKnown = ContainsDeath(deaths, aDeath) ||
                        ContainsDeath(suspect.droppedDeaths_, aDeath);
   // Daemons place deaths of about the same time in different orders. Once the
-  // part is quarantined, an older death adds nothing.
+  // fingerprint is quarantined, an older death adds nothing.
   const bool isTooOld =
     deaths.size() >= kMaxDeaths && aDeath.at_ <= deaths[1].at_ &&
     (suspect.IsQuarantined() || aDeath.at_ >= deaths.front().at_);
@@ -290,19 +273,20 @@
   }
   quarantinedCount_ += wasQuarantined ? 0 : 1;
   // An old death that is reported late must not make another trial due.
-  suspect.trialAt_ = std::max(
-    suspect.trialAt_, deaths.back().at_ + GetTrialDelay(aPart, deaths.size()));
+  suspect.trialAt_ =
+    std::max(suspect.trialAt_,
+             deaths.back().at_ + GetTrialDelay(aFingerprint, deaths.size()));
   AddEvent(wasQuarantined ? QuarantineChange::Confirmed
                           : QuarantineChange::Quarantined,
-           aPart,
+           aFingerprint,
            suspect);
   return true;
 }
 
-PromptQuarantine::Suspect&
-PromptQuarantine::FindOrAddSuspect(PromptPartId aPart)
+RequestQuarantine::Suspect&
+RequestQuarantine::FindOrAddSuspect(const Fingerprint& aFingerprint)
 {
-  if (suspects_.size() >= kMaxSuspects && !suspects_.contains(aPart)) {
+  if (suspects_.size() >= kMaxSuspects && !suspects_.contains(aFingerprint)) {
     const auto weakest = std::min_element(
       suspects_.begin(),
       suspects_.end(),
@@ -314,11 +298,12 @@
     quarantinedCount_ -= weakest->second.IsQuarantined() ? 1 : 0;
     suspects_.erase(weakest);
   }
-  return suspects_[aPart];
+  return suspects_[aFingerprint];
 }
 
 Duration
-PromptQuarantine::GetTrialDelay(PromptPartId aPart, std::size_t aDeaths) const
+RequestQuarantine::GetTrialDelay(const Fingerprint& aFingerprint,
+                                 std::size_t aDeaths) const
 {
   Duration delay = kFirstTrialDelay;
   for (std::size_t deaths = kFatalDeaths; deaths < aDeaths; ++deaths) {
@@ -327,38 +312,38 @@
   if (aDeaths >= kMaxDeaths) {
     delay = kMaxTrialDelay;
   }
-  Random random(seed_ ^ aPart);
+  Random random(seed_ ^ aFingerprint.value_);
   return delay + FromSeconds(random.DrawUnit() * ToSeconds(delay));
 }
 
 bool
-PromptQuarantine::Merge(const std::vector<PromptPartEvidence>& aEvidence,
-                        Time aNow)
+RequestQuarantine::Merge(const std::vector<FingerprintEvidence>& aEvidence,
+                         Time aNow)
 {
   bool isNew = false;
-  for (const PromptPartEvidence& evidence : aEvidence) {
+  for (const FingerprintEvidence& evidence : aEvidence) {
     if (evidence.soundAt_) {
-      soundParts_.Record(evidence.part_, *evidence.soundAt_);
-      const auto suspect = suspects_.find(evidence.part_);
+      soundFingerprints_.Record(evidence.fingerprint_, *evidence.soundAt_);
+      const auto suspect = suspects_.find(evidence.fingerprint_);
       if (suspect != suspects_.end()) {
         isNew = MarkSound(suspect, *evidence.soundAt_) || isNew;
         suspect->second.isCorrectionUntold_ = false;
       }
     }
-    for (const EngineDeath& death : evidence.deaths_) {
-      isNew = AddDeath(evidence.part_, death) || isNew;
+    for (const ServerDeath& death : evidence.deaths_) {
+      isNew = AddDeath(evidence.fingerprint_, death) || isNew;
     }
     const bool contradicts =
-      !evidence.deaths_.empty() && IsSound(evidence.part_, aNow);
+      !evidence.deaths_.empty() && IsSound(evidence.fingerprint_, aNow);
     if (contradicts) {
-      Suspect& suspect = FindOrAddSuspect(evidence.part_);
+      Suspect& suspect = FindOrAddSuspect(evidence.fingerprint_);
       const bool isDue =
         aNow - suspect.updatedAt_ >= kCorrectionInterval || !suspect.soundAt_;
       if (isDue) {
         suspect.isCorrectionUntold_ = true;
         suspect.updatedAt_ = aNow;
       }
-      suspect.soundAt_ = soundParts_.Find(evidence.part_);
+      suspect.soundAt_ = soundFingerprints_.Find(evidence.fingerprint_);
     }
   }
   if (isNew) {
@@ -368,7 +353,7 @@
 }
 
 bool
-PromptQuarantine::HasUntoldCorrections() const
+RequestQuarantine::HasUntoldCorrections() const
 {
   return std::any_of(
     suspects_.begin(), suspects_.end(), [](const auto& aSuspect) {
@@ -377,15 +362,15 @@
 }
 
 void
-PromptQuarantine::MarkCorrectionsTold()
+RequestQuarantine::MarkCorrectionsTold()
 {
-  for (auto& [part, suspect] : suspects_) {
+  for (auto& [fingerprint, suspect] : suspects_) {
     suspect.isCorrectionUntold_ = false;
   }
 }
 
-std::vector<PromptPartEvidence>
-PromptQuarantine::GetEvidence(Time aNow) const
+std::vector<FingerprintEvidence>
+RequestQuarantine::GetEvidence(Time aNow) const
 {
   std::vector<Suspects::const_pointer> accused;
   std::vector<Suspects::const_pointer> acquitted;
@@ -405,14 +390,13 @@
   std::stable_sort(accused.begin(), accused.end(), isStronger);
   std::stable_sort(acquitted.begin(), acquitted.end(), isStronger);
   // Neither kind may keep the other out of the report.
-  const std::size_t accusedCount = std::min(
-    accused.size(),
-    kMaxReportedParts - std::min(acquitted.size(), kMaxReportedParts / 2));
+  const std::size_t accusedCount =
+    std::min(accused.size(),
+             kMaxReported - std::min(acquitted.size(), kMaxReported / 2));
   accused.resize(accusedCount);
-  acquitted.resize(
-    std::min(acquitted.size(), kMaxReportedParts - accusedCount));
+  acquitted.resize(std::min(acquitted.size(), kMaxReported - accusedCount));
   accused.insert(accused.end(), acquitted.begin(), acquitted.end());
-  std::vector<PromptPartEvidence> reported;
+  std::vector<FingerprintEvidence> reported;
   reported.reserve(accused.size());
   for (const auto* entry : accused) {
     reported.push_back(
@@ -421,58 +405,62 @@
   return reported;
 }
 
-const PromptQuarantine::Suspect*
-PromptQuarantine::FindBlocking(PromptPartId aPart,
-                               const std::vector<PromptPartId>& aParts) const
+const RequestQuarantine::Suspect*
+RequestQuarantine::FindBlocking(
+  const Fingerprint& aFingerprint,
+  const std::vector<Fingerprint>& aFingerprints) const
 {
-  const auto found = suspects_.find(aPart);
+  const auto found = suspects_.find(aFingerprint);
   if (found == suspects_.end() || !found->second.IsQuarantined()) {
     return nullptr;
   }
-  const std::vector<PromptPartId>& companions = found->second.companions_;
+  const std::vector<Fingerprint>& companions = found->second.companions_;
   const bool hasAll = std::all_of(
-    companions.begin(), companions.end(), [&](PromptPartId aCompanion) {
-      return std::find(aParts.begin(), aParts.end(), aCompanion) !=
-             aParts.end();
+    companions.begin(), companions.end(), [&](const Fingerprint& aCompanion) {
+      return std::find(aFingerprints.begin(),
+                       aFingerprints.end(),
+                       aCompanion) != aFingerprints.end();
     });
   return hasAll ? &found->second : nullptr;
 }
 
-std::optional<QuarantinedPart>
-PromptQuarantine::FindQuarantined(const std::vector<PromptPartId>& aParts,
-                                  Time aNow) const
+std::optional<QuarantinedFingerprint>
+RequestQuarantine::FindQuarantined(
+  const std::vector<Fingerprint>& aFingerprints,
+  Time aNow) const
 {
   if (quarantinedCount_ == 0) {
     return std::nullopt;
   }
-  for (const PromptPartId part : aParts) {
-    const Suspect* suspect = FindBlocking(part, aParts);
+  for (const Fingerprint& fingerprint : aFingerprints) {
+    const Suspect* suspect = FindBlocking(fingerprint, aFingerprints);
     if (suspect != nullptr && aNow < suspect->trialAt_) {
-      return QuarantinedPart{ part,
-                              suspect->deaths_.size(),
-                              suspect->trialAt_ - aNow };
+      return QuarantinedFingerprint{ fingerprint,
+                                     suspect->deaths_.size(),
+                                     suspect->trialAt_ - aNow };
     }
   }
   return std::nullopt;
 }
 
 void
-PromptQuarantine::RecordSend(const std::vector<PromptPartId>& aParts, Time aNow)
+RequestQuarantine::RecordSend(const std::vector<Fingerprint>& aFingerprints,
+                              Time aNow)
 {
   if (quarantinedCount_ == 0) {
     return;
   }
-  for (const PromptPartId part : aParts) {
-    const Suspect* suspect = FindBlocking(part, aParts);
+  for (const Fingerprint& fingerprint : aFingerprints) {
+    const Suspect* suspect = FindBlocking(fingerprint, aFingerprints);
     if (suspect != nullptr) {
-      suspects_.at(part).trialAt_ =
-        aNow + GetTrialDelay(part, suspect->deaths_.size());
+      suspects_.at(fingerprint).trialAt_ =
+        aNow + GetTrialDelay(fingerprint, suspect->deaths_.size());
     }
   }
 }
 
 void
-PromptQuarantine::Tick(Time aNow)
+RequestQuarantine::Tick(Time aNow)
 {
   std::erase_if(suspects_, [&](const auto& aEntry) {
     const Suspect& suspect = aEntry.second;
@@ -485,16 +473,16 @@
 }
 
 void
-PromptQuarantine::AddEvent(QuarantineChange aChange,
-                           PromptPartId aPart,
-                           const Suspect& aSuspect)
+RequestQuarantine::AddEvent(QuarantineChange aChange,
+                            const Fingerprint& aFingerprint,
+                            const Suspect& aSuspect)
 {
   events_.push_back(
-    { aChange, { aPart, aSuspect.deaths_, aSuspect.soundAt_ } });
+    { aChange, { aFingerprint, aSuspect.deaths_, aSuspect.soundAt_ } });
 }
 
 std::vector<QuarantineEvent>
-PromptQuarantine::TakeEvents()
+RequestQuarantine::TakeEvents()
 {
   return std::exchange(events_, {});
 }
--- a/modules/azurecross_dispatch/queue/Dispatcher.cpp
+++ b/modules/azurecross_dispatch/queue/Dispatcher.cpp
@@ -54,7 +54,7 @@
 
 Dispatcher::Dispatcher(ServerLoadTracker& aLoadTracker,
                        ServerLimiter& aLimiter,
-                       PromptQuarantine& aQuarantine,
+                       RequestQuarantine& aQuarantine,
                        ServerPlacement aPlacement,
                        std::uint64_t aSeed)
   : loadTracker_(aLoadTracker)
@@ -153,18 +153,18 @@
                                 Time aNow,
                                 DispatchDecisions& aOut) const
 {
-  const auto part =
-    quarantine_.FindQuarantined(aTicket.request_.demand_.sharedParts_, aNow);
-  if (!part) {
+  const auto quarantined =
+    quarantine_.FindQuarantined(aTicket.request_.fingerprints_, aNow);
+  if (!quarantined) {
     return false;
   }
   aOut.refusals_.push_back({ aTicket.id_,
                              ErrorCode::PromptQuarantined,
-                             part->untilTrial_,
+                             quarantined->untilTrial_,
                              aNow - aTicket.arrival_,
                              queued_.size(),
                              0,
-                             part });
+                             quarantined });
   return true;
 }
 
@@ -294,7 +294,7 @@
                                     0,
                                     aNow });
   start.choice_ = std::move(*choice);
-  quarantine_.RecordSend(ticket.request_.demand_.sharedParts_, aNow);
+  quarantine_.RecordSend(ticket.request_.fingerprints_, aNow);
   aQueue.Charge(ticket.request_.customer_, ComputeCharge(ticket.request_));
   Remove(*ticketId);
   aOut.starts_.push_back(std::move(start));
--- a/modules/azurecross_dispatch/queue/Dispatcher.h
+++ b/modules/azurecross_dispatch/queue/Dispatcher.h
@@ -3,7 +3,7 @@
 #include "../limits/ServerLimiter.h"
 #include "../placement/ServerLoadTracker.h"
 #include "../placement/ServerPlacement.h"
-#include "../quarantine/PromptQuarantine.h"
+#include "../quarantine/RequestQuarantine.h"
 
 #include <azurecross_core/azurecross_core.h>
 #include <azurecross_policy/azurecross_policy.h>
@@ -56,7 +56,7 @@
   /** Servers of the pool that limit their rate. */
   std::size_t limitedServers_ = 0;
   /** Set if the reason is `PromptQuarantined`. */
-  std::optional<QuarantinedPart> quarantinedPart_;
+  std::optional<QuarantinedFingerprint> quarantined_;
 };
 
 struct DispatchDecisions
@@ -72,7 +72,7 @@
  * Requests wait here rather than in an engine. Requests that can still meet
  * their target time start first, by priority and fairly between customers; late
  * ones follow. A request is refused as soon as its expected wait exceeds the
- * usable part of its time, and at once if a part of its prompt is in
+ * usable part of its time, and at once if one of its fingerprints is in
  * quarantine. The design covers bursts of one kind of request that
  * exceed the engines' memory while a part of the engines is reclaimed.
  */
@@ -81,7 +81,7 @@
 public:
   Dispatcher(ServerLoadTracker& aLoadTracker,
              ServerLimiter& aLimiter,
-             PromptQuarantine& aQuarantine,
+             RequestQuarantine& aQuarantine,
              ServerPlacement aPlacement,
              std::uint64_t aSeed);
 
@@ -125,7 +125,7 @@
   double EstimateServerWait(const DispatchTicket& aTicket, Time aNow) const;
   std::size_t CountLimitedServers(const PoolName& aPool) const;
   void Refuse(TicketId aTicket, Time aNow, DispatchDecisions& aOut);
-  /** Refuses the ticket, which is not queued, if a part of its prompt is in
+  /** Refuses the ticket, which is not queued, if one of its fingerprints is in
    * quarantine. @returns whether it was refused. */
   bool RefuseIfQuarantined(const DispatchTicket& aTicket,
                            Time aNow,
@@ -140,7 +140,7 @@
 
   ServerLoadTracker& loadTracker_;
   ServerLimiter& limiter_;
-  PromptQuarantine& quarantine_;
+  RequestQuarantine& quarantine_;
   ServerPlacement placement_;
   Random random_;
   std::map<QueueKey, FairQueue> queues_;
--- a/modules/azurecross_serving/daemon/ServingDaemon.h
+++ b/modules/azurecross_serving/daemon/ServingDaemon.h
@@ -6,7 +6,7 @@
 #include "../peers/LoadExchange.h"
 #include "../peers/PeerAddress.h"
 #include "../peers/RelayedStateSource.h"
-#include "../quarantine/EngineDeathProbe.h"
+#include "../quarantine/ServerDeathProbe.h"
 #include "../server/FrontServer.h"
 #include "../state/StateSync.h"
 #include "DaemonContext.h"
@@ -447,7 +447,7 @@
   LoadExchange loadExchange_;
   GenerationMover mover_;
   DrainProbe drainProbe_;
-  EngineDeathProbe deathProbe_;
+  ServerDeathProbe deathProbe_;
   StateFeed stateFeed_;
   RelayedStateSource<Source> stateSource_;
   StateSync<RelayedStateSource<Source>> stateSync_;
--- a/modules/azurecross_serving/dispatch/AsyncDispatcher.cpp
+++ b/modules/azurecross_serving/dispatch/AsyncDispatcher.cpp
@@ -12,10 +12,11 @@
 std::string
 FormatRefusal(const RefuseDecision& aRefusal)
 {
-  if (aRefusal.quarantinedPart_) {
-    const QuarantinedPart& part = *aRefusal.quarantinedPart_;
-    return "part " + FormatPromptPartId(part.part_) +
-           " of the prompt is in quarantine: " + std::to_string(part.deaths_) +
+  if (aRefusal.quarantined_) {
+    const QuarantinedFingerprint& quarantined = *aRefusal.quarantined_;
+    return "part " + FormatFingerprint(quarantined.fingerprint_) +
+           " of the prompt is in quarantine: " +
+           std::to_string(quarantined.deaths_) +
            " engines died before they answered requests with it";
   }
   return "no backend server is expected to have capacity in time; waited " +
--- a/modules/azurecross_serving/forward/ForwardServices.h
+++ b/modules/azurecross_serving/forward/ForwardServices.h
@@ -12,7 +12,7 @@
 
 namespace azurecross {
 
-class EngineDeathProbe;
+class ServerDeathProbe;
 class GenerationMover;
 
 /** Dependencies of the forwarding path, all used on one thread. */
@@ -38,7 +38,7 @@
    */
   std::function<boost::asio::awaitable<bool>(Duration)> awaitFreshTables_;
   GenerationMover* mover_ = nullptr;
-  EngineDeathProbe* deathProbe_ = nullptr;
+  ServerDeathProbe* deathProbe_ = nullptr;
   /** Set when a planned shutdown begins. */
   std::optional<ShutdownPlan> shutdown_;
 };
--- a/modules/azurecross_serving/forward/GenerationExchange.cpp
+++ b/modules/azurecross_serving/forward/GenerationExchange.cpp
@@ -1,7 +1,7 @@
 #include "GenerationExchange.h"
 
 #include "../moves/GenerationMover.h"
-#include "../quarantine/EngineDeathProbe.h"
+#include "../quarantine/ServerDeathProbe.h"
 #include "CallExchange.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -60,7 +60,7 @@
 asio::awaitable<AttemptResult>
 GenerationExchange::Run(StartedRun& aRun, PlacementRequest aRequest)
 {
-  promptParts_ = aRequest.demand_.sharedParts_;
+  fingerprints_ = aRequest.fingerprints_;
   const SocketAddress engine = aRun.choice_.address_;
   AttemptResult result = co_await Execute(aRun, std::move(aRequest));
   ExamineFailure(result, generation_ ? generation_->address_ : engine);
@@ -72,7 +72,7 @@
 {
   if (!isAnswered_) {
     isAnswered_ = true;
-    services_.state_.RecordPromptAnswer(promptParts_, ReadMonotonicTime());
+    services_.state_.RecordAnswered(fingerprints_, ReadMonotonicTime());
   }
 }
 
@@ -89,7 +89,7 @@
     services_.deathProbe_->Examine({ context_.metadata_.attemptId_,
                                      context_.server_,
                                      aEngine,
-                                     promptParts_,
+                                     fingerprints_,
                                      brokenAt_.value_or(ReadMonotonicTime()),
                                      isUnproved });
   }
@@ -398,7 +398,7 @@
   co_await WaitForStop();
   const bool isQuarantined =
     !isAnswered_ && services_.state_.GetQuarantine().FindQuarantined(
-                      promptParts_, ReadMonotonicTime());
+                      fingerprints_, ReadMonotonicTime());
   if (!generation_->copy_ || generation_->copy_->handle_.empty() ||
       context_.IsAborted() || isQuarantined || MayStillRun() ||
       ++resumeCount_ > kMaxResumes) {
--- a/modules/azurecross_serving/forward/GenerationExchange.h
+++ b/modules/azurecross_serving/forward/GenerationExchange.h
@@ -113,8 +113,7 @@
   std::optional<Error> readError_;
   Time lastEventTime_;
   unsigned resumeCount_ = 0;
-  /** The parts of the prompt that other requests can share. */
-  std::vector<PromptPartId> promptParts_;
+  std::vector<Fingerprint> fingerprints_;
   bool isAnswered_ = false;
   /** The answer was short and ended with its connection. */
   bool isEndUnproved_ = false;
--- a/modules/azurecross_serving/peers/LoadExchange.cpp
+++ b/modules/azurecross_serving/peers/LoadExchange.cpp
@@ -38,7 +38,7 @@
 /** Interval between the summaries of a zone. The two summarizers of a zone
  * halve it, and a summary passes two hops before its load expires. */
 constexpr Duration kSummaryInterval = std::chrono::milliseconds(600);
-/** Many daemons may know at the same time that a part of a prompt is sound;
+/** Many daemons may know at the same time that a fingerprint is sound;
  * each one waits for a different part of this time. */
 constexpr Duration kMaxCorrectionDelay = std::chrono::milliseconds(60);
 /** A larger report is sent without its findings. */
@@ -250,7 +250,7 @@
   LoadReport report = MakeReport();
   report.uses_ = tracker.GetOwnUsage();
   if (aContent != ReportContent::LoadOnly) {
-    report.promptEvidence_ = state_.GetQuarantine().GetEvidence(now);
+    report.evidence_ = state_.GetQuarantine().GetEvidence(now);
   }
   if (aContent == ReportContent::EvidenceAndFindings) {
     report.findings_ = tracker.GetOwnStatistics(now);
@@ -269,8 +269,7 @@
     report.scope_ = aScope;
     report.daemonCount_ = aSummary.daemonCount_;
     report.uses_ = std::move(aSummary.usage_);
-    report.promptEvidence_ =
-      state_.GetQuarantine().GetEvidence(ReadMonotonicTime());
+    report.evidence_ = state_.GetQuarantine().GetEvidence(ReadMonotonicTime());
     if (aIncludesFindings) {
       report.findings_ = std::move(aSummary.statistics_);
     }
@@ -373,7 +372,7 @@
 void
 LoadExchange::HandlePromptEvidence(const LoadReport& aReport, Time aNow)
 {
-  const bool isNew = state_.MergePromptEvidence(aReport.promptEvidence_, aNow);
+  const bool isNew = state_.MergeEvidence(aReport.evidence_, aNow);
   if (isNew && topology_.IsSummarizer() && aReport.zone_ != zone_.GetValue()) {
     // The sender has told only the summarizers of this zone.
     SendOwnReport(topology_.GetOwnZone(), ReportContent::Evidence);
--- a/modules/azurecross_serving/peers/LoadExchange.h
+++ b/modules/azurecross_serving/peers/LoadExchange.h
@@ -49,13 +49,13 @@
    * one reports to, in addition to the regular reports. */
   void SendReports();
 
-  /** Sends the evidence about parts of prompts to the same daemons. */
+  /** Sends the evidence about fingerprints to the same daemons. */
   void SendEvidence();
 
   /** Sends messages about permits to the daemons that they name. */
   void SendPermitMessages(const std::vector<PermitMessage>& aMessages);
 
-  /** Schedules a report with the evidence, which acquits a part of a prompt.
+  /** Schedules a report with the evidence, which acquits a fingerprint.
    * The report is skipped if another daemon sends the correction first. */
   void ScheduleCorrection();
 
@@ -85,7 +85,7 @@
   enum class ReportContent
   {
     LoadOnly,
-    /** The evidence about parts of prompts. */
+    /** The evidence about fingerprints. */
     Evidence,
     EvidenceAndFindings,
   };
--- a/modules/azurecross_serving/peers/LoadReport.cpp
+++ b/modules/azurecross_serving/peers/LoadReport.cpp
@@ -114,7 +114,7 @@
   return use;
 }
 
-std::optional<EngineDeath>
+std::optional<ServerDeath>
 ParseDeath(const json::value& aValue, Time aNow)
 {
   const json::array* fields = aValue.if_array();
@@ -127,10 +127,10 @@
   if (server == nullptr || started == nullptr || !at) {
     return std::nullopt;
   }
-  return EngineDeath{ BackendServerId(std::string(*server)), *started, *at };
+  return ServerDeath{ BackendServerId(std::string(*server)), *started, *at };
 }
 
-std::optional<PromptPartEvidence>
+std::optional<FingerprintEvidence>
 ParseEvidence(const json::value& aValue, Time aNow)
 {
   const json::array* fields = aValue.if_array();
@@ -140,16 +140,17 @@
   const json::string* partText = (*fields)[0].if_string();
   const json::array* deaths = (*fields)[2].if_array();
   if (partText == nullptr || deaths == nullptr ||
-      deaths->size() > PromptQuarantine::kMaxDeaths) {
+      deaths->size() > RequestQuarantine::kMaxDeaths) {
     return std::nullopt;
   }
   const auto part =
-    ParsePromptPartId(std::string_view(partText->data(), partText->size()));
+    ParseFingerprint(FingerprintKind::PromptPart,
+                     std::string_view(partText->data(), partText->size()));
   if (!part) {
     return std::nullopt;
   }
-  PromptPartEvidence evidence;
-  evidence.part_ = *part;
+  FingerprintEvidence evidence;
+  evidence.fingerprint_ = *part;
   if (!(*fields)[1].is_null()) {
     evidence.soundAt_ = ParseAge((*fields)[1], aNow);
     if (!evidence.soundAt_) {
@@ -167,10 +168,10 @@
 }
 
 json::array
-FormatEvidence(const PromptPartEvidence& aEvidence, Time aNow)
+FormatEvidence(const FingerprintEvidence& aEvidence, Time aNow)
 {
   json::array deaths;
-  for (const EngineDeath& death : aEvidence.deaths_) {
+  for (const ServerDeath& death : aEvidence.deaths_) {
     deaths.push_back(json::array{ death.server_.GetValue(),
                                   death.startedUnixMs_,
                                   FormatAge(death.at_, aNow) });
@@ -179,7 +180,7 @@
   if (aEvidence.soundAt_) {
     soundAge = FormatAge(*aEvidence.soundAt_, aNow);
   }
-  return json::array{ FormatPromptPartId(aEvidence.part_),
+  return json::array{ FormatFingerprint(aEvidence.fingerprint_),
                       std::move(soundAge),
                       std::move(deaths) };
 }
@@ -194,7 +195,7 @@
     return true;
   }
   if (!entries->is_array() ||
-      entries->get_array().size() > PromptQuarantine::kMaxReportedParts) {
+      entries->get_array().size() > RequestQuarantine::kMaxReported) {
     return false;
   }
   for (const json::value& entry : entries->get_array()) {
@@ -202,7 +203,7 @@
     if (!evidence) {
       return false;
     }
-    aReport.promptEvidence_.push_back(std::move(*evidence));
+    aReport.evidence_.push_back(std::move(*evidence));
   }
   return true;
 }
@@ -295,9 +296,9 @@
     }
     report["findings"] = std::move(findings);
   }
-  if (!aReport.promptEvidence_.empty()) {
+  if (!aReport.evidence_.empty()) {
     json::array evidence;
-    for (const PromptPartEvidence& entry : aReport.promptEvidence_) {
+    for (const FingerprintEvidence& entry : aReport.evidence_) {
       evidence.push_back(FormatEvidence(entry, aNow));
     }
     report["prompt_evidence"] = std::move(evidence);
--- a/modules/azurecross_serving/peers/LoadReport.h
+++ b/modules/azurecross_serving/peers/LoadReport.h
@@ -30,8 +30,8 @@
   /** The speeds and failure rates that the sender has measured for the servers;
    * empty if the report omits them. */
   std::optional<std::vector<ReportedStatistics>> findings_;
-  /** Parts of prompts that are suspected to end engines. */
-  std::vector<PromptPartEvidence> promptEvidence_;
+  /** Fingerprints that are suspected to end servers. */
+  std::vector<FingerprintEvidence> evidence_;
   /** What servers have stated about their rate limits. */
   std::vector<ServerLimit> limits_;
 };
--- a/modules/azurecross_serving/peers/ReportFields.cpp
+++ b/modules/azurecross_serving/peers/ReportFields.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/** A part that stays fatal keeps its first death for any time. Older ages are
- * sent as this one; a report with an older age is invalid. */
+/** A fingerprint that stays fatal keeps its first death for any time. Older
+ * ages are sent as this one; a report with an older age is invalid. */
 constexpr std::int64_t kMaxAgeMs = std::int64_t{ 24 } * 3600 * 1000;
 constexpr std::size_t kServerLimitFieldCount = 3;
 
--- a/modules/azurecross_serving/quarantine/EngineDeathProbe.cpp
+++ b/modules/azurecross_serving/quarantine/ServerDeathProbe.cpp
@@ -1,4 +1,4 @@
-#include "EngineDeathProbe.h"
+#include "ServerDeathProbe.h"
 
 #include "../forward/ConnectProbe.h"
 
@@ -20,7 +20,7 @@
 
 } // namespace
 
-EngineDeathProbe::EngineDeathProbe(asio::io_context& aContext,
+ServerDeathProbe::ServerDeathProbe(asio::io_context& aContext,
                                    ForwardServices& aServices,
                                    LoadExchange& aPeers)
   : context_(aContext)
@@ -30,26 +30,26 @@
 }
 
 void
-EngineDeathProbe::Examine(UnansweredRun aRun)
+ServerDeathProbe::Examine(UnansweredRun aRun)
 {
   const ServerLoad* server =
     services_.state_.GetLoadTracker().Find(aRun.server_);
   // The end of an engine that is draining has a known cause.
   const bool isUnexpected =
     server != nullptr && server->record_.state_ == ServerState::Ready;
-  if (isUnexpected && !aRun.parts_.empty()) {
+  if (isUnexpected && !aRun.fingerprints_.empty()) {
     asio::co_spawn(context_, Probe(std::move(aRun)), asio::detached);
   }
 }
 
 asio::awaitable<void>
-EngineDeathProbe::Probe(UnansweredRun aRun)
+ServerDeathProbe::Probe(UnansweredRun aRun)
 {
   const ConnectOutcome outcome =
     co_await ProbeConnect(aRun.address_, kConnectTimeout);
   const bool isRefused = outcome == ConnectOutcome::Refused;
   const bool isDead = isRefused && co_await IsZoneReachable(aRun.server_);
-  services_.log_.Write(Decision::EngineExamined,
+  services_.log_.Write(Decision::ServerExamined,
                        { { "request", aRun.attemptId_ },
                          { "backend_server", aRun.server_ },
                          { "address", aRun.address_.Format() },
@@ -58,7 +58,7 @@
                            : isRefused ? "zone unreachable"
                                        : "not dead" } });
   if (outcome == ConnectOutcome::Accepted && aRun.mayBeWhole_) {
-    services_.state_.RecordPromptAnswer(aRun.parts_, ReadMonotonicTime());
+    services_.state_.RecordAnswered(aRun.fingerprints_, ReadMonotonicTime());
   }
   if (!isDead) {
     co_return;
@@ -68,15 +68,15 @@
   if (engine != nullptr) {
     deadEngines_[aRun.server_] = engine->record_.startedUnixMs_;
   }
-  const bool isNew = services_.state_.RecordEngineDeath(
-    aRun.parts_, aRun.server_, aRun.brokenAt_, ReadMonotonicTime());
+  const bool isNew = services_.state_.RecordServerDeath(
+    aRun.fingerprints_, aRun.server_, aRun.brokenAt_, ReadMonotonicTime());
   if (isNew) {
     peers_.SendEvidence();
   }
 }
 
 asio::awaitable<bool>
-EngineDeathProbe::IsZoneReachable(BackendServerId aEngine)
+ServerDeathProbe::IsZoneReachable(BackendServerId aEngine)
 {
   const std::vector<SocketAddress> witnesses = SelectWitnesses(aEngine);
   for (const SocketAddress& witness : witnesses) {
@@ -90,7 +90,7 @@
 }
 
 std::vector<SocketAddress>
-EngineDeathProbe::SelectWitnesses(const BackendServerId& aEngine)
+ServerDeathProbe::SelectWitnesses(const BackendServerId& aEngine)
 {
   const ServerLoadTracker& tracker = services_.state_.GetLoadTracker();
   std::erase_if(deadEngines_, [&](const auto& aDead) {
--- a/modules/azurecross_serving/quarantine/EngineDeathProbe.h
+++ b/modules/azurecross_serving/quarantine/ServerDeathProbe.h
@@ -21,8 +21,7 @@
   std::string attemptId_;
   BackendServerId server_;
   SocketAddress address_;
-  /** The parts of the prompt that other requests can share. */
-  std::vector<PromptPartId> parts_;
+  std::vector<Fingerprint> fingerprints_;
   /** When the connection broke. */
   Time brokenAt_;
   /** The answer looks whole: it is one if the engine is alive. */
@@ -37,17 +36,17 @@
  * dead. A network may also refuse on behalf of living engines that are cut off,
  * so another server of the engine's zone has to accept a connection.
  *
- * @see PromptQuarantine
+ * @see RequestQuarantine
  */
-class EngineDeathProbe
+class ServerDeathProbe
 {
 public:
-  EngineDeathProbe(boost::asio::io_context& aContext,
+  ServerDeathProbe(boost::asio::io_context& aContext,
                    ForwardServices& aServices,
                    LoadExchange& aPeers);
 
-  EngineDeathProbe(const EngineDeathProbe&) = delete;
-  EngineDeathProbe& operator=(const EngineDeathProbe&) = delete;
+  ServerDeathProbe(const ServerDeathProbe&) = delete;
+  ServerDeathProbe& operator=(const ServerDeathProbe&) = delete;
 
   /** Examines the engine of the run in the background. */
   void Examine(UnansweredRun aRun);
--- a/modules/azurecross_serving/state/ServingSettings.h
+++ b/modules/azurecross_serving/state/ServingSettings.h
@@ -39,8 +39,8 @@
    * checks; requests keep arriving until then. */
   Duration minShutdownTime_ = std::chrono::milliseconds(3500);
   RetryAllowance::Bounds retryBounds_;
-  /** Parts of prompts that are never quarantined. */
-  std::set<PromptPartId> exemptPromptParts_;
+  /** What is never quarantined. */
+  std::set<Fingerprint> exemptFingerprints_;
 };
 
 } // namespace azurecross
--- a/modules/azurecross_serving/state/ServingState.cpp
+++ b/modules/azurecross_serving/state/ServingState.cpp
@@ -28,7 +28,7 @@
   , limiter_(DrawSystemSeed())
   , keyFreshness_(aSettings.maxKeyRevocationDelay_, kKeyRevocationMargin)
 {
-  quarantine_.SetExemptParts(aSettings.exemptPromptParts_);
+  quarantine_.SetExempt(aSettings.exemptFingerprints_);
 }
 
 bool
@@ -314,31 +314,30 @@
 }
 
 void
-ServingState::RecordPromptAnswer(const std::vector<PromptPartId>& aParts,
-                                 Time aNow)
+ServingState::RecordAnswered(const std::vector<Fingerprint>& aFingerprints,
+                             Time aNow)
 {
-  quarantine_.RecordAnswer(aParts, aNow);
+  quarantine_.RecordAnswer(aFingerprints, aNow);
   LogQuarantineEvents(aNow);
 }
 
 bool
-ServingState::RecordEngineDeath(const std::vector<PromptPartId>& aParts,
+ServingState::RecordServerDeath(const std::vector<Fingerprint>& aFingerprints,
                                 const BackendServerId& aServer,
                                 Time aDiedAt,
                                 Time aNow)
 {
   const ServerRecord* server = directory_.Find(aServer);
   const bool isNew = quarantine_.RecordDeath(
-    aParts,
+    aFingerprints,
     { aServer, server == nullptr ? 0 : server->startedUnixMs_, aDiedAt });
   LogQuarantineEvents(aNow);
   return isNew;
 }
 
 bool
-ServingState::MergePromptEvidence(
-  const std::vector<PromptPartEvidence>& aEvidence,
-  Time aNow)
+ServingState::MergeEvidence(const std::vector<FingerprintEvidence>& aEvidence,
+                            Time aNow)
 {
   const bool isNew = quarantine_.Merge(aEvidence, aNow);
   LogQuarantineEvents(aNow);
@@ -348,12 +347,12 @@
 void
 ServingState::LogQuarantineEvents(Time aNow)
 {
-  if (onPromptCorrection_ && quarantine_.HasUntoldCorrections()) {
-    onPromptCorrection_();
+  if (onCorrection_ && quarantine_.HasUntoldCorrections()) {
+    onCorrection_();
   }
   for (const QuarantineEvent& event : quarantine_.TakeEvents()) {
     std::string deaths;
-    for (const EngineDeath& death : event.evidence_.deaths_) {
+    for (const ServerDeath& death : event.evidence_.deaths_) {
       deaths.append(deaths.empty() ? "" : ", ")
         .append(death.server_.GetValue())
         .append(" ")
@@ -361,7 +360,7 @@
         .append(" s ago");
     }
     log_.Write(Decision::PromptQuarantineChanged,
-               { { "part", FormatPromptPartId(event.evidence_.part_) },
+               { { "part", FormatFingerprint(event.evidence_.fingerprint_) },
                  { "change", kQuarantineChangeNames.FindName(event.change_) },
                  { "deaths", event.evidence_.deaths_.size() },
                  { "engines", deaths } });
--- a/modules/azurecross_serving/state/ServingState.h
+++ b/modules/azurecross_serving/state/ServingState.h
@@ -33,7 +33,7 @@
   const ServingTablesPtr& GetTables() const { return tables_; }
   ServerLoadTracker& GetLoadTracker() { return loadTracker_; }
   RetryAllowance& GetRetryBudget() { return retryBudget_; }
-  PromptQuarantine& GetQuarantine() { return quarantine_; }
+  RequestQuarantine& GetQuarantine() { return quarantine_; }
   ServerLimiter& GetLimiter() { return limiter_; }
   const KeyFreshness& GetKeyFreshness() const { return keyFreshness_; }
   /** Replaces the longest time for which a removed API key is accepted. */
@@ -103,20 +103,20 @@
   /** Sends the pending messages about permits. */
   void SendPermitMessages();
 
-  /** Records that an engine answers a request with these parts. */
-  void RecordPromptAnswer(const std::vector<PromptPartId>& aParts, Time aNow);
-  /** Records that an engine died before it began to answer a request with these
-   * parts.
-   * @param aDiedAt when the connection to the engine broke.
+  /** Records that a server answers a request with these fingerprints. */
+  void RecordAnswered(const std::vector<Fingerprint>& aFingerprints, Time aNow);
+  /** Records that a server died before it began to answer a request with these
+   * fingerprints.
+   * @param aDiedAt when the connection to the server broke.
    * @returns whether other daemons should be told. */
-  bool RecordEngineDeath(const std::vector<PromptPartId>& aParts,
+  bool RecordServerDeath(const std::vector<Fingerprint>& aFingerprints,
                          const BackendServerId& aServer,
                          Time aDiedAt,
                          Time aNow);
-  /** Adds the evidence about parts of prompts that another daemon reported.
+  /** Adds the evidence about fingerprints that another daemon reported.
    * @returns whether it contains a death that was unknown. */
-  bool MergePromptEvidence(const std::vector<PromptPartEvidence>& aEvidence,
-                           Time aNow);
+  bool MergeEvidence(const std::vector<FingerprintEvidence>& aEvidence,
+                     Time aNow);
 
   /** Sets whether the store answers this daemon. */
   void SetStoreReachable(bool aIsReachable)
@@ -154,11 +154,11 @@
   {
     onGenerationPlaced_ = std::move(aHandler);
   }
-  /** Sets the callback for an answer that acquits a part of a prompt which
+  /** Sets the callback for an answer that acquits a fingerprint which
    * other daemons suspect. */
   void SetPromptCorrectionHandler(std::function<void()> aHandler)
   {
-    onPromptCorrection_ = std::move(aHandler);
+    onCorrection_ = std::move(aHandler);
   }
   /** Sets the callback that sends messages about permits. */
   void SetPermitMessageHandler(
@@ -202,7 +202,7 @@
   ServerDirectory directory_;
   ServerLoadTracker loadTracker_;
   RetryAllowance retryBudget_;
-  PromptQuarantine quarantine_;
+  RequestQuarantine quarantine_;
   ServerLimiter limiter_;
   KeyFreshness keyFreshness_;
   /** The newest version of the tables that a peer has reported. */
@@ -214,7 +214,7 @@
   std::function<void()> onLoadChange_;
   std::function<void()> onStoreReachabilityChange_;
   std::function<void()> onGenerationPlaced_;
-  std::function<void()> onPromptCorrection_;
+  std::function<void()> onCorrection_;
   std::function<void(const std::vector<PermitMessage>&)> onPermitMessages_;
 };
 
--- a/tests/dispatch_tests/DispatcherTests.cpp
+++ b/tests/dispatch_tests/DispatcherTests.cpp
@@ -44,7 +44,7 @@
     AddEngine(tracker, "e" + std::to_string(engine));
   }
   ServerLimiter limiter(1);
-  PromptQuarantine quarantine(1);
+  RequestQuarantine quarantine(1);
   Dispatcher dispatcher(
     tracker, limiter, quarantine, ServerPlacement(AvailabilityZone("a"), 1), 7);
   SimulatedLoad result;
@@ -119,7 +119,7 @@
   ServerLoadTracker tracker;
   tracker.Update(MakeService("s1"), std::nullopt, kStart);
   ServerLimiter limiter(1);
-  PromptQuarantine quarantine(1);
+  RequestQuarantine quarantine(1);
   Dispatcher dispatcher(
     tracker, limiter, quarantine, ServerPlacement(AvailabilityZone("a"), 1), 7);
   DispatchDecisions out;
@@ -142,7 +142,7 @@
   ServerLoadTracker tracker;
   tracker.Update(MakeService("s1"), std::nullopt, kStart);
   ServerLimiter limiter(1);
-  PromptQuarantine quarantine(1);
+  RequestQuarantine quarantine(1);
   Dispatcher dispatcher(
     tracker, limiter, quarantine, ServerPlacement(AvailabilityZone("a"), 1), 7);
   DispatchDecisions out;
@@ -172,7 +172,7 @@
 {
   ServerLoadTracker tracker;
   ServerLimiter limiter(1);
-  PromptQuarantine quarantine(1);
+  RequestQuarantine quarantine(1);
   Dispatcher dispatcher(
     tracker, limiter, quarantine, ServerPlacement(AvailabilityZone("a"), 1), 7);
   DispatchDecisions out;
--- a/tests/dispatch_tests/LimitedFleetSimulation.cpp
+++ b/tests/dispatch_tests/LimitedFleetSimulation.cpp
@@ -55,7 +55,7 @@
     aDaemon.tracker_->Update(server, std::nullopt, now_);
   }
   aDaemon.limiter_ = std::make_unique<ServerLimiter>(random_.DrawBits());
-  aDaemon.quarantine_ = std::make_unique<PromptQuarantine>(1);
+  aDaemon.quarantine_ = std::make_unique<RequestQuarantine>(1);
   aDaemon.dispatcher_ = std::make_unique<Dispatcher>(
     *aDaemon.tracker_,
     *aDaemon.limiter_,
--- a/tests/dispatch_tests/LimitedFleetSimulation.h
+++ b/tests/dispatch_tests/LimitedFleetSimulation.h
@@ -75,7 +75,7 @@
     std::map<BackendServerId, Time> toldAt_;
     std::unique_ptr<ServerLoadTracker> tracker_;
     std::unique_ptr<ServerLimiter> limiter_;
-    std::unique_ptr<PromptQuarantine> quarantine_;
+    std::unique_ptr<RequestQuarantine> quarantine_;
     std::unique_ptr<Dispatcher> dispatcher_;
   };
 
--- a/tests/dispatch_tests/QuarantineFleetTests.cpp
+++ b/tests/dispatch_tests/QuarantineFleetTests.cpp
@@ -80,10 +80,9 @@
       CheckStarts(outcome.before_.sameCustomer_, outcome.after_.sameCustomer_);
       BOOST_TEST(outcome.lateSoundRefusals_ == 0);
       BOOST_TEST(outcome.maxReportBytes_ <= kMaxEvidenceBytes);
-      BOOST_TEST(outcome.maxReportedParts_ <=
-                 PromptQuarantine::kMaxReportedParts);
+      BOOST_TEST(outcome.maxReportedParts_ <= RequestQuarantine::kMaxReported);
       BOOST_TEST(outcome.maxQuarantinedParts_ <=
-                 PromptQuarantine::kMaxSuspects);
+                 RequestQuarantine::kMaxSuspects);
     }
   }
 }
--- a/tests/dispatch_tests/QuarantinePropertyTests.cpp
+++ b/tests/dispatch_tests/QuarantinePropertyTests.cpp
@@ -38,7 +38,7 @@
     std::int64_t startedUnixMs_ = 0;
     std::int64_t ageMs_ = 0;
   };
-  PromptPartId part_ = 0;
+  Fingerprint fingerprint_;
   std::optional<std::int64_t> soundAgeMs_;
   std::vector<Death> deaths_;
 };
@@ -105,7 +105,7 @@
         config_.usesSummaries_ && index / config_.zones_ == 0;
       daemon.clockOffset_ = FromSeconds(10000.0 * random_.DrawUnit());
       daemon.quarantine_ =
-        std::make_unique<PromptQuarantine>(random_.DrawBits());
+        std::make_unique<RequestQuarantine>(random_.DrawBits());
       daemons_.push_back(std::move(daemon));
     }
     for (int index = 0; index < config_.engines_; ++index) {
@@ -164,13 +164,13 @@
     int zone_ = 0;
     bool isSummarizer_ = false;
     Duration clockOffset_{};
-    std::unique_ptr<PromptQuarantine> quarantine_;
+    std::unique_ptr<RequestQuarantine> quarantine_;
     Time startedAt_;
     bool isCorrectionPending_ = false;
   };
   struct Run
   {
-    std::vector<PromptPartId> parts_;
+    std::vector<Fingerprint> parts_;
     Daemon& daemon_;
     bool isFatal_ = false;
     bool hasEnded_ = false;
@@ -194,7 +194,7 @@
     }
   };
 
-  static bool IsFatal(PromptPartId aPart)
+  static bool IsFatal(const Fingerprint& aPart)
   {
     return aPart >= kFatalBase && aPart < kRareBase;
   }
@@ -247,10 +247,10 @@
       });
   }
 
-  std::vector<PromptPartId> DrawParts(bool aIsFatal)
+  std::vector<Fingerprint> DrawParts(bool aIsFatal)
   {
-    std::vector<PromptPartId> parts{ kFirstBase +
-                                     random_.DrawBelow(config_.firstParts_) };
+    std::vector<Fingerprint> parts{ kFirstBase +
+                                    random_.DrawBelow(config_.firstParts_) };
     for (std::size_t count = random_.DrawBelow(3); count > 0; --count) {
       parts.push_back(kRareBase + random_.DrawBelow(config_.rareParts_));
     }
@@ -280,7 +280,7 @@
       return;
     }
     daemon.quarantine_->RecordSend(run->parts_, GetTime(daemon));
-    for (const PromptPartId part : run->parts_) {
+    for (const Fingerprint& part : run->parts_) {
       const bool isKnown = knownEverywhere_.contains(part) &&
                            now_ - daemon.startedAt_ > kLearnTime;
       sendsAfterVerdict_ += isKnown ? 1 : 0;
@@ -336,7 +336,8 @@
   void Restart()
   {
     Daemon& daemon = daemons_[random_.DrawBelow(daemons_.size())];
-    daemon.quarantine_ = std::make_unique<PromptQuarantine>(random_.DrawBits());
+    daemon.quarantine_ =
+      std::make_unique<RequestQuarantine>(random_.DrawBits());
     daemon.startedAt_ = now_;
   }
 
@@ -391,11 +392,11 @@
     const Time now = GetTime(aDaemon);
     std::vector<WireEvidence> wire;
     for (const auto& evidence : aDaemon.quarantine_->GetEvidence(now)) {
-      WireEvidence entry{ evidence.part_, {}, {} };
+      WireEvidence entry{ evidence.fingerprint_, {}, {} };
       if (evidence.soundAt_) {
         entry.soundAgeMs_ = GetAgeMs(*evidence.soundAt_, now);
       }
-      for (const EngineDeath& death : evidence.deaths_) {
+      for (const ServerDeath& death : evidence.deaths_) {
         entry.deaths_.push_back(
           { death.server_, death.startedUnixMs_, GetAgeMs(death.at_, now) });
       }
@@ -409,9 +410,9 @@
                bool aIsFromOwnZone)
   {
     const Time now = GetTime(aDaemon);
-    std::vector<PromptPartEvidence> evidence;
+    std::vector<FingerprintEvidence> evidence;
     for (const WireEvidence& wire : aEvidence) {
-      PromptPartEvidence entry{ wire.part_, {}, {} };
+      FingerprintEvidence entry{ wire.fingerprint_, {}, {} };
       if (wire.soundAgeMs_) {
         entry.soundAt_ = now - std::chrono::milliseconds(*wire.soundAgeMs_);
       }
@@ -456,19 +457,19 @@
     }
     // A request with all parts has all parts that the same deaths accuse.
     std::size_t quarantined = 0;
-    std::vector<PromptPartId> parts(1);
+    std::vector<Fingerprint> parts(1);
     parts.insert(parts.end(), universe_.begin(), universe_.end());
-    for (const PromptPartId part : universe_) {
+    for (const Fingerprint& part : universe_) {
       parts.front() = part;
       const auto found =
         aDaemon.quarantine_->FindQuarantined(parts, GetTime(aDaemon));
-      quarantined += found && found->part_ == part ? 1 : 0;
+      quarantined += found && found->fingerprint_ == part ? 1 : 0;
     }
     countErrors_ +=
       quarantined == aDaemon.quarantine_->CountQuarantined() ? 0 : 1;
   }
 
-  bool Refuses(const Daemon& aDaemon, PromptPartId aPart) const
+  bool Refuses(const Daemon& aDaemon, const Fingerprint& aPart) const
   {
     return aDaemon.quarantine_->FindQuarantined({ aPart }, GetTime(aDaemon))
       .has_value();
@@ -493,7 +494,7 @@
 
   void AnswerQuarantinedParts()
   {
-    for (const PromptPartId part : universe_) {
+    for (const Fingerprint& part : universe_) {
       const bool isRefused = std::any_of(
         daemons_.begin(), daemons_.end(), [&](const Daemon& aDaemon) {
           return Refuses(aDaemon, part);
@@ -510,7 +511,7 @@
 
   void CheckAnsweredPartsAreFree()
   {
-    for (const PromptPartId part : answered_) {
+    for (const Fingerprint& part : answered_) {
       for (const Daemon& daemon : daemons_) {
         refusedSoundParts_ += Refuses(daemon, part) ? 1 : 0;
       }
@@ -524,9 +525,9 @@
   std::priority_queue<Event> events_;
   std::vector<Daemon> daemons_;
   std::vector<Engine> engines_;
-  std::vector<PromptPartId> universe_;
-  std::set<PromptPartId> knownEverywhere_;
-  std::vector<PromptPartId> answered_;
+  std::vector<Fingerprint> universe_;
+  std::set<Fingerprint> knownEverywhere_;
+  std::vector<Fingerprint> answered_;
 };
 
 } // namespace
--- a/tests/dispatch_tests/QuarantineSimulation.cpp
+++ b/tests/dispatch_tests/QuarantineSimulation.cpp
@@ -55,7 +55,7 @@
 /** @returns the size of the evidence in a report as JSON: an array with an
  * array for each part, which holds the part, an age and an array of deaths. */
 std::size_t
-CountBytes(const std::vector<PromptPartEvidence>& aEvidence, Time aNow)
+CountBytes(const std::vector<FingerprintEvidence>& aEvidence, Time aNow)
 {
   const auto ageBytes = [&](Time aTime) {
     const auto age =
@@ -66,11 +66,11 @@
   constexpr std::size_t kDeathPunctuation = 7;
   constexpr std::size_t kUnixMsDigits = 13;
   std::size_t bytes = 2;
-  for (const PromptPartEvidence& evidence : aEvidence) {
+  for (const FingerprintEvidence& evidence : aEvidence) {
     // Real identifiers of parts have all 16 digits.
     bytes += kEvidencePunctuation + 16;
     bytes += evidence.soundAt_ ? ageBytes(*evidence.soundAt_) : 4;
-    for (const EngineDeath& death : evidence.deaths_) {
+    for (const ServerDeath& death : evidence.deaths_) {
       bytes += kDeathPunctuation + kUnixMsDigits +
                death.server_.GetValue().size() + ageBytes(death.at_);
     }
@@ -91,7 +91,8 @@
     daemon.isSummarizer_ = index / config_.zones_ < kSummarizersPerZone;
     daemon.correctionDelay_ =
       FromSeconds(random_.DrawUnit() * ToSeconds(kMaxCorrectionDelay));
-    daemon.quarantine_ = std::make_unique<PromptQuarantine>(random_.DrawBits());
+    daemon.quarantine_ =
+      std::make_unique<RequestQuarantine>(random_.DrawBits());
     ++GetOutcome(daemon.zone_).daemons_;
     daemons_.push_back(std::move(daemon));
   }
@@ -187,8 +188,8 @@
     QuarantineOutcome& outcome = GetOutcome(aDaemon.zone_);
     ++outcome.soundRefusals_;
     const bool isLate =
-      part->deaths_ == PromptQuarantine::kFatalDeaths &&
-      now_ - accusedAt_[part->part_] > kMaxFirstTrialDelay + kProbeTime;
+      part->deaths_ == RequestQuarantine::kFatalDeaths &&
+      now_ - accusedAt_[part->fingerprint_] > kMaxFirstTrialDelay + kProbeTime;
     outcome.lateSoundRefusals_ += isLate ? 1 : 0;
   }
   return true;
@@ -322,7 +323,7 @@
 void
 QuarantineSimulation::EndEngine(Engine& aEngine, EndCause aCause)
 {
-  const EngineDeath death{ BackendServerId(aEngine.id_),
+  const ServerDeath death{ BackendServerId(aEngine.id_),
                            aEngine.startedUnixMs_,
                            now_ };
   // Only ends without notice are evidence.
@@ -349,7 +350,7 @@
 
 void
 QuarantineSimulation::HandleBrokenRun(const std::shared_ptr<Run>& aRun,
-                                      const EngineDeath& aDeath,
+                                      const ServerDeath& aDeath,
                                       bool aIsEvidence)
 {
   if (aRun->request_.attempts_ == 1) {
@@ -357,10 +358,10 @@
   }
   if (aIsEvidence) {
     Schedule(random_.Jitter(kProbeTime, 0.9), [this, aRun, aDeath] {
-      EngineDeath death = aDeath;
+      ServerDeath death = aDeath;
       death.at_ = now_;
       Daemon& daemon = aRun->daemon_;
-      for (const PromptPartId part : aRun->request_.parts_) {
+      for (const Fingerprint& part : aRun->request_.parts_) {
         accusedAt_[part] = now_;
       }
       const bool isNew =
@@ -499,7 +500,7 @@
   QuarantineOutcome& outcome = GetOutcome(aDaemon.zone_);
   for (const QuarantineEvent& event : aDaemon.quarantine_->TakeEvents()) {
     const bool isSoundLift = event.change_ == QuarantineChange::Lifted &&
-                             event.evidence_.part_ != kFatalPart;
+                             event.evidence_.fingerprint_ != kFatalPart;
     outcome.soundLifts_ += isSoundLift ? 1 : 0;
   }
   outcome.maxQuarantinedParts_ = std::max(
@@ -535,7 +536,8 @@
   constexpr std::size_t kDistance = 13;
   for (std::size_t index = 0; index < daemons_.size(); index += kDistance) {
     Daemon& daemon = daemons_[index];
-    daemon.quarantine_ = std::make_unique<PromptQuarantine>(random_.DrawBits());
+    daemon.quarantine_ =
+      std::make_unique<RequestQuarantine>(random_.DrawBits());
     ++GetOutcome(daemon.zone_).restartedDaemons_;
     Schedule(kRestartWindow, [this, &daemon] {
       GetOutcome(daemon.zone_).restartedDaemonsWithVerdict_ +=
--- a/tests/dispatch_tests/QuarantineSimulation.h
+++ b/tests/dispatch_tests/QuarantineSimulation.h
@@ -104,7 +104,7 @@
   std::vector<QuarantineOutcome> Simulate();
 
 private:
-  using Evidence = std::vector<PromptPartEvidence>;
+  using Evidence = std::vector<FingerprintEvidence>;
 
   struct Daemon
   {
@@ -112,12 +112,12 @@
     bool isSummarizer_ = false;
     bool isCorrectionPending_ = false;
     Duration correctionDelay_{};
-    std::unique_ptr<PromptQuarantine> quarantine_;
+    std::unique_ptr<RequestQuarantine> quarantine_;
   };
 
   struct Request
   {
-    std::vector<PromptPartId> parts_;
+    std::vector<Fingerprint> parts_;
     int customer_ = 0;
     double promptTokens_ = 0.0;
     bool isFatal_ = false;
@@ -170,7 +170,7 @@
   void EndEngine(Engine& aEngine, EndCause aCause);
   void EndRandomEngine(EndCause aCause);
   void HandleBrokenRun(const std::shared_ptr<Run>& aRun,
-                       const EngineDeath& aDeath,
+                       const ServerDeath& aDeath,
                        bool aIsEvidence);
   void HandleFatalDeath(QuarantineOutcome& aOutcome, std::size_t aPartition);
 
@@ -205,7 +205,7 @@
   /** Times of the fifth death by the fatal part, or of the last one while there
    * are fewer, for each outcome. */
   std::array<std::optional<Time>, 2> decidingDeathAt_;
-  std::map<PromptPartId, Time> accusedAt_;
+  std::map<Fingerprint, Time> accusedAt_;
 };
 
 } // namespace azurecross
--- a/tests/dispatch_tests/QuarantineTests.cpp
+++ b/tests/dispatch_tests/QuarantineTests.cpp
@@ -10,7 +10,7 @@
 constexpr PromptPartId kCommon = 0xc0;
 constexpr PromptPartId kRare = 0x4a;
 
-EngineDeath
+ServerDeath
 MakeDeath(const std::string& aServer, double aSeconds)
 {
   return { BackendServerId(aServer), 1, At(aSeconds) };
@@ -18,10 +18,10 @@
 
 /** @returns a quarantine in which the fatal part has ended so many engines, one
  * each second. */
-PromptQuarantine
+RequestQuarantine
 MakeQuarantine(int aDeaths)
 {
-  PromptQuarantine quarantine(1);
+  RequestQuarantine quarantine(1);
   for (int death = 0; death < aDeaths; ++death) {
     quarantine.RecordDeath({ kFatal },
                            MakeDeath("e" + std::to_string(death), death));
@@ -30,7 +30,7 @@
 }
 
 bool
-IsQuarantined(const PromptQuarantine& aQuarantine,
+IsQuarantined(const RequestQuarantine& aQuarantine,
               PromptPartId aPart,
               double aSeconds)
 {
@@ -46,10 +46,10 @@
 BOOST_AUTO_TEST_CASE(PartIsQuarantinedAfterTwoDeaths)
 {
   BOOST_TEST(!IsQuarantined(MakeQuarantine(1), kFatal, 1.0));
-  const PromptQuarantine quarantine = MakeQuarantine(2);
+  const RequestQuarantine quarantine = MakeQuarantine(2);
   const auto part = quarantine.FindQuarantined({ kCommon, kFatal }, At(1.1));
   BOOST_REQUIRE(part.has_value());
-  BOOST_TEST(part->part_ == kFatal);
+  BOOST_TEST(part->fingerprint_ == kFatal);
   BOOST_TEST(part->deaths_ == 2U);
   BOOST_TEST((part->untilTrial_ > Duration::zero()));
 }
@@ -57,7 +57,7 @@
 // Guards against blame for the parts that fatal requests share with sound ones.
 BOOST_AUTO_TEST_CASE(AnsweredPartsAreNotBlamed)
 {
-  PromptQuarantine quarantine(1);
+  RequestQuarantine quarantine(1);
   quarantine.RecordAnswer({ kCommon, kRare }, At(0.0));
   for (int death = 1; death <= 5; ++death) {
     quarantine.RecordDeath({ kCommon, kFatal, kRare },
@@ -70,7 +70,7 @@
 // Guards against deaths before and after an answer that add up to a verdict.
 BOOST_AUTO_TEST_CASE(AnswerClearsEarlierDeaths)
 {
-  PromptQuarantine quarantine = MakeQuarantine(1);
+  RequestQuarantine quarantine = MakeQuarantine(1);
   quarantine.RecordAnswer({ kFatal }, At(1.0));
   quarantine.RecordDeath({ kFatal }, MakeDeath("later", 60.0));
   BOOST_TEST(!IsQuarantined(quarantine, kFatal, 60.0));
@@ -82,7 +82,7 @@
 // failed at the same moment.
 BOOST_AUTO_TEST_CASE(EnginesThatDieTogetherCountOnce)
 {
-  PromptQuarantine quarantine(1);
+  RequestQuarantine quarantine(1);
   for (int engine = 0; engine < 4; ++engine) {
     quarantine.RecordDeath({ kRare },
                            MakeDeath("e" + std::to_string(engine), 1.0));
@@ -97,7 +97,7 @@
 BOOST_AUTO_TEST_CASE(ManyDeathsInARowAreNotOneMoment)
 {
   constexpr double kGapSeconds = 0.01;
-  PromptQuarantine quarantine(1);
+  RequestQuarantine quarantine(1);
   double now = 0.0;
   int engines = 0;
   for (; !IsQuarantined(quarantine, kFatal, now) && engines < 30; ++engines) {
@@ -106,29 +106,29 @@
                            MakeDeath("e" + std::to_string(engines), now));
   }
   BOOST_TEST(now <=
-             ToSeconds(PromptQuarantine::kCommonCauseTime) + 2 * kGapSeconds);
+             ToSeconds(RequestQuarantine::kCommonCauseTime) + 2 * kGapSeconds);
 }
 
 // Guards against reports of old deaths that count as news again and again.
 BOOST_AUTO_TEST_CASE(DroppedDeathsAreNoNews)
 {
-  PromptQuarantine quarantine =
-    MakeQuarantine(2 * static_cast<int>(PromptQuarantine::kMaxDeaths));
+  RequestQuarantine quarantine =
+    MakeQuarantine(2 * static_cast<int>(RequestQuarantine::kMaxDeaths));
   BOOST_TEST(!quarantine.RecordDeath({ kFatal }, MakeDeath("e0", 0.0)));
   BOOST_TEST(!quarantine.RecordDeath({ kFatal }, MakeDeath("e1", 1.0)));
   BOOST_TEST(!quarantine.RecordDeath({ kFatal }, MakeDeath("e4", 4.0)));
   const auto evidence = quarantine.GetEvidence(At(10.0));
   BOOST_REQUIRE(evidence.size() == 1U);
-  BOOST_TEST(evidence.front().deaths_.size() == PromptQuarantine::kMaxDeaths);
+  BOOST_TEST(evidence.front().deaths_.size() == RequestQuarantine::kMaxDeaths);
 }
 
 // Guards against one death that counts again for each daemon that saw it.
 BOOST_AUTO_TEST_CASE(DeathOfOneProcessCountsOnce)
 {
-  PromptQuarantine quarantine = MakeQuarantine(1);
+  RequestQuarantine quarantine = MakeQuarantine(1);
   BOOST_TEST(!quarantine.RecordDeath({ kFatal }, MakeDeath("e0", 0.1)));
   BOOST_TEST(!IsQuarantined(quarantine, kFatal, 0.2));
-  EngineDeath restarted = MakeDeath("e0", 5.0);
+  ServerDeath restarted = MakeDeath("e0", 5.0);
   restarted.startedUnixMs_ = 2;
   BOOST_TEST(quarantine.RecordDeath({ kFatal }, restarted));
   BOOST_TEST(IsQuarantined(quarantine, kFatal, 5.0));
@@ -138,7 +138,7 @@
 // do not state when they started.
 BOOST_AUTO_TEST_CASE(DeathsWithoutStartTimesAreToldApartByTime)
 {
-  PromptQuarantine quarantine(1);
+  RequestQuarantine quarantine(1);
   const auto recordDeath = [&](double aSeconds) {
     return quarantine.RecordDeath({ kFatal },
                                   { BackendServerId("e"), 0, At(aSeconds) });
@@ -151,8 +151,8 @@
 // Guards against daemons that each see one death and never agree.
 BOOST_AUTO_TEST_CASE(EvidenceOfDaemonsAddsUp)
 {
-  PromptQuarantine first(1);
-  PromptQuarantine second(2);
+  RequestQuarantine first(1);
+  RequestQuarantine second(2);
   first.RecordDeath({ kFatal }, MakeDeath("e0", 0.0));
   second.RecordDeath({ kFatal }, MakeDeath("e1", 0.5));
   BOOST_TEST(second.Merge(first.GetEvidence(At(0.6)), At(0.6)));
@@ -165,9 +165,9 @@
 // Guards against a daemon that blames a part which others know to be sound.
 BOOST_AUTO_TEST_CASE(DaemonsCorrectEachOther)
 {
-  PromptQuarantine informed(1);
+  RequestQuarantine informed(1);
   informed.RecordAnswer({ kRare }, At(0.0));
-  PromptQuarantine mistaken(2);
+  RequestQuarantine mistaken(2);
   mistaken.RecordDeath({ kRare }, MakeDeath("e0", 1.0));
   mistaken.RecordDeath({ kRare }, MakeDeath("e1", 2.0));
   BOOST_TEST(IsQuarantined(mistaken, kRare, 2.1));
@@ -181,7 +181,7 @@
 // beside the fatal one each time.
 BOOST_AUTO_TEST_CASE(PartsAccusedAlikeAreToldApart)
 {
-  PromptQuarantine quarantine(1);
+  RequestQuarantine quarantine(1);
   quarantine.RecordDeath({ kFatal, kRare }, MakeDeath("e0", 0.0));
   quarantine.RecordDeath({ kFatal, kRare }, MakeDeath("e1", 1.0));
   BOOST_TEST(
@@ -199,11 +199,11 @@
 // against corrections that are never sent.
 BOOST_AUTO_TEST_CASE(CorrectionIsToldOnce)
 {
-  PromptQuarantine mistaken(1);
+  RequestQuarantine mistaken(1);
   mistaken.RecordDeath({ kRare }, MakeDeath("e0", 1.0));
-  PromptQuarantine first(2);
-  PromptQuarantine second(3);
-  for (PromptQuarantine* informed : { &first, &second }) {
+  RequestQuarantine first(2);
+  RequestQuarantine second(3);
+  for (RequestQuarantine* informed : { &first, &second }) {
     informed->RecordAnswer({ kRare }, At(0.5));
     BOOST_TEST(!informed->HasUntoldCorrections());
     informed->Merge(mistaken.GetEvidence(At(1.1)), At(1.1));
@@ -221,7 +221,7 @@
 // one shows the part to be sound.
 BOOST_AUTO_TEST_CASE(OlderAnswerDoesNotReplaceANewerOne)
 {
-  PromptQuarantine quarantine(1);
+  RequestQuarantine quarantine(1);
   quarantine.RecordAnswer({ kRare }, At(40.0));
   quarantine.Merge({ { kRare, {}, At(12.0) } }, At(40.1));
   BOOST_TEST(!quarantine.RecordDeath({ kRare }, MakeDeath("e0", 45.0)));
@@ -231,7 +231,7 @@
 // become fatal since.
 BOOST_AUTO_TEST_CASE(OldAnswerDoesNotClearLaterDeaths)
 {
-  PromptQuarantine quarantine(1);
+  RequestQuarantine quarantine(1);
   quarantine.RecordDeath({ kFatal }, MakeDeath("e0", 20.0));
   quarantine.RecordDeath({ kFatal }, MakeDeath("e1", 40.0));
   quarantine.RecordDeath({ kFatal }, MakeDeath("e2", 41.0));
@@ -249,7 +249,7 @@
 // Guards against a wrong verdict that no answer can correct any more.
 BOOST_AUTO_TEST_CASE(OneTrialIsLetThroughAndLiftsAWrongVerdict)
 {
-  PromptQuarantine quarantine = MakeQuarantine(2);
+  RequestQuarantine quarantine = MakeQuarantine(2);
   BOOST_TEST(IsQuarantined(quarantine, kFatal, 50.0));
   BOOST_TEST(!IsQuarantined(quarantine, kFatal, 122.0));
   quarantine.RecordSend({ kFatal }, At(122.0));
@@ -265,7 +265,7 @@
   const double minutes = 60.0;
   BOOST_TEST(IsQuarantined(MakeQuarantine(3), kFatal, 2.0 + 3.9 * minutes));
   BOOST_TEST(IsQuarantined(MakeQuarantine(4), kFatal, 3.0 + 15.9 * minutes));
-  PromptQuarantine quarantine = MakeQuarantine(5);
+  RequestQuarantine quarantine = MakeQuarantine(5);
   BOOST_TEST(IsQuarantined(quarantine, kFatal, 29.0 * minutes));
   // A failed trial of another daemon postpones the own one.
   quarantine.RecordDeath({ kFatal }, MakeDeath("trial", 29.0 * minutes));
@@ -277,7 +277,7 @@
 BOOST_AUTO_TEST_CASE(LateEvidenceDoesNotHastenTheTrial)
 {
   const double trial = 3700.0;
-  PromptQuarantine quarantine = MakeQuarantine(5);
+  RequestQuarantine quarantine = MakeQuarantine(5);
   BOOST_TEST(!IsQuarantined(quarantine, kFatal, trial));
   quarantine.RecordSend({ kFatal }, At(trial));
   quarantine.Merge(
@@ -295,8 +295,8 @@
 // for ever, because several deaths were at about the same time.
 BOOST_AUTO_TEST_CASE(OlderDeathsAreNoNewsForAFullList)
 {
-  PromptQuarantine quarantine =
-    MakeQuarantine(static_cast<int>(PromptQuarantine::kMaxDeaths));
+  RequestQuarantine quarantine =
+    MakeQuarantine(static_cast<int>(RequestQuarantine::kMaxDeaths));
   quarantine.TakeEvents();
   BOOST_TEST(!quarantine.RecordDeath({ kFatal }, MakeDeath("x", -0.001)));
   BOOST_TEST(quarantine.TakeEvents().empty());
@@ -307,8 +307,8 @@
 // one, which drops another death that comes back in turn.
 BOOST_AUTO_TEST_CASE(DroppedDeathsStayKnown)
 {
-  PromptQuarantine quarantine =
-    MakeQuarantine(static_cast<int>(PromptQuarantine::kMaxDeaths) + 1);
+  RequestQuarantine quarantine =
+    MakeQuarantine(static_cast<int>(RequestQuarantine::kMaxDeaths) + 1);
   quarantine.TakeEvents();
   BOOST_TEST(!quarantine.RecordDeath({ kFatal }, MakeDeath("e1", 5.5)));
   BOOST_TEST(quarantine.TakeEvents().empty());
@@ -321,7 +321,7 @@
 // of one moment.
 BOOST_AUTO_TEST_CASE(OlderDeathCountsBesideOneMoment)
 {
-  PromptQuarantine quarantine(1);
+  RequestQuarantine quarantine(1);
   for (int engine = 0; engine < 6; ++engine) {
     quarantine.RecordDeath({ kFatal },
                            MakeDeath("e" + std::to_string(engine), 1.0));
@@ -336,7 +336,7 @@
   int due = 0;
   constexpr int kDaemons = 200;
   for (int daemon = 0; daemon < kDaemons; ++daemon) {
-    PromptQuarantine quarantine(static_cast<std::uint64_t>(daemon) * 1000003U);
+    RequestQuarantine quarantine(static_cast<std::uint64_t>(daemon) * 1000003U);
     quarantine.RecordDeath({ kFatal }, MakeDeath("e0", 0.0));
     quarantine.RecordDeath({ kFatal }, MakeDeath("e1", 0.1));
     due += IsQuarantined(quarantine, kFatal, 62.0) ? 0 : 1;
@@ -348,44 +348,44 @@
 // Guards against memory and reports that grow with the parts under suspicion.
 BOOST_AUTO_TEST_CASE(StateAndReportsAreBounded)
 {
-  PromptQuarantine quarantine = MakeQuarantine(3);
+  RequestQuarantine quarantine = MakeQuarantine(3);
   for (PromptPartId part = 1; part <= 10000; ++part) {
     quarantine.RecordDeath({ part + 0x10000 },
                            MakeDeath("e" + std::to_string(part), 10.0));
   }
   const auto evidence = quarantine.GetEvidence(At(11.0));
-  BOOST_TEST(evidence.size() == PromptQuarantine::kMaxReportedParts);
-  BOOST_TEST(evidence[0].part_ == kFatal);
+  BOOST_TEST(evidence.size() == RequestQuarantine::kMaxReported);
+  BOOST_TEST(evidence[0].fingerprint_ == kFatal);
   BOOST_TEST(IsQuarantined(quarantine, kFatal, 11.0));
   for (int death = 0; death < 20; ++death) {
     quarantine.RecordDeath(
       { kFatal }, MakeDeath("x" + std::to_string(death), 12.0 + death));
   }
   BOOST_TEST(quarantine.GetEvidence(At(40.0))[0].deaths_.size() ==
-             PromptQuarantine::kMaxDeaths);
+             RequestQuarantine::kMaxDeaths);
 }
 
 // Guards against new evidence and corrections that many older suspects keep out
 // of the reports.
 BOOST_AUTO_TEST_CASE(NewEvidenceIsReportedBesideManySuspects)
 {
-  PromptQuarantine quarantine(1);
+  RequestQuarantine quarantine(1);
   for (PromptPartId part = 1; part <= 40; ++part) {
     quarantine.RecordDeath({ part }, MakeDeath("e", 1.0));
   }
   quarantine.RecordDeath({ kFatal }, MakeDeath("new", 2.0));
   quarantine.RecordAnswer({ 7 }, At(2.1));
   const auto evidence = quarantine.GetEvidence(At(2.2));
-  BOOST_TEST(evidence.size() == PromptQuarantine::kMaxReportedParts);
-  BOOST_TEST(evidence.front().part_ == kFatal);
-  BOOST_TEST(evidence.back().part_ == 7U);
+  BOOST_TEST(evidence.size() == RequestQuarantine::kMaxReported);
+  BOOST_TEST(evidence.front().fingerprint_ == kFatal);
+  BOOST_TEST(evidence.back().fingerprint_ == 7U);
   BOOST_TEST(evidence.back().soundAt_.has_value());
 }
 
 // Guards against a verdict that outlives its evidence.
 BOOST_AUTO_TEST_CASE(OldEvidenceIsForgotten)
 {
-  PromptQuarantine quarantine = MakeQuarantine(1);
+  RequestQuarantine quarantine = MakeQuarantine(1);
   quarantine.Tick(At(9.0 * 60.0));
   BOOST_TEST(quarantine.GetEvidence(At(9.0 * 60.0)).size() == 1U);
   quarantine.Tick(At(11.0 * 60.0));
@@ -395,8 +395,8 @@
 // Guards against a verdict that an operator cannot lift.
 BOOST_AUTO_TEST_CASE(ExemptPartsAreNeverQuarantined)
 {
-  PromptQuarantine quarantine(1);
-  quarantine.SetExemptParts({ kFatal });
+  RequestQuarantine quarantine(1);
+  quarantine.SetExempt({ kFatal });
   quarantine.RecordDeath({ kFatal }, MakeDeath("e0", 0.0));
   quarantine.Merge(MakeQuarantine(3).GetEvidence(At(3.0)), At(3.0));
   BOOST_TEST(!IsQuarantined(quarantine, kFatal, 3.0));
@@ -405,7 +405,7 @@
 // Guards against verdicts without a record of their evidence.
 BOOST_AUTO_TEST_CASE(ChangesAreReportedWithTheirEvidence)
 {
-  PromptQuarantine quarantine = MakeQuarantine(3);
+  RequestQuarantine quarantine = MakeQuarantine(3);
   quarantine.RecordAnswer({ kFatal }, At(4.0));
   const auto events = quarantine.TakeEvents();
   BOOST_REQUIRE(events.size() == 3U);
@@ -420,9 +420,9 @@
 // report of a daemon that does not yet know the explanation.
 BOOST_AUTO_TEST_CASE(ExplainedVerdictLeavesNoRecord)
 {
-  const EngineDeath first = MakeDeath("e0", 0.0);
-  const EngineDeath second = MakeDeath("e1", 1.0);
-  PromptQuarantine quarantine(1);
+  const ServerDeath first = MakeDeath("e0", 0.0);
+  const ServerDeath second = MakeDeath("e1", 1.0);
+  RequestQuarantine quarantine(1);
   quarantine.RecordDeath({ kFatal, kRare }, first);
   quarantine.RecordDeath({ kFatal, kRare }, second);
   BOOST_TEST(quarantine.TakeEvents().size() == 2U);
@@ -430,7 +430,7 @@
   const auto events = quarantine.TakeEvents();
   BOOST_REQUIRE(events.size() == 2U);
   BOOST_TEST((events.back().change_ == QuarantineChange::Lifted));
-  BOOST_TEST(events.back().evidence_.part_ == kRare);
+  BOOST_TEST(events.back().evidence_.fingerprint_ == kRare);
   quarantine.Merge(
     { { kFatal, { first, second }, {} }, { kRare, { first, second }, {} } },
     At(2.1));
@@ -444,12 +444,12 @@
 {
   ServerLoadTracker tracker;
   ServerLimiter limiter(1);
-  PromptQuarantine quarantine(1);
+  RequestQuarantine quarantine(1);
   Dispatcher dispatcher(
     tracker, limiter, quarantine, ServerPlacement(AvailabilityZone("a"), 1), 7);
   DispatchTicket ticket;
   ticket.request_ = MakeGeneration(1000);
-  ticket.request_.demand_.sharedParts_ = { kCommon, kFatal };
+  ticket.request_.fingerprints_ = { kCommon, kFatal };
   ticket.arrival_ = kStart;
   ticket.targetTime_ = At(4.0);
   ticket.deadline_ = At(39.0);
@@ -462,7 +462,7 @@
   dispatcher.Tick(At(0.22), decisions);
   BOOST_REQUIRE(decisions.refusals_.size() == 1U);
   BOOST_TEST((decisions.refusals_[0].reason_ == ErrorCode::PromptQuarantined));
-  BOOST_TEST(decisions.refusals_[0].quarantinedPart_->part_ == kFatal);
+  BOOST_TEST(decisions.refusals_[0].quarantined_->fingerprint_ == kFatal);
   BOOST_TEST(dispatcher.CountQueued() == 0U);
   // New requests and retries take the same way.
   AddEngine(tracker, "e2");
--- a/tests/dispatch_tests/ServerLimitTests.cpp
+++ b/tests/dispatch_tests/ServerLimitTests.cpp
@@ -269,7 +269,7 @@
   ServerLimiter limiter(1);
   limiter.SetMembers({ "d1", kZone }, {});
   limiter.GetTable().RecordAnswer(kServer, 0.2, At(0), At(0));
-  PromptQuarantine quarantine(1);
+  RequestQuarantine quarantine(1);
   Dispatcher dispatcher(
     tracker, limiter, quarantine, ServerPlacement(kZone, 1), 7);
   DispatchDecisions out;
@@ -298,7 +298,7 @@
   ServerLimiter limiter(1);
   limiter.SetMembers({ "d1", kZone }, {});
   limiter.GetTable().RecordAnswer(kServer, 2.0, At(0), At(0));
-  PromptQuarantine quarantine(1);
+  RequestQuarantine quarantine(1);
   Dispatcher dispatcher(
     tracker, limiter, quarantine, ServerPlacement(kZone, 1), 7);
   int toLimited = 0;
--- a/tests/serving_tests/QuarantineTests.cpp
+++ b/tests/serving_tests/QuarantineTests.cpp
@@ -1,7 +1,7 @@
 #include "ServingFixture.h"
 
 #include "azurecross_serving/peers/LoadExchange.h"
-#include "azurecross_serving/quarantine/EngineDeathProbe.h"
+#include "azurecross_serving/quarantine/ServerDeathProbe.h"
 
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
@@ -61,7 +61,7 @@
                                        GetState(),
                                        GetServices().log_);
       probe_ =
-        std::make_unique<EngineDeathProbe>(context, GetServices(), *exchange_);
+        std::make_unique<ServerDeathProbe>(context, GetServices(), *exchange_);
       GetServices().deathProbe_ = probe_.get();
     });
   }
@@ -99,14 +99,14 @@
     return Call(MakeRequest("/stream/x", "X-Parts: " + aParts + "\r\n"));
   }
 
-  std::vector<EngineDeath> GetDeaths(PromptPartId aPart)
+  std::vector<ServerDeath> GetDeaths(PromptPartId aPart)
   {
-    std::vector<EngineDeath> deaths;
+    std::vector<ServerDeath> deaths;
     Run([&] {
       const auto evidence =
         GetState().GetQuarantine().GetEvidence(ReadMonotonicTime());
-      for (const PromptPartEvidence& entry : evidence) {
-        if (entry.part_ == aPart) {
+      for (const FingerprintEvidence& entry : evidence) {
+        if (entry.fingerprint_ == aPart) {
           deaths = entry.deaths_;
         }
       }
@@ -129,7 +129,7 @@
   }
 
   std::unique_ptr<LoadExchange> exchange_;
-  std::unique_ptr<EngineDeathProbe> probe_;
+  std::unique_ptr<ServerDeathProbe> probe_;
 };
 
 /** @returns an address at which nothing listens. */
@@ -160,7 +160,7 @@
   AddCrashingEngine("e1", first);
   BOOST_TEST(CallWithParts("c0,bad").status_ == 502U);
   BOOST_TEST(WaitForDeaths(kFatal, 1));
-  std::this_thread::sleep_for(2 * PromptQuarantine::kCommonCauseTime);
+  std::this_thread::sleep_for(2 * RequestQuarantine::kCommonCauseTime);
   const CrashingEngine second(kUnfinishedStream);
   AddCrashingEngine("e2", second);
   BOOST_TEST(CallWithParts("c0,bad").status_ == 502U);
@@ -284,7 +284,7 @@
 {
   Run([this] {
     const Time now = ReadMonotonicTime();
-    GetState().RecordEngineDeath({ kFatal }, BackendServerId("e0"), now, now);
+    GetState().RecordServerDeath({ kFatal }, BackendServerId("e0"), now, now);
   });
   FakeBackendServer server([](FakeConnection& aConnection) {
     if (!aConnection.ReadRequest().empty()) {
--- a/tests/serving_tests/ReportTests.cpp
+++ b/tests/serving_tests/ReportTests.cpp
@@ -141,14 +141,14 @@
   }
   const auto recordDeath = [&](std::size_t aDaemon, const char* aServer) {
     const Time now = ReadMonotonicTime();
-    const bool isNew = daemons[aDaemon]->state_.RecordEngineDeath(
+    const bool isNew = daemons[aDaemon]->state_.RecordServerDeath(
       { kPart }, BackendServerId(aServer), now, now);
     BOOST_TEST(isNew);
     daemons[aDaemon]->exchange_.SendEvidence();
   };
   // Neither daemon is a summarizer, and they are in different zones.
   recordDeath(20, "e1");
-  context.run_for(2 * PromptQuarantine::kCommonCauseTime);
+  context.run_for(2 * RequestQuarantine::kCommonCauseTime);
   recordDeath(25, "e2");
   context.run_for(100ms);
   for (auto& daemon : daemons) {
@@ -158,7 +158,7 @@
   context.run_for(1500ms);
   BOOST_TEST(daemons.back()->state_.GetQuarantine().CountQuarantined() == 1U);
   // An answer at any daemon lifts the verdict everywhere.
-  daemons[30]->state_.RecordPromptAnswer({ kPart }, ReadMonotonicTime());
+  daemons[30]->state_.RecordAnswered({ kPart }, ReadMonotonicTime());
   daemons[30]->exchange_.ScheduleCorrection();
   context.run_for(200ms);
   for (auto& daemon : daemons) {
--- a/tests/serving_tests/StateTests.cpp
+++ b/tests/serving_tests/StateTests.cpp
@@ -118,7 +118,7 @@
   report.findings_ = { reportedStatistics };
   const Time now = Time(std::chrono::seconds(100));
   const Time died = now - std::chrono::milliseconds(250);
-  report.promptEvidence_ = {
+  report.evidence_ = {
     { 0xfedcba9876543210U, { { BackendServerId("e1"), 77, died } }, {} },
     { 0x1fU, {}, now }
   };
@@ -139,15 +139,15 @@
   BOOST_TEST(parsed->uses_[0].pendingPromptTokens_ == 300.0);
   BOOST_TEST(parsed->leaving_.size() == 1U);
   BOOST_TEST(!parsed->hasStoreAccess_);
-  BOOST_REQUIRE(parsed->promptEvidence_.size() == 2U);
-  const PromptPartEvidence& evidence = parsed->promptEvidence_[0];
-  BOOST_TEST(evidence.part_ == 0xfedcba9876543210U);
+  BOOST_REQUIRE(parsed->evidence_.size() == 2U);
+  const FingerprintEvidence& evidence = parsed->evidence_[0];
+  BOOST_TEST(evidence.fingerprint_ == 0xfedcba9876543210U);
   BOOST_REQUIRE(evidence.deaths_.size() == 1U);
   BOOST_TEST(evidence.deaths_[0].server_ == BackendServerId("e1"));
   BOOST_TEST(evidence.deaths_[0].startedUnixMs_ == 77);
   BOOST_TEST((evidence.deaths_[0].at_ == died));
   BOOST_TEST(!evidence.soundAt_.has_value());
-  BOOST_TEST((parsed->promptEvidence_[1].soundAt_ == now));
+  BOOST_TEST((parsed->evidence_[1].soundAt_ == now));
   for (
     const char* text :
     { "",
@@ -173,15 +173,15 @@
   LoadReport report;
   report.sender_ = "10.0.0.1:7200";
   report.leaving_ = { BackendServerId("e2") };
-  report.promptEvidence_ = { { 0xbad,
-                               { { BackendServerId("e1"), 77, first },
-                                 { BackendServerId("e3"), 78, newest } },
-                               {} } };
+  report.evidence_ = { { 0xbad,
+                         { { BackendServerId("e1"), 77, first },
+                           { BackendServerId("e3"), 78, newest } },
+                         {} } };
   const auto parsed = ParseLoadReport(FormatLoadReport(report, now), now);
   BOOST_REQUIRE(parsed.has_value());
   BOOST_TEST(parsed->leaving_.size() == 1U);
-  BOOST_REQUIRE(parsed->promptEvidence_.size() == 1U);
-  const std::vector<EngineDeath>& deaths = parsed->promptEvidence_[0].deaths_;
+  BOOST_REQUIRE(parsed->evidence_.size() == 1U);
+  const std::vector<ServerDeath>& deaths = parsed->evidence_[0].deaths_;
   BOOST_REQUIRE(deaths.size() == 2U);
   BOOST_TEST(deaths[0].startedUnixMs_ == 77);
   BOOST_TEST((deaths[0].at_ < newest));
--- a/tests/store_tests/TraceTests.cpp
+++ b/tests/store_tests/TraceTests.cpp
@@ -154,7 +154,7 @@
     "{\"time\":\"1\",\"message\":\"request_failed\",\"request\":\"r\","
     "\"reason\":\"answer_truncated\",\"verdict\":\"ran\","
     "\"backend_server\":\"e1\",\"detail\":\"broken off\"}\n"
-    "{\"time\":\"2\",\"message\":\"engine_examined\",\"request\":\"r\","
+    "{\"time\":\"2\",\"message\":\"server_examined\",\"request\":\"r\","
     "\"backend_server\":\"e1\",\"outcome\":\"dead\"}\n");
   RequestTrace trace("r");
   trace.Read(lines, "a");
