Log a fingerprint of each request (BUDGET)

Change: request_sent has a fingerprint, a hash of method, host, path and query, API key, body and shared prompt. It is the same at each daemon and reveals none of them.

--- a/modules/azurecross_serving/forward/ForwardContext.h
+++ b/modules/azurecross_serving/forward/ForwardContext.h
@@ -26,6 +26,8 @@
   int priority_ = 0;
   /** The earlier of the deadlines of the caller and the route. */
   Time deadline_;
+  /** Identifies the request if it comes again. */
+  Fingerprint fingerprint_;
 
   /** Cancels the current step; set and cleared by that step. */
   std::function<void()> cancel_;
--- a/modules/azurecross_serving/forward/ForwardPipeline.cpp
+++ b/modules/azurecross_serving/forward/ForwardPipeline.cpp
@@ -135,6 +135,7 @@
   if (failure) {
     co_return failure;
   }
+  context_.fingerprint_ = MakeFingerprint();
   timeout_.Set(context_.deadline_);
   services_.state_.GetRetryBudget().CountRequest(context_.pool_->name_,
                                                  ReadMonotonicTime());
@@ -162,6 +163,22 @@
   return request;
 }
 
+Fingerprint
+ForwardPipeline::MakeFingerprint() const
+{
+  const auto toView = [](boost::beast::string_view aText) {
+    return std::string_view(aText.data(), aText.size());
+  };
+  const WireProtocol::Request& request = context_.request_;
+  const auto& prefixHashes = context_.metadata_.generation_.prefixHashes_;
+  return ComputeFingerprint({ toView(request.method_string()),
+                              toView(request[boost::beast::http::field::host]),
+                              toView(request.target()),
+                              context_.metadata_.apiKey_,
+                              request.body(),
+                              prefixHashes.empty() ? 0 : prefixHashes.back() });
+}
+
 asio::awaitable<AsyncResult<StartedRun>>
 ForwardPipeline::Acquire(const PlacementRequest& aRequest)
 {
@@ -190,17 +207,19 @@
   ++context_.sendCount_;
   context_.server_ = aRun.choice_.server_;
   loadShare_ = aRun.choice_.loadShare_;
-  services_.log_.Write(Decision::RequestSent,
-                       { { "request", context_.metadata_.attemptId_ },
-                         { "backend_server", aRun.choice_.server_ },
-                         { "route", context_.route_->name_ },
-                         { "tables_version", context_.tables_->GetVersion() },
-                         { "send", context_.sendCount_ },
-                         { "waited_s", ToSeconds(aRun.waited_) },
-                         { "permit_wait_s", ToSeconds(aRun.permitWait_) },
-                         { "load_share", aRun.choice_.loadShare_ },
-                         { "runs", aRun.choice_.runs_ },
-                         { "expected_s", aRun.choice_.expectedSeconds_ } });
+  services_.log_.Write(
+    Decision::RequestSent,
+    { { "request", context_.metadata_.attemptId_ },
+      { "backend_server", aRun.choice_.server_ },
+      { "route", context_.route_->name_ },
+      { "fingerprint", FormatFingerprint(context_.fingerprint_) },
+      { "tables_version", context_.tables_->GetVersion() },
+      { "send", context_.sendCount_ },
+      { "waited_s", ToSeconds(aRun.waited_) },
+      { "permit_wait_s", ToSeconds(aRun.permitWait_) },
+      { "load_share", aRun.choice_.loadShare_ },
+      { "runs", aRun.choice_.runs_ },
+      { "expected_s", aRun.choice_.expectedSeconds_ } });
   AttemptResult result;
   if (context_.IsGeneration()) {
     GenerationExchange exchange(services_, context_, writer_);
--- a/modules/azurecross_serving/forward/ForwardPipeline.h
+++ b/modules/azurecross_serving/forward/ForwardPipeline.h
@@ -67,6 +67,7 @@
   /** @returns whether the retry budget of the pool allows another attempt. */
   bool ConsumeRetryBudget(const AttemptResult& aResult);
   PlacementRequest MakePlacementRequest() const;
+  Fingerprint MakeFingerprint() const;
   /** @returns whether the daemon shuts down before the request would end. */
   bool OutlastsShutdown() const;
   void HandleTimeout();
