Test what follows a rejection on its connection (TWICE)

Two cases added: the connection serves other requests (one connection for both), and a copy that comes ahead of another request's answer is skipped. The test is renamed; no check changes.

--- a/tests/serving_tests/RejectionTests.cpp
+++ b/tests/serving_tests/RejectionTests.cpp
@@ -32,7 +32,7 @@
                                  CopyTime::DuringNextRun,
                                  CopyTime::DuringNextRunInParts };
 
-inline constexpr NameTable<CopyTime, 4> kCopyTimeNames{
+constexpr NameTable<CopyTime, 4> kCopyTimeNames{
   { { { CopyTime::SoonAfterRejection, "soon after the rejection" },
       { CopyTime::AfterNextHead, "after the next head" },
       { CopyTime::DuringNextRun, "during the next run" },
@@ -54,10 +54,14 @@
 
 constexpr std::array kFollowUps{ FollowUp::Answer, FollowUp::Nothing };
 
+constexpr NameTable<FollowUp, 2> kFollowUpNames{
+  { { { FollowUp::Answer, "an answer" }, { FollowUp::Nothing, "nothing" } } }
+};
+
 std::ostream&
 operator<<(std::ostream& aStream, FollowUp aFollowUp)
 {
-  return aStream << (aFollowUp == FollowUp::Answer ? "an answer" : "nothing");
+  return aStream << kFollowUpNames.FindName(aFollowUp);
 }
 
 /** A server whose address is registered under several ids. It rejects the first
@@ -133,16 +137,15 @@
 };
 
 constexpr std::array kRejections{ 421U, 503U };
-/** With two ids, a copy that is believed leaves no further server, and the
- * caller is told that the request has not run. */
+/** With two ids, a copy that is taken for the response leaves no further
+ * server, and the caller is told that the request has not run. */
 constexpr std::array kIdCounts{ 2, 3 };
 
 } // namespace
 
-// Guards against a copy of a rejection that is taken for the response to a
-// further send of the same request, which then runs twice or after a refusal.
+// Guards against requests that run twice, or after a refusal.
 BOOST_DATA_TEST_CASE_F(ServingFixture,
-                       RejectionCopyIsNotBelieved,
+                       RejectionCopyIsNotTakenForTheResponse,
                        boost::unit_test::data::make(kRejections) *
                          boost::unit_test::data::make(kCopyTimes) *
                          boost::unit_test::data::make(kFollowUps) *
@@ -167,4 +170,60 @@
   }
 }
 
+// Guards against a new connection for each request after a rejection.
+BOOST_FIXTURE_TEST_CASE(ConnectionOfARejectionServesOtherRequests,
+                        ServingFixture)
+{
+  std::atomic<int> requests = 0;
+  FakeBackendServer server([&](FakeConnection& aConnection) {
+    while (!aConnection.ReadRequest().empty()) {
+      if (++requests == 1) {
+        aConnection.Send("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nX-Request-Id: " +
+                         aConnection.FindHeader("X-Request-Id") +
+                         "\r\nContent-Length: 0\r\n\r\n");
+      } else {
+        aConnection.Answer(200, aConnection.FindHeader("X-Request-Id"));
+      }
+    }
+  });
+  SetTables(MakeTables());
+  AddServer("s1", "desk", server);
+  BOOST_TEST(Call(MakeRequest("/once/x")).status_ == 503U);
+  const CallerAnswer other = Call(MakeRequest("/once/x", {}, "r2"));
+  BOOST_TEST(other.status_ == 200U);
+  BOOST_TEST(other.body_ == "r2");
+  BOOST_TEST(server.CountConnections() == 1);
+  BOOST_TEST(Call(MakeRequest("/once/x")).status_ == 200U);
+  BOOST_TEST(server.CountConnections() == 2);
+}
+
+// Guards against a rejection that is attributed to the next request on its
+// connection.
+BOOST_FIXTURE_TEST_CASE(RejectionCopyOfAnotherRequestIsSkipped, ServingFixture)
+{
+  std::atomic<int> runs = 0;
+  FakeBackendServer server([&](FakeConnection& aConnection) {
+    std::string copy;
+    while (!aConnection.ReadRequest().empty()) {
+      const std::string id = aConnection.FindHeader("X-Request-Id");
+      if (id == "r1") {
+        copy = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nX-Request-Id: r1\r\n"
+               "Content-Length: 2\r\n\r\nno";
+        aConnection.Send(copy);
+        continue;
+      }
+      ++runs;
+      aConnection.Send(std::exchange(copy, {}));
+      aConnection.Answer(200, id);
+    }
+  });
+  SetTables(MakeTables());
+  AddServer("s1", "desk", server);
+  BOOST_TEST(Call(MakeRequest("/once/x")).status_ == 503U);
+  const CallerAnswer other = Call(MakeRequest("/once/x", {}, "r2"));
+  BOOST_TEST(other.status_ == 200U);
+  BOOST_TEST(other.body_ == "r2");
+  BOOST_TEST(runs == 1);
+}
+
 } // namespace azurecross
--- a/tests/serving_tests/ServingFixture.cpp
+++ b/tests/serving_tests/ServingFixture.cpp
@@ -172,11 +172,12 @@
 
 std::string
 ServingFixture::MakeRequest(const std::string& aPath,
-                            const std::string& aHeaders)
+                            const std::string& aHeaders,
+                            const std::string& aId)
 {
   return "POST " + aPath +
-         " HTTP/1.1\r\nHost: test.example\r\nX-Request-Id: r1\r\n" + aHeaders +
-         "Content-Length: 4\r\n\r\nbody";
+         " HTTP/1.1\r\nHost: test.example\r\nX-Request-Id: " + aId + "\r\n" +
+         aHeaders + "Content-Length: 4\r\n\r\nbody";
 }
 
 bool
--- a/tests/serving_tests/ServingFixture.h
+++ b/tests/serving_tests/ServingFixture.h
@@ -56,9 +56,10 @@
   /** Cuts the requests in progress and closes all connections. */
   void StopServer();
 
-  /** @returns the text of a request with the given path and headers. */
+  /** @returns the text of a request with the given path, headers and id. */
   static std::string MakeRequest(const std::string& aPath,
-                                 const std::string& aHeaders = {});
+                                 const std::string& aHeaders = {},
+                                 const std::string& aId = "r1");
 
   /** Sends one request on a new connection. @returns the response. */
   CallerAnswer Call(const std::string& aRequest);
