Take no response without an id for one on a reused connection (REFUSED)

What callers could see: a 503 or 408, or a second run, after a call that may run once only had run.

Cause: a response without the request's id was taken for the response to the request on any connection, also one that states that nothing has run. Servers in trouble send bytes that belong to no request, and some send a 408 before they close an idle connection; on a connection that has carried other requests these can't be told from the response.

Change: on such a connection a response without the id proves nothing and isn't passed on: the call ends as may_have_run (502), an idempotent one is sent again. What it states about the server's limit and pauses is ignored. A new connection has carried nothing else, so there a rejection without an id still counts.

Ruled out: the same on new connections (a server that never repeats ids would serve nothing).

--- a/modules/azurecross_serving/forward/BackendCall.cpp
+++ b/modules/azurecross_serving/forward/BackendCall.cpp
@@ -150,7 +150,7 @@
   // Bytes that are not the server's answer state nothing, and neither does
   // another server at the same address.
   const bool isFromServer =
-    !info_.isFromOtherServer_ && (info_.isVerified_ || info_.isNotExecuted_);
+    !info_.isFromOtherServer_ && (info_.isVerified_ || IsRejected());
   if (!isFromServer) {
     return;
   }
--- a/modules/azurecross_serving/forward/BackendCall.h
+++ b/modules/azurecross_serving/forward/BackendCall.h
@@ -40,6 +40,19 @@
   boost::asio::awaitable<AsyncResult<std::string>> ReadBody(Time aDeadline);
 
   const ResponseInfo& GetResponseInfo() const { return info_; }
+  /** @returns whether the response belongs to the request. On a connection that
+   * has carried other requests, a response without an id may be bytes that
+   * belong to none. */
+  bool IsResponseAttributed() const
+  {
+    return info_.isIdentified_ || !isReused_;
+  }
+  /** @returns whether the response proves that the request has not run. */
+  bool IsRejected() const
+  {
+    return IsResponseAttributed() &&
+           (info_.isNotExecuted_ || info_.isFromOtherServer_);
+  }
   const BackendConnection::Head& GetHead() const
   {
     return connection_->GetHead();
--- a/modules/azurecross_serving/forward/CallExchange.cpp
+++ b/modules/azurecross_serving/forward/CallExchange.cpp
@@ -108,8 +108,7 @@
   AttemptResult result;
   const ResponseInfo info = aCall.GetResponseInfo();
   AsyncResult<std::string> body = co_await aCall.ReadBody(aDeadline);
-  const bool isRejected = info.isNotExecuted_ || info.isFromOtherServer_;
-  if (isRejected) {
+  if (aCall.IsRejected()) {
     // The head alone shows that the request has not run.
     aReservation.SetEnd(RunOutcome::Rejected);
     if (body) {
@@ -125,7 +124,8 @@
     co_return result;
   }
   const unsigned status = aCall.GetHead().result_int();
-  if (!info.isVerified_ && IsSuccess(status)) {
+  const bool isUnverified = !info.isVerified_ && IsSuccess(status);
+  if (isUnverified || !aCall.IsResponseAttributed()) {
     result.error_ =
       Error{ ErrorCode::AnswerMismatched,
              Verdict::MayHaveRun,
--- a/modules/azurecross_serving/forward/GenerationExchange.cpp
+++ b/modules/azurecross_serving/forward/GenerationExchange.cpp
@@ -467,10 +467,7 @@
     co_return error->verdict_;
   }
   if (!isResumed) {
-    const ResponseInfo& info = call_->GetResponseInfo();
-    co_return info.isNotExecuted_ || info.isFromOtherServer_
-      ? Verdict::NotRun
-      : Verdict::MayHaveRun;
+    co_return call_->IsRejected() ? Verdict::NotRun : Verdict::MayHaveRun;
   }
   context_.server_ = aCopy.server_;
   if (aCopy.server_ != generation_->server_) {
--- a/tests/serving_tests/RejectionTests.cpp
+++ b/tests/serving_tests/RejectionTests.cpp
@@ -226,4 +226,44 @@
   BOOST_TEST(runs == 1);
 }
 
+namespace {
+
+/** Responses without the id of a request. */
+const std::array<std::string, 4> kUnidentifiedResponses{
+  "HTTP/1.1 421 Other\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 408 Idle\r\nContent-Length: 0\r\n\r\n"
+};
+
+} // namespace
+
+// Guards against a response of no known request that is taken for a rejection.
+BOOST_DATA_TEST_CASE_F(ServingFixture,
+                       ResponseWithoutIdOnAReusedConnectionProvesNothing,
+                       boost::unit_test::data::make(kUnidentifiedResponses),
+                       unidentified)
+{
+  std::atomic<int> runs = 0;
+  FakeBackendServer server([&](FakeConnection& aConnection) {
+    while (!aConnection.ReadRequest().empty()) {
+      const std::string id = aConnection.FindHeader("X-Request-Id");
+      if (id == "r2") {
+        ++runs;
+        aConnection.Send(unidentified);
+      }
+      aConnection.Answer(200, id);
+    }
+  });
+  SetTables(MakeTables());
+  AddServer("s1", "desk", server);
+  AddServer("s2", "desk", server);
+  BOOST_TEST(Call(MakeRequest("/once/x")).status_ == 200U);
+  const CallerAnswer response = Call(MakeRequest("/once/x", {}, "r2"));
+  BOOST_TEST(server.CountConnections() == 1);
+  BOOST_TEST(runs == 1);
+  BOOST_TEST(response.status_ == 502U);
+  BOOST_TEST(response.FindHeader("X-Azurecross-Verdict") == "may_have_run");
+}
+
 } // namespace azurecross
