Keep the verdict of a request that ends by an exception at its deadline (REFUSED)

The verdict is now the stronger of both. No test: no step that throws at that moment could be set up with the stand-ins.

--- a/modules/azurecross_serving/forward/ForwardPipeline.cpp
+++ b/modules/azurecross_serving/forward/ForwardPipeline.cpp
@@ -79,6 +79,9 @@
 {
   Failure failure = co_await ProcessSafely();
   timeout_.Clear();
+  if (failure) {
+    context_.verdict_ = std::max(context_.verdict_, failure->verdict_);
+  }
   if (failure && context_.isTimedOut_ && !context_.isCallerDisconnected_) {
     failure =
       Error{ ErrorCode::DeadlineExceeded,
