--- a/apps/azurecross/RequestTrace.cpp
+++ b/apps/azurecross/RequestTrace.cpp
@@ -18,7 +18,29 @@
 constexpr std::array<std::string_view, 3> kStoreMessages{ "dependency_lost",
                                                           "dependency_regained",
                                                           "stopping" };
-constexpr std::string_view kQuarantineMessage = "prompt_quarantine_changed";
+/** The texts of the records about one kind of fingerprints. */
+struct QuarantineTexts
+{
+  std::string_view message_;
+  /** The reason of a refusal. */
+  std::string_view reason_;
+  std::string_view idField_;
+  /** What stands before the id in the detail of a refusal. */
+  std::string_view noun_;
+  std::string_view deathsField_;
+};
+constexpr std::array<QuarantineTexts, 2> kQuarantineTexts{
+  { { "prompt_quarantine_changed",
+      "prompt_quarantined",
+      "part",
+      "part",
+      "engines" },
+    { "request_quarantine_changed",
+      "request_quarantined",
+      "fingerprint",
+      "fingerprint",
+      "servers" } }
+};
 constexpr std::string_view kLimitMessage = "server_limit_changed";
 constexpr std::array<std::string_view, 3> kServerFields{ "backend_server",
                                                          "from",
@@ -43,12 +65,33 @@
   return std::find(aNames.begin(), aNames.end(), aName) != aNames.end();
 }
 
-/** @returns whether the detail of a refusal names the part of the prompt. */
+/** @returns the texts of the kind of record with this message, or null. */
+const QuarantineTexts*
+FindQuarantineTexts(std::string_view aMessage)
+{
+  const auto* const found = std::find_if(
+    kQuarantineTexts.begin(),
+    kQuarantineTexts.end(),
+    [&](const QuarantineTexts& aTexts) { return aTexts.message_ == aMessage; });
+  return found == kQuarantineTexts.end() ? nullptr : found;
+}
+
+/** @returns whether the detail of a refusal names the id that a record about
+ * the quarantine has. */
 bool
-NamesPart(std::string_view aDetail, const std::string& aPart)
+NamesFingerprint(std::string_view aDetail,
+                 const QuarantineTexts& aTexts,
+                 const json::object& aRecord)
 {
-  return !aPart.empty() &&
-         aDetail.find("part " + aPart + " ") != std::string_view::npos;
+  const std::string id = FindText(aRecord, aTexts.idField_);
+  const std::string name = std::string(aTexts.noun_) + " " + id;
+  const std::size_t at =
+    id.empty() ? std::string_view::npos : aDetail.find(name);
+  if (at == std::string_view::npos) {
+    return false;
+  }
+  const std::size_t end = at + name.size();
+  return end == aDetail.size() || aDetail[end] == ' ';
 }
 
 } // namespace
@@ -91,7 +134,7 @@
   if (FindText(record.fields_, "request") == request_) {
     own_.push_back(std::move(record));
   } else if (record.message_ == "server_changed" ||
-             record.message_ == kQuarantineMessage ||
+             FindQuarantineTexts(record.message_) != nullptr ||
              record.message_ == kLimitMessage ||
              Contains(kStoreMessages, record.message_)) {
     changes_.push_back(std::move(record));
@@ -119,13 +162,15 @@
       (record.message_ == "server_changed" ||
        record.message_ == kLimitMessage) &&
       servers.contains(FindText(record.fields_, "backend_server"));
-    const bool isOfPart =
-      record.message_ == kQuarantineMessage &&
+    const QuarantineTexts* texts = FindQuarantineTexts(record.message_);
+    const bool isOfFingerprint =
+      texts != nullptr &&
       std::any_of(own_.begin(), own_.end(), [&](const Record& aOwn) {
-        return NamesPart(FindText(aOwn.fields_, "detail"),
-                         FindText(record.fields_, "part"));
+        return NamesFingerprint(
+          FindText(aOwn.fields_, "detail"), *texts, record.fields_);
       });
-    if (isOfServer || isOfPart || Contains(kStoreMessages, record.message_)) {
+    if (isOfServer || isOfFingerprint ||
+        Contains(kStoreMessages, record.message_)) {
       context.push_back(record);
     }
   }
@@ -181,7 +226,8 @@
   std::string store;
   std::string serverChange;
   for (const Record& record : FindContext()) {
-    if (record.time_ > end->time_ || record.message_ == kQuarantineMessage ||
+    if (record.time_ > end->time_ ||
+        FindQuarantineTexts(record.message_) != nullptr ||
         record.message_ == kLimitMessage) {
       continue;
     }
@@ -239,7 +285,7 @@
   std::string text;
   for (const Record& record : own_) {
     if (record.message_ == "server_examined") {
-      text += "; engine ";
+      text += "; server ";
       text += FindText(record.fields_, "backend_server");
       text += " was found ";
       text += FindText(record.fields_, "outcome");
@@ -253,19 +299,26 @@
 std::string
 RequestTrace::DescribeQuarantine(const Record& aEnd) const
 {
-  if (FindText(aEnd.fields_, "reason") != "prompt_quarantined") {
+  const std::string reason = FindText(aEnd.fields_, "reason");
+  const auto* const texts = std::find_if(
+    kQuarantineTexts.begin(),
+    kQuarantineTexts.end(),
+    [&](const QuarantineTexts& aTexts) { return aTexts.reason_ == reason; });
+  if (texts == kQuarantineTexts.end()) {
     return {};
   }
+  const std::string noun(texts->noun_);
+  const std::string servers(texts->deathsField_);
   // The newest verdict before the refusal, and the first correction after it.
   const Record* verdict = nullptr;
   const Record* correction = nullptr;
   const std::vector<Record> context = FindContext();
   for (const Record& record : context) {
-    const bool isOfPart = record.message_ == kQuarantineMessage &&
-                          record.source_ == aEnd.source_ &&
-                          NamesPart(FindText(aEnd.fields_, "detail"),
-                                    FindText(record.fields_, "part"));
-    if (!isOfPart) {
+    const bool isOfFingerprint =
+      record.message_ == texts->message_ && record.source_ == aEnd.source_ &&
+      NamesFingerprint(
+        FindText(aEnd.fields_, "detail"), *texts, record.fields_);
+    if (!isOfFingerprint) {
       continue;
     }
     const bool isLifted = FindText(record.fields_, "change") == "lifted";
@@ -278,13 +331,14 @@
     }
   }
   if (verdict == nullptr) {
-    return "; no record of the quarantine of the part: its log is missing";
+    return "; no record of the quarantine of the " + noun +
+           ": its log is missing";
   }
   std::string text =
-    "; part " + FindText(verdict->fields_, "part") + " was " +
+    "; " + noun + " " + FindText(verdict->fields_, texts->idField_) + " was " +
     FindText(verdict->fields_, "change") + " at " + verdict->time_ + " after " +
-    FindText(verdict->fields_, "deaths") +
-    " deaths of engines: " + FindText(verdict->fields_, "engines");
+    FindText(verdict->fields_, "deaths") + " deaths of " + servers + ": " +
+    FindText(verdict->fields_, servers);
   if (correction != nullptr) {
     text += "; lifted at " + correction->time_;
   }
--- a/modules/azurecross_core/types/Error.h
+++ b/modules/azurecross_core/types/Error.h
@@ -30,6 +30,7 @@
   DeadlineExceeded,
   NoBackendServer,
   PromptQuarantined,
+  RequestQuarantined,
   BackendServerFailed,
   AnswerMismatched,
   AnswerTruncated,
@@ -46,7 +47,7 @@
   Internal,
 };
 
-inline constexpr NameTable<ErrorCode, 27> kErrorCodeNames{
+inline constexpr NameTable<ErrorCode, 28> kErrorCodeNames{
   { { { ErrorCode::InvalidRequest, "invalid_request" },
       { ErrorCode::HeaderTooLarge, "header_too_large" },
       { ErrorCode::BodyTooLarge, "body_too_large" },
@@ -60,6 +61,7 @@
       { ErrorCode::DeadlineExceeded, "deadline_exceeded" },
       { ErrorCode::NoBackendServer, "no_backend_server" },
       { ErrorCode::PromptQuarantined, "prompt_quarantined" },
+      { ErrorCode::RequestQuarantined, "request_quarantined" },
       { ErrorCode::BackendServerFailed, "backend_server_failed" },
       { ErrorCode::AnswerMismatched, "answer_mismatched" },
       { ErrorCode::AnswerTruncated, "answer_truncated" },
--- a/modules/azurecross_dispatch/quarantine/RequestQuarantine.cpp
+++ b/modules/azurecross_dispatch/quarantine/RequestQuarantine.cpp
@@ -1,6 +1,7 @@
 #include "RequestQuarantine.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace azurecross {
 
@@ -10,9 +11,9 @@
  * death of a server. Later deaths count, because the servers' software may have
  * changed. */
 constexpr Duration kSoundLifetime = std::chrono::seconds(30);
-/** Other daemons are told of an answer for this time, several report intervals.
- */
-constexpr Duration kSoundReportTime = std::chrono::seconds(5);
+/** Other daemons are told of an answer, and of a single death under a request,
+ * for this time, several report intervals. */
+constexpr Duration kNewsReportTime = std::chrono::seconds(5);
 /** Shortest time between two corrections of the same fingerprint, while reports
  * that were sent before the first one still arrive. */
 constexpr Duration kCorrectionInterval = std::chrono::milliseconds(300);
@@ -286,11 +287,15 @@
 RequestQuarantine::Suspect&
 RequestQuarantine::FindOrAddSuspect(const Fingerprint& aFingerprint)
 {
-  if (suspects_.size() >= kMaxSuspects && !suspects_.contains(aFingerprint)) {
-    const auto weakest = std::min_element(
-      suspects_.begin(),
-      suspects_.end(),
-      [](const auto& aLeft, const auto& aRight) {
+  // The map is ordered by kind.
+  const auto first = suspects_.lower_bound({ aFingerprint.kind_, 0 });
+  const auto last = suspects_.upper_bound(
+    { aFingerprint.kind_, std::numeric_limits<std::uint64_t>::max() });
+  const bool isFull =
+    static_cast<std::size_t>(std::distance(first, last)) >= kMaxSuspects;
+  if (isFull && !suspects_.contains(aFingerprint)) {
+    const auto weakest =
+      std::min_element(first, last, [](const auto& aLeft, const auto& aRight) {
         return std::pair(aLeft.second.deaths_.size(), aLeft.second.updatedAt_) <
                std::pair(aRight.second.deaths_.size(),
                          aRight.second.updatedAt_);
@@ -371,15 +376,34 @@
 
 std::vector<FingerprintEvidence>
 RequestQuarantine::GetEvidence(Time aNow) const
+{
+  std::vector<FingerprintEvidence> reported;
+  for (const FingerprintKind kind : kFingerprintKinds) {
+    AppendEvidence(kind, aNow, reported);
+  }
+  return reported;
+}
+
+void
+RequestQuarantine::AppendEvidence(FingerprintKind aKind,
+                                  Time aNow,
+                                  std::vector<FingerprintEvidence>& aOut) const
 {
   std::vector<Suspects::const_pointer> accused;
   std::vector<Suspects::const_pointer> acquitted;
   for (const auto& entry : suspects_) {
+    if (entry.first.kind_ != aKind) {
+      continue;
+    }
     const Suspect& suspect = entry.second;
-    if (!suspect.deaths_.empty()) {
+    const bool isNew = aNow - suspect.updatedAt_ < kNewsReportTime;
+    // Each server that ends accuses the requests that ran beside a fatal one,
+    // most of which never come again.
+    const bool isAccused =
+      aKind == FingerprintKind::PromptPart || suspect.IsQuarantined() || isNew;
+    if (!suspect.deaths_.empty() && isAccused) {
       accused.push_back(&entry);
-    } else if (suspect.soundAt_ &&
-               aNow - suspect.updatedAt_ < kSoundReportTime) {
+    } else if (suspect.deaths_.empty() && suspect.soundAt_ && isNew) {
       acquitted.push_back(&entry);
     }
   }
@@ -396,13 +420,22 @@
   accused.resize(accusedCount);
   acquitted.resize(std::min(acquitted.size(), kMaxReported - accusedCount));
   accused.insert(accused.end(), acquitted.begin(), acquitted.end());
-  std::vector<FingerprintEvidence> reported;
-  reported.reserve(accused.size());
   for (const auto* entry : accused) {
-    reported.push_back(
+    aOut.push_back(
       { entry->first, entry->second.deaths_, entry->second.soundAt_ });
   }
-  return reported;
+}
+
+std::size_t
+RequestQuarantine::CountQuarantined(FingerprintKind aKind) const
+{
+  if (quarantinedCount_ == 0) {
+    return 0;
+  }
+  return static_cast<std::size_t>(
+    std::count_if(suspects_.begin(), suspects_.end(), [&](const auto& aEntry) {
+      return aEntry.first.kind_ == aKind && aEntry.second.IsQuarantined();
+    }));
 }
 
 const RequestQuarantine::Suspect*
--- a/modules/azurecross_dispatch/quarantine/RequestQuarantine.h
+++ b/modules/azurecross_dispatch/quarantine/RequestQuarantine.h
@@ -73,8 +73,8 @@
   /** Servers that die within this time of each other are taken to have a common
    * cause, such as the loss of a rack. */
   static constexpr Duration kCommonCauseTime = std::chrono::milliseconds(50);
-  /** Fingerprints under suspicion; more than a few at a time are not expected.
-   */
+  /** Fingerprints of each kind under suspicion; more than a few at a time are
+   * not expected. */
   static constexpr std::size_t kMaxSuspects = 64;
   /** Deaths that are kept for each fingerprint. */
   static constexpr std::size_t kMaxDeaths = 5;
@@ -128,6 +128,7 @@
   std::vector<QuarantineEvent> TakeEvents();
 
   std::size_t CountQuarantined() const { return quarantinedCount_; }
+  std::size_t CountQuarantined(FingerprintKind aKind) const;
 
 private:
   struct Suspect
@@ -172,9 +173,13 @@
   /** Removes the deaths that an answer at this time excuses.
    * @returns whether there were any. */
   bool MarkSound(Suspects::iterator aSuspect, Time aAt);
-  /** @returns the suspect; the one with the weakest evidence makes room for a
-   * new one. */
+  /** @returns the suspect; the one of its kind with the weakest evidence makes
+   * room for a new one. */
   Suspect& FindOrAddSuspect(const Fingerprint& aFingerprint);
+  /** Appends the evidence about one kind of fingerprints. */
+  void AppendEvidence(FingerprintKind aKind,
+                      Time aNow,
+                      std::vector<FingerprintEvidence>& aOut) const;
   Duration GetTrialDelay(const Fingerprint& aFingerprint,
                          std::size_t aDeaths) const;
   void AddEvent(QuarantineChange aChange,
--- a/modules/azurecross_dispatch/quarantine/SoundFingerprints.h
+++ b/modules/azurecross_dispatch/quarantine/SoundFingerprints.h
@@ -20,9 +20,9 @@
   std::optional<Time> Find(const Fingerprint& aFingerprint) const;
 
 private:
-  /** At 90 requests a second with two fingerprints each, all different, those
-   * of the last 45 s or more are remembered. */
-  static constexpr std::size_t kMaxRecent = 8192;
+  /** At 90 requests a second with three fingerprints each, all different, those
+   * of the last 60 s or more are remembered. */
+  static constexpr std::size_t kMaxRecent = 16384;
 
   struct Hash
   {
--- a/modules/azurecross_dispatch/queue/Dispatcher.cpp
+++ b/modules/azurecross_dispatch/queue/Dispatcher.cpp
@@ -158,13 +158,16 @@
   if (!quarantined) {
     return false;
   }
-  aOut.refusals_.push_back({ aTicket.id_,
-                             ErrorCode::PromptQuarantined,
-                             quarantined->untilTrial_,
-                             aNow - aTicket.arrival_,
-                             queued_.size(),
-                             0,
-                             quarantined });
+  aOut.refusals_.push_back(
+    { aTicket.id_,
+      quarantined->fingerprint_.kind_ == FingerprintKind::PromptPart
+        ? ErrorCode::PromptQuarantined
+        : ErrorCode::RequestQuarantined,
+      quarantined->untilTrial_,
+      aNow - aTicket.arrival_,
+      queued_.size(),
+      0,
+      quarantined });
   return true;
 }
 
--- a/modules/azurecross_dispatch/queue/Dispatcher.h
+++ b/modules/azurecross_dispatch/queue/Dispatcher.h
@@ -55,7 +55,7 @@
   std::size_t queued_ = 0;
   /** Servers of the pool that limit their rate. */
   std::size_t limitedServers_ = 0;
-  /** Set if the reason is `PromptQuarantined`. */
+  /** Set if the reason is `PromptQuarantined` or `RequestQuarantined`. */
   std::optional<QuarantinedFingerprint> quarantined_;
 };
 
--- a/modules/azurecross_gateway/messages/ErrorReply.cpp
+++ b/modules/azurecross_gateway/messages/ErrorReply.cpp
@@ -61,6 +61,7 @@
     case ErrorCode::BodyMemoryExhausted:
     case ErrorCode::NoBackendServer:
     case ErrorCode::PromptQuarantined:
+    case ErrorCode::RequestQuarantined:
     case ErrorCode::OwnerUnreachable:
     case ErrorCode::StoreUnavailable:
     case ErrorCode::Draining:
--- a/modules/azurecross_serving/dispatch/AsyncDispatcher.cpp
+++ b/modules/azurecross_serving/dispatch/AsyncDispatcher.cpp
@@ -14,6 +14,12 @@
 {
   if (aRefusal.quarantined_) {
     const QuarantinedFingerprint& quarantined = *aRefusal.quarantined_;
+    if (quarantined.fingerprint_.kind_ == FingerprintKind::Request) {
+      return "the request is in quarantine: " +
+             std::to_string(quarantined.deaths_) +
+             " backend servers died before they answered it; fingerprint " +
+             FormatFingerprint(quarantined.fingerprint_);
+    }
     return "part " + FormatFingerprint(quarantined.fingerprint_) +
            " of the prompt is in quarantine: " +
            std::to_string(quarantined.deaths_) +
--- a/modules/azurecross_serving/forward/AttemptResult.h
+++ b/modules/azurecross_serving/forward/AttemptResult.h
@@ -23,6 +23,8 @@
 {
   /** Whether any part of a response was sent to the caller. */
   bool isResponseStarted_ = false;
+  /** Whether the server sent a complete response of its own, of any status. */
+  bool isAnswered_ = false;
   /** Set if the caller did not get a complete response. */
   std::optional<Error> error_;
   /** The 5xx response of the backend server, if another attempt may follow. */
--- a/modules/azurecross_serving/forward/CallExchange.cpp
+++ b/modules/azurecross_serving/forward/CallExchange.cpp
@@ -1,5 +1,7 @@
 #include "CallExchange.h"
 
+#include "../quarantine/RunEvidence.h"
+
 namespace azurecross {
 
 namespace asio = boost::asio;
@@ -81,6 +83,7 @@
 CallExchange::Run(StartedRun& aRun, bool aMayRetry)
 {
   BackendCall call(services_, context_);
+  RunEvidence evidence(services_, context_);
   const ScopeGuard resetCancel([this] { context_.cancel_ = nullptr; });
   context_.cancel_ = [&call] { call.Cancel(); };
   const SendOptions options = MakeSendOptions(context_, aRun.choice_);
@@ -90,10 +93,16 @@
   if (result.error_) {
     result.isUnsent_ = result.error_->verdict_ == Verdict::NotRun;
     aRun.reservation_.SetEnd(GetRunEnd(*result.error_));
+    evidence.ExamineFailure(result, options.address_);
     co_return result;
   }
+  const bool isUnframed = call.GetConnection().IsUnframed();
   result = co_await ReadAndForwardResponse(
     context_, call, aRun.reservation_, writer_, aMayRetry, deadline);
+  if (result.isAnswered_) {
+    evidence.RecordEnd(isUnframed);
+  }
+  evidence.ExamineFailure(result, options.address_);
   co_return result;
 }
 
@@ -134,6 +143,7 @@
     aReservation.SetEnd(RunOutcome::Failed);
     co_return result;
   }
+  result.isAnswered_ = info.isVerified_;
   const bool isServerError = status >= kFirstServerError;
   aReservation.SetEnd(isServerError ? RunOutcome::Failed
                                     : RunOutcome::Completed);
--- a/modules/azurecross_serving/forward/ForwardContext.h
+++ b/modules/azurecross_serving/forward/ForwardContext.h
@@ -29,6 +29,15 @@
   /** Identifies the request if it comes again. */
   Fingerprint fingerprint_;
 
+  /** @returns what in the request may be in quarantine. */
+  std::vector<Fingerprint> MakeFingerprints() const
+  {
+    const auto& parts = metadata_.generation_.sharedParts_;
+    std::vector<Fingerprint> fingerprints(parts.begin(), parts.end());
+    fingerprints.push_back(fingerprint_);
+    return fingerprints;
+  }
+
   /** Cancels the current step; set and cleared by that step. */
   std::function<void()> cancel_;
   bool isCallerDisconnected_ = false;
--- a/modules/azurecross_serving/forward/ForwardPipeline.cpp
+++ b/modules/azurecross_serving/forward/ForwardPipeline.cpp
@@ -161,8 +161,7 @@
   request.customer_ = context_.customer_.value_or(CustomerId());
   request.kind_ = context_.route_->kind_;
   request.demand_ = context_.metadata_.generation_;
-  request.fingerprints_.assign(request.demand_.sharedParts_.begin(),
-                               request.demand_.sharedParts_.end());
+  request.fingerprints_ = context_.MakeFingerprints();
   return request;
 }
 
--- a/modules/azurecross_serving/forward/GenerationExchange.cpp
+++ b/modules/azurecross_serving/forward/GenerationExchange.cpp
@@ -1,7 +1,6 @@
 #include "GenerationExchange.h"
 
 #include "../moves/GenerationMover.h"
-#include "../quarantine/ServerDeathProbe.h"
 #include "CallExchange.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -46,6 +45,7 @@
   , context_(aContext)
   , writer_(aWriter)
   , eventMemory_(aServices.responseBudget_)
+  , evidence_(aServices, aContext)
 {
 }
 
@@ -60,51 +60,13 @@
 asio::awaitable<AttemptResult>
 GenerationExchange::Run(StartedRun& aRun, PlacementRequest aRequest)
 {
-  fingerprints_ = aRequest.fingerprints_;
   const SocketAddress engine = aRun.choice_.address_;
   AttemptResult result = co_await Execute(aRun, std::move(aRequest));
-  ExamineFailure(result, generation_ ? generation_->address_ : engine);
+  evidence_.ExamineFailure(
+    result, generation_ ? generation_->address_ : engine, brokenAt_);
   co_return result;
 }
 
-void
-GenerationExchange::RecordAnswer()
-{
-  if (!isAnswered_) {
-    isAnswered_ = true;
-    services_.state_.RecordAnswered(fingerprints_, ReadMonotonicTime());
-  }
-}
-
-void
-GenerationExchange::ExamineFailure(const AttemptResult& aResult,
-                                   const SocketAddress& aEngine)
-{
-  const bool isBroken = aResult.error_ &&
-                        aResult.error_->verdict_ != Verdict::NotRun &&
-                        aResult.error_->code_ != ErrorCode::Cancelled;
-  const bool isUnproved = !aResult.error_ && isEndUnproved_;
-  if ((isBroken || isUnproved) && !isAnswered_ &&
-      services_.deathProbe_ != nullptr) {
-    services_.deathProbe_->Examine({ context_.metadata_.attemptId_,
-                                     context_.server_,
-                                     aEngine,
-                                     fingerprints_,
-                                     brokenAt_.value_or(ReadMonotonicTime()),
-                                     isUnproved });
-  }
-}
-
-void
-GenerationExchange::RecordEnd(bool aIsUnframed)
-{
-  if (aIsUnframed) {
-    isEndUnproved_ = true;
-  } else {
-    RecordAnswer();
-  }
-}
-
 asio::awaitable<AttemptResult>
 GenerationExchange::Execute(StartedRun& aRun, PlacementRequest aRequest)
 {
@@ -132,7 +94,7 @@
     result = co_await ReadAndForwardResponse(
       context_, *call_, aRun.reservation_, writer_, false, context_.deadline_);
     if (!result.error_ && isOk) {
-      RecordEnd(isUnframed);
+      evidence_.RecordEnd(isUnframed);
     }
     co_return result;
   }
@@ -299,7 +261,7 @@
     context_.pool_->engine_ ? context_.pool_->engine_->tokensPerEvent_ : 1;
   generation_->tokens_ = buffer_.CountEvents() * tokensPerEvent;
   if (buffer_.CountEvents() >= kEventsOfAnswer) {
-    RecordAnswer();
+    evidence_.RecordAnswer();
   }
   services_.state_.GetLoadTracker().ObserveEvent(
     generation_->reservation_.GetRun(), generation_->tokens_, now);
@@ -309,7 +271,7 @@
 GenerationExchange::FinishStream()
 {
   generation_->reservation_.SetEnd(RunOutcome::Completed);
-  RecordEnd(call_->GetConnection().IsUnframed());
+  evidence_.RecordEnd(call_->GetConnection().IsUnframed());
   const std::string remainder = buffer_.TakeRemainder();
   if (!remainder.empty()) {
     co_await writer_.WriteStreamData(remainder);
@@ -396,11 +358,8 @@
 {
   buffer_.DiscardPartialEvent();
   co_await WaitForStop();
-  const bool isQuarantined =
-    !isAnswered_ && services_.state_.GetQuarantine().FindQuarantined(
-                      fingerprints_, ReadMonotonicTime());
   if (!generation_->copy_ || generation_->copy_->handle_.empty() ||
-      context_.IsAborted() || isQuarantined || MayStillRun() ||
+      context_.IsAborted() || evidence_.IsQuarantined() || MayStillRun() ||
       ++resumeCount_ > kMaxResumes) {
     services_.metrics_.CountResume(false);
     co_return false;
--- a/modules/azurecross_serving/forward/GenerationExchange.h
+++ b/modules/azurecross_serving/forward/GenerationExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../moves/ActiveGeneration.h"
+#include "../quarantine/RunEvidence.h"
 #include "AttemptResult.h"
 #include "BackendCall.h"
 #include "EventBuffer.h"
@@ -39,16 +40,6 @@
 private:
   boost::asio::awaitable<AttemptResult> Execute(StartedRun& aRun,
                                                 PlacementRequest aRequest);
-  /** Records once that the engine answers the request. */
-  void RecordAnswer();
-  /** Records that the answer has ended. Without framing, the end of an engine
-   * looks the same, so it proves nothing. */
-  void RecordEnd(bool aIsUnframed);
-  /** Has the engine examined if it broke the connection without an answer, or
-   * may have done so. */
-  void ExamineFailure(const AttemptResult& aResult,
-                      const SocketAddress& aEngine);
-
   /** Result of one read of the stream. */
   enum class ReadOutcome
   {
@@ -113,10 +104,7 @@
   std::optional<Error> readError_;
   Time lastEventTime_;
   unsigned resumeCount_ = 0;
-  std::vector<Fingerprint> fingerprints_;
-  bool isAnswered_ = false;
-  /** The answer was short and ended with its connection. */
-  bool isEndUnproved_ = false;
+  RunEvidence evidence_;
   /** When the stream broke off, if it has not been resumed. */
   std::optional<Time> brokenAt_;
 };
--- a/modules/azurecross_serving/log/DecisionLog.h
+++ b/modules/azurecross_serving/log/DecisionLog.h
@@ -37,12 +37,13 @@
   GenerationResumed,
   ServerExamined,
   PromptQuarantineChanged,
+  RequestQuarantineChanged,
   ServerLimitChanged,
   ServerPaused,
   RecordsDropped,
 };
 
-inline constexpr NameTable<Decision, 29> kDecisionNames{
+inline constexpr NameTable<Decision, 30> kDecisionNames{
   { { { Decision::Started, "started" },
       { Decision::Stopping, "stopping" },
       { Decision::Stopped, "stopped" },
@@ -69,6 +70,7 @@
       { Decision::GenerationResumed, "generation_resumed" },
       { Decision::ServerExamined, "server_examined" },
       { Decision::PromptQuarantineChanged, "prompt_quarantine_changed" },
+      { Decision::RequestQuarantineChanged, "request_quarantine_changed" },
       { Decision::ServerLimitChanged, "server_limit_changed" },
       { Decision::ServerPaused, "server_paused" },
       { Decision::RecordsDropped, "records_dropped" } } }
--- a/modules/azurecross_serving/metrics/ServingMetrics.cpp
+++ b/modules/azurecross_serving/metrics/ServingMetrics.cpp
@@ -39,6 +39,9 @@
   , quarantinedParts_(aMetrics.GetGauge(
       "azurecross_forward_quarantined_prompt_parts",
       "Parts of prompts whose requests are refused because they end engines"))
+  , quarantinedRequests_(aMetrics.GetGauge(
+      "azurecross_forward_quarantined_requests",
+      "Requests that are refused because they end backend servers"))
   , queuedRequests_(
       aMetrics.GetGauge("azurecross_forward_queued_requests",
                         "Requests that wait for a backend server"))
@@ -197,20 +200,27 @@
 }
 
 void
-ServingMetrics::CountQuarantineChange(QuarantineChange aChange)
+ServingMetrics::CountQuarantineChange(FingerprintKind aKind,
+                                      QuarantineChange aChange)
 {
+  const bool isPart = aKind == FingerprintKind::PromptPart;
   metrics_
     .GetCounter(
-      "azurecross_forward_quarantine_changes_total",
-      "Changes of the quarantine of parts of prompts",
+      isPart ? "azurecross_forward_quarantine_changes_total"
+             : "azurecross_forward_request_quarantine_changes_total",
+      isPart ? "Changes of the quarantine of parts of prompts"
+             : "Changes of the quarantine of requests",
       { { "change", std::string(kQuarantineChangeNames.FindName(aChange)) } })
     .Increment();
 }
 
 void
-ServingMetrics::SetQuarantinedParts(std::size_t aCount)
+ServingMetrics::SetQuarantined(FingerprintKind aKind, std::size_t aCount)
 {
-  quarantinedParts_.Set(static_cast<double>(aCount));
+  prometheus::Gauge& gauge = aKind == FingerprintKind::PromptPart
+                               ? quarantinedParts_
+                               : quarantinedRequests_;
+  gauge.Set(static_cast<double>(aCount));
 }
 
 void
--- a/modules/azurecross_serving/metrics/ServingMetrics.h
+++ b/modules/azurecross_serving/metrics/ServingMetrics.h
@@ -38,8 +38,8 @@
   void CountBackendConnection(bool aIsReused);
   void CountSkippedResponse();
   void CountRejection(bool aIsReused);
-  void CountQuarantineChange(QuarantineChange aChange);
-  void SetQuarantinedParts(std::size_t aCount);
+  void CountQuarantineChange(FingerprintKind aKind, QuarantineChange aChange);
+  void SetQuarantined(FingerprintKind aKind, std::size_t aCount);
   void SetLimitedServers(std::size_t aCount);
   /** Counts what became of the requests for permits since the last call. */
   void SetPermitCounts(const PermitCounts& aCounts);
@@ -62,6 +62,7 @@
   prometheus::Gauge& limitedServers_;
   PermitCounts permitCounts_;
   prometheus::Gauge& quarantinedParts_;
+  prometheus::Gauge& quarantinedRequests_;
   prometheus::Gauge& queuedRequests_;
   prometheus::Gauge& tablesVersion_;
   prometheus::Gauge& tablesConfirmationAge_;
--- a/modules/azurecross_serving/peers/LoadReport.cpp
+++ b/modules/azurecross_serving/peers/LoadReport.cpp
@@ -24,10 +24,16 @@
 constexpr std::uint32_t kMaxDaemonCount = 100000;
 constexpr double kMeanUnit = 1e-9;
 constexpr double kWeightUnit = 0.1;
-/** JSON array of the evidence about a part of a prompt: the part, the age of
- * the last answer in milliseconds or null, the deaths. */
+/** The members of a report with evidence about each kind of fingerprints. A
+ * daemon that does not know a member ignores it. */
+constexpr NameTable<FingerprintKind, 2> kEvidenceMembers{
+  { { { FingerprintKind::PromptPart, "prompt_evidence" },
+      { FingerprintKind::Request, "request_evidence" } } }
+};
+/** JSON array of the evidence about a fingerprint: its value, the age of the
+ * last answer in milliseconds or null, the deaths. */
 constexpr std::size_t kEvidenceFieldCount = 3;
-/** JSON array of the death of an engine: the server, its start time as a Unix
+/** JSON array of the death of a server: the server, its start time as a Unix
  * time in milliseconds, the age of the death in milliseconds. */
 constexpr std::size_t kDeathFieldCount = 3;
 
@@ -131,26 +137,25 @@
 }
 
 std::optional<FingerprintEvidence>
-ParseEvidence(const json::value& aValue, Time aNow)
+ParseEvidence(FingerprintKind aKind, const json::value& aValue, Time aNow)
 {
   const json::array* fields = aValue.if_array();
   if (fields == nullptr || fields->size() != kEvidenceFieldCount) {
     return std::nullopt;
   }
-  const json::string* partText = (*fields)[0].if_string();
+  const json::string* text = (*fields)[0].if_string();
   const json::array* deaths = (*fields)[2].if_array();
-  if (partText == nullptr || deaths == nullptr ||
+  if (text == nullptr || deaths == nullptr ||
       deaths->size() > RequestQuarantine::kMaxDeaths) {
     return std::nullopt;
   }
-  const auto part =
-    ParseFingerprint(FingerprintKind::PromptPart,
-                     std::string_view(partText->data(), partText->size()));
-  if (!part) {
+  const auto fingerprint =
+    ParseFingerprint(aKind, std::string_view(text->data(), text->size()));
+  if (!fingerprint) {
     return std::nullopt;
   }
   FingerprintEvidence evidence;
-  evidence.fingerprint_ = *part;
+  evidence.fingerprint_ = *fingerprint;
   if (!(*fields)[1].is_null()) {
     evidence.soundAt_ = ParseAge((*fields)[1], aNow);
     if (!evidence.soundAt_) {
@@ -185,12 +190,16 @@
                       std::move(deaths) };
 }
 
-/** Parses the evidence about parts of prompts, which a report may lack.
+/** Parses the evidence about one kind of fingerprints, which a report may lack.
  * @returns whether it is valid. */
 bool
-ParsePromptEvidence(const json::object& aObject, Time aNow, LoadReport& aReport)
+ParseEvidenceMember(FingerprintKind aKind,
+                    const json::object& aObject,
+                    Time aNow,
+                    LoadReport& aReport)
 {
-  const json::value* entries = aObject.if_contains("prompt_evidence");
+  const json::value* entries =
+    aObject.if_contains(kEvidenceMembers.FindName(aKind));
   if (entries == nullptr) {
     return true;
   }
@@ -199,7 +208,7 @@
     return false;
   }
   for (const json::value& entry : entries->get_array()) {
-    auto evidence = ParseEvidence(entry, aNow);
+    auto evidence = ParseEvidence(aKind, entry, aNow);
     if (!evidence) {
       return false;
     }
@@ -208,6 +217,18 @@
   return true;
 }
 
+/** @returns whether the evidence about all kinds of fingerprints is valid. */
+bool
+ParseEvidence(const json::object& aObject, Time aNow, LoadReport& aReport)
+{
+  return std::all_of(kFingerprintKinds.begin(),
+                     kFingerprintKinds.end(),
+                     [&](FingerprintKind aKind) {
+                       return ParseEvidenceMember(
+                         aKind, aObject, aNow, aReport);
+                     });
+}
+
 /** Parses the rate limits of servers, which a report may lack.
  * @returns whether they are valid. */
 bool
@@ -296,12 +317,13 @@
     }
     report["findings"] = std::move(findings);
   }
-  if (!aReport.evidence_.empty()) {
-    json::array evidence;
-    for (const FingerprintEvidence& entry : aReport.evidence_) {
-      evidence.push_back(FormatEvidence(entry, aNow));
+  for (const FingerprintEvidence& entry : aReport.evidence_) {
+    json::value& evidence =
+      report[kEvidenceMembers.FindName(entry.fingerprint_.kind_)];
+    if (!evidence.is_array()) {
+      evidence.emplace_array();
     }
-    report["prompt_evidence"] = std::move(evidence);
+    evidence.get_array().push_back(FormatEvidence(entry, aNow));
   }
   if (!aReport.limits_.empty()) {
     json::array limits;
@@ -331,7 +353,7 @@
   LoadReport report;
   report.sender_ = std::string(sender->get_string());
   const bool isValid = ParseScope(*object, report) &&
-                       ParsePromptEvidence(*object, aNow, report) &&
+                       ParseEvidence(*object, aNow, report) &&
                        ParseServerLimits(*object, aNow, report);
   if (!isValid) {
     return std::nullopt;
--- a/modules/azurecross_serving/quarantine/ServerDeathProbe.cpp
+++ b/modules/azurecross_serving/quarantine/ServerDeathProbe.cpp
@@ -34,51 +34,81 @@
 {
   const ServerLoad* server =
     services_.state_.GetLoadTracker().Find(aRun.server_);
-  // The end of an engine that is draining has a known cause.
+  // The end of a server that is draining has a known cause.
   const bool isUnexpected =
     server != nullptr && server->record_.state_ == ServerState::Ready;
-  if (isUnexpected && !aRun.fingerprints_.empty()) {
-    asio::co_spawn(context_, Probe(std::move(aRun)), asio::detached);
+  if (!isUnexpected || aRun.fingerprints_.empty()) {
+    return;
+  }
+  const BackendServerId id = aRun.server_;
+  const auto [entry, isFirst] = waitingRuns_.try_emplace(id);
+  entry->second.push_back(std::move(aRun));
+  if (isFirst) {
+    asio::co_spawn(context_, ExamineServer(id), asio::detached);
   }
 }
 
 asio::awaitable<void>
-ServerDeathProbe::Probe(UnansweredRun aRun)
+ServerDeathProbe::ExamineServer(BackendServerId aServer)
+{
+  for (;;) {
+    const std::vector<UnansweredRun> runs =
+      std::exchange(waitingRuns_[aServer], {});
+    if (runs.empty()) {
+      waitingRuns_.erase(aServer);
+      co_return;
+    }
+    const Finding finding = co_await Probe(aServer, runs.front().address_);
+    bool hasNewEvidence = false;
+    for (const UnansweredRun& run : runs) {
+      hasNewEvidence = Report(run, finding) || hasNewEvidence;
+    }
+    if (hasNewEvidence) {
+      peers_.SendEvidence();
+    }
+  }
+}
+
+asio::awaitable<ServerDeathProbe::Finding>
+ServerDeathProbe::Probe(BackendServerId aServer, SocketAddress aAddress)
 {
   const ConnectOutcome outcome =
-    co_await ProbeConnect(aRun.address_, kConnectTimeout);
-  const bool isRefused = outcome == ConnectOutcome::Refused;
-  const bool isDead = isRefused && co_await IsZoneReachable(aRun.server_);
+    co_await ProbeConnect(aAddress, kConnectTimeout);
+  if (outcome != ConnectOutcome::Refused) {
+    co_return outcome == ConnectOutcome::Accepted ? Finding::Alive
+                                                  : Finding::Unknown;
+  }
+  const bool isZoneReachable = co_await IsZoneReachable(aServer);
+  co_return isZoneReachable ? Finding::Dead : Finding::ZoneUnreachable;
+}
+
+bool
+ServerDeathProbe::Report(const UnansweredRun& aRun, Finding aFinding)
+{
   services_.log_.Write(Decision::ServerExamined,
                        { { "request", aRun.attemptId_ },
                          { "backend_server", aRun.server_ },
                          { "address", aRun.address_.Format() },
-                         { "outcome",
-                           isDead      ? "dead"
-                           : isRefused ? "zone unreachable"
-                                       : "not dead" } });
-  if (outcome == ConnectOutcome::Accepted && aRun.mayBeWhole_) {
+                         { "outcome", kFindingNames.FindName(aFinding) } });
+  if (aFinding == Finding::Alive && aRun.mayBeWhole_) {
     services_.state_.RecordAnswered(aRun.fingerprints_, ReadMonotonicTime());
   }
-  if (!isDead) {
-    co_return;
+  if (aFinding != Finding::Dead) {
+    return false;
   }
-  const ServerLoad* engine =
+  const ServerLoad* server =
     services_.state_.GetLoadTracker().Find(aRun.server_);
-  if (engine != nullptr) {
-    deadEngines_[aRun.server_] = engine->record_.startedUnixMs_;
+  if (server != nullptr) {
+    deadServers_[aRun.server_] = server->record_.startedUnixMs_;
   }
-  const bool isNew = services_.state_.RecordServerDeath(
+  return services_.state_.RecordServerDeath(
     aRun.fingerprints_, aRun.server_, aRun.brokenAt_, ReadMonotonicTime());
-  if (isNew) {
-    peers_.SendEvidence();
-  }
 }
 
 asio::awaitable<bool>
-ServerDeathProbe::IsZoneReachable(BackendServerId aEngine)
+ServerDeathProbe::IsZoneReachable(BackendServerId aServer)
 {
-  const std::vector<SocketAddress> witnesses = SelectWitnesses(aEngine);
+  const std::vector<SocketAddress> witnesses = SelectWitnesses(aServer);
   for (const SocketAddress& witness : witnesses) {
     const ConnectOutcome outcome =
       co_await ProbeConnect(witness, kConnectTimeout);
@@ -90,20 +120,20 @@
 }
 
 std::vector<SocketAddress>
-ServerDeathProbe::SelectWitnesses(const BackendServerId& aEngine)
+ServerDeathProbe::SelectWitnesses(const BackendServerId& aServer)
 {
   const ServerLoadTracker& tracker = services_.state_.GetLoadTracker();
-  std::erase_if(deadEngines_, [&](const auto& aDead) {
+  std::erase_if(deadServers_, [&](const auto& aDead) {
     const ServerLoad* server = tracker.Find(aDead.first);
     return server == nullptr || server->record_.startedUnixMs_ != aDead.second;
   });
   std::vector<const ServerLoad*> servers;
-  const ServerLoad* engine = tracker.Find(aEngine);
+  const ServerLoad* examined = tracker.Find(aServer);
   for (const auto& [id, server] : tracker.GetServers()) {
-    const bool isWitness = engine != nullptr && id != aEngine &&
-                           server.record_.zone_ == engine->record_.zone_ &&
+    const bool isWitness = examined != nullptr && id != aServer &&
+                           server.record_.zone_ == examined->record_.zone_ &&
                            server.record_.state_ == ServerState::Ready &&
-                           !deadEngines_.contains(id);
+                           !deadServers_.contains(id);
     if (isWitness) {
       servers.push_back(&server);
     }
--- a/modules/azurecross_serving/state/ServingState.cpp
+++ b/modules/azurecross_serving/state/ServingState.cpp
@@ -359,14 +359,26 @@
         .append(std::to_string(ToSeconds(aNow - death.at_)))
         .append(" s ago");
     }
-    log_.Write(Decision::PromptQuarantineChanged,
-               { { "part", FormatFingerprint(event.evidence_.fingerprint_) },
-                 { "change", kQuarantineChangeNames.FindName(event.change_) },
-                 { "deaths", event.evidence_.deaths_.size() },
-                 { "engines", deaths } });
-    metrics_.CountQuarantineChange(event.change_);
+    const Fingerprint& fingerprint = event.evidence_.fingerprint_;
+    const bool isPart = fingerprint.kind_ == FingerprintKind::PromptPart;
+    log_.Write(
+      isPart ? Decision::PromptQuarantineChanged
+             : Decision::RequestQuarantineChanged,
+      { { isPart ? "part" : "fingerprint", FormatFingerprint(fingerprint) },
+        { "change", kQuarantineChangeNames.FindName(event.change_) },
+        { "deaths", event.evidence_.deaths_.size() },
+        { isPart ? "engines" : "servers", deaths } });
+    metrics_.CountQuarantineChange(fingerprint.kind_, event.change_);
+  }
+  SetQuarantineMetrics();
+}
+
+void
+ServingState::SetQuarantineMetrics()
+{
+  for (const FingerprintKind kind : kFingerprintKinds) {
+    metrics_.SetQuarantined(kind, quarantine_.CountQuarantined(kind));
   }
-  metrics_.SetQuarantinedParts(quarantine_.CountQuarantined());
 }
 
 void
@@ -375,7 +387,7 @@
   LogLimitChanges();
   metrics_.SetPermitCounts(limiter_.GetCounts());
   quarantine_.Tick(aNow);
-  metrics_.SetQuarantinedParts(quarantine_.CountQuarantined());
+  SetQuarantineMetrics();
   for (const BackendServerId& id : directory_.RemoveExpired(aNow)) {
     log_.Write(
       Decision::ServerChanged,
--- a/modules/azurecross_serving/state/ServingState.h
+++ b/modules/azurecross_serving/state/ServingState.h
@@ -194,6 +194,7 @@
                      std::string_view aSource,
                      Time aNow);
   void LogQuarantineEvents(Time aNow);
+  void SetQuarantineMetrics();
   void LogLimitChanges();
 
   DecisionLog& log_;
--- a/tests/dispatch_tests/QuarantineTests.cpp
+++ b/tests/dispatch_tests/QuarantineTests.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+
 namespace azurecross {
 
 namespace {
@@ -472,6 +474,95 @@
   BOOST_TEST(decisions.starts_.empty());
 }
 
+// Guards against different requests that share a verdict.
+BOOST_AUTO_TEST_CASE(EachFieldOfARequestCountsForItsFingerprint)
+{
+  const RequestIdentity identity{ "GET", "h", "/a?b", "key", "body", 1 };
+  std::set<Fingerprint> fingerprints{ ComputeFingerprint(identity) };
+  RequestIdentity other = identity;
+  other.method_ = "POST";
+  fingerprints.insert(ComputeFingerprint(other));
+  other = identity;
+  other.host_ = "i";
+  fingerprints.insert(ComputeFingerprint(other));
+  other = identity;
+  other.target_ = "/a?c";
+  fingerprints.insert(ComputeFingerprint(other));
+  other = identity;
+  other.caller_ = "key2";
+  fingerprints.insert(ComputeFingerprint(other));
+  other = identity;
+  other.body_ = "";
+  fingerprints.insert(ComputeFingerprint(other));
+  other = identity;
+  other.promptHash_ = 2;
+  fingerprints.insert(ComputeFingerprint(other));
+  // The same bytes in other fields.
+  other = identity;
+  other.host_ = "h/";
+  other.target_ = "a?b";
+  fingerprints.insert(ComputeFingerprint(other));
+  BOOST_TEST(fingerprints.size() == 8U);
+  BOOST_TEST(ComputeFingerprint(identity) ==
+             ComputeFingerprint({ "GET", "h", "/a?b", "key", "body", 1 }));
+}
+
+namespace {
+
+constexpr Fingerprint kFatalRequest(FingerprintKind::Request, 0xdead);
+constexpr Fingerprint kOtherRequest(FingerprintKind::Request, 0x50);
+
+} // namespace
+
+// Guards against a sound request that is refused because it ran beside a fatal
+// one, and against a fatal one that such a request protects.
+BOOST_AUTO_TEST_CASE(FurtherDeathTellsRequestsAccusedAlikeApart)
+{
+  RequestQuarantine quarantine(1);
+  for (int death = 0; death < 2; ++death) {
+    const ServerDeath server = MakeDeath("s" + std::to_string(death), death);
+    quarantine.RecordDeath({ kFatalRequest }, server);
+    quarantine.RecordDeath({ kOtherRequest }, server);
+  }
+  BOOST_TEST(!quarantine.FindQuarantined({ kOtherRequest }, At(2.0)));
+  quarantine.RecordDeath({ kFatalRequest }, MakeDeath("s2", 2.0));
+  BOOST_TEST(
+    quarantine.FindQuarantined({ kFatalRequest }, At(3.0)).has_value());
+  BOOST_TEST(!quarantine.FindQuarantined({ kOtherRequest }, At(3.0)));
+}
+
+// Guards against a fatal request that is forgotten because many others ran
+// beside it, and against parts of prompts that requests displace.
+BOOST_AUTO_TEST_CASE(ManyAccusedRequestsDisplaceNoStrongerSuspect)
+{
+  RequestQuarantine quarantine = MakeQuarantine(1);
+  for (int death = 0; death < 2; ++death) {
+    quarantine.RecordDeath({ kFatalRequest },
+                           MakeDeath("s" + std::to_string(death), death));
+  }
+  for (std::uint64_t request = 0; request < 1000; ++request) {
+    quarantine.RecordDeath({ { FingerprintKind::Request, 0x10000 + request } },
+                           MakeDeath("s1", 1.0));
+  }
+  BOOST_TEST(
+    quarantine.FindQuarantined({ kFatalRequest }, At(2.0)).has_value());
+  quarantine.RecordDeath({ kFatal }, MakeDeath("e9", 3.0));
+  BOOST_TEST(IsQuarantined(quarantine, kFatal, 4.0));
+}
+
+// Guards against reports that carry each request which ever ran at a server
+// that ended.
+BOOST_AUTO_TEST_CASE(SingleDeathOfARequestIsReportedForAShortTime)
+{
+  RequestQuarantine quarantine(1);
+  quarantine.RecordDeath({ kOtherRequest }, MakeDeath("s0", 0.0));
+  BOOST_TEST(quarantine.GetEvidence(At(1.0)).size() == 1U);
+  BOOST_TEST(quarantine.GetEvidence(At(10.0)).empty());
+  quarantine.RecordDeath({ kFatalRequest }, MakeDeath("s1", 11.0));
+  quarantine.RecordDeath({ kFatalRequest }, MakeDeath("s2", 12.0));
+  BOOST_TEST(quarantine.GetEvidence(At(100.0)).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace azurecross
--- a/tests/serving_tests/QuarantineTests.cpp
+++ b/tests/serving_tests/QuarantineTests.cpp
@@ -418,7 +418,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(FatalRequests, *boost::unit_test::disabled())
+BOOST_AUTO_TEST_SUITE(FatalRequests)
 
 // Guards against a request that ends one server after the other.
 BOOST_FIXTURE_TEST_CASE(RepeatedFatalCallIsRefused, PlainServersFixture)
--- a/tests/serving_tests/StateTests.cpp
+++ b/tests/serving_tests/StateTests.cpp
@@ -120,7 +120,10 @@
   const Time died = now - std::chrono::milliseconds(250);
   report.evidence_ = {
     { 0xfedcba9876543210U, { { BackendServerId("e1"), 77, died } }, {} },
-    { 0x1fU, {}, now }
+    { 0x1fU, {}, now },
+    { { FingerprintKind::Request, 0x1fU },
+      { { BackendServerId("s1"), 78, died } },
+      {} }
   };
   const auto parsed = ParseLoadReport(FormatLoadReport(report, now), now);
   BOOST_REQUIRE(parsed.has_value());
@@ -139,7 +142,7 @@
   BOOST_TEST(parsed->uses_[0].pendingPromptTokens_ == 300.0);
   BOOST_TEST(parsed->leaving_.size() == 1U);
   BOOST_TEST(!parsed->hasStoreAccess_);
-  BOOST_REQUIRE(parsed->evidence_.size() == 2U);
+  BOOST_REQUIRE(parsed->evidence_.size() == 3U);
   const FingerprintEvidence& evidence = parsed->evidence_[0];
   BOOST_TEST(evidence.fingerprint_ == 0xfedcba9876543210U);
   BOOST_REQUIRE(evidence.deaths_.size() == 1U);
@@ -148,6 +151,8 @@
   BOOST_TEST((evidence.deaths_[0].at_ == died));
   BOOST_TEST(!evidence.soundAt_.has_value());
   BOOST_TEST((parsed->evidence_[1].soundAt_ == now));
+  BOOST_TEST(parsed->evidence_[2].fingerprint_ ==
+             Fingerprint(FingerprintKind::Request, 0x1f));
   for (
     const char* text :
     { "",
@@ -157,6 +162,7 @@
       "\xff",
       R"({"sender":"a","uses":[],"prompt_evidence":[["1f",null]]})",
       R"({"sender":"a","uses":[],"prompt_evidence":[["x",null,[]]]})",
+      R"({"sender":"a","uses":[],"request_evidence":[["x",null,[]]]})",
       R"({"sender":"a","uses":[],"prompt_evidence":[["1f",-1,[]]]})",
       R"({"sender":"a","uses":[],"prompt_evidence":[["1f",null,[["e",1]]]]})" }) {
     BOOST_TEST(!ParseLoadReport(text, Time()).has_value());
--- a/tests/store_tests/TraceTests.cpp
+++ b/tests/store_tests/TraceTests.cpp
@@ -158,7 +158,29 @@
     "\"backend_server\":\"e1\",\"outcome\":\"dead\"}\n");
   RequestTrace trace("r");
   trace.Read(lines, "a");
-  BOOST_TEST(Contains(trace.FindCause(), "; engine e1 was found dead at 2"));
+  BOOST_TEST(Contains(trace.FindCause(), "; server e1 was found dead at 2"));
+}
+
+// Guards against a refused request whose trace leaves out why it is
+// quarantined.
+BOOST_AUTO_TEST_CASE(QuarantinedRequestTellsTheDeathsBehindIt)
+{
+  std::istringstream lines(
+    "{\"time\":\"1\",\"message\":\"request_quarantine_changed\","
+    "\"fingerprint\":\"ab1\",\"change\":\"quarantined\",\"deaths\":2,"
+    "\"servers\":\"s1, s2\"}\n"
+    "{\"time\":\"1\",\"message\":\"request_quarantine_changed\","
+    "\"fingerprint\":\"ab\",\"change\":\"quarantined\",\"deaths\":3,"
+    "\"servers\":\"s3\"}\n"
+    "{\"time\":\"2\",\"message\":\"request_refused\",\"request\":\"r\","
+    "\"reason\":\"request_quarantined\",\"verdict\":\"not_run\","
+    "\"detail\":\"the request is in quarantine; fingerprint ab1\"}\n");
+  RequestTrace trace("r");
+  trace.Read(lines, "a");
+  BOOST_TEST(
+    Contains(trace.FindCause(),
+             "; fingerprint ab1 was quarantined at 1 after 2 deaths of "
+             "servers: s1, s2"));
 }
 
 } // namespace azurecross
