--- a/modules/azurecross_dispatch/quarantine/RequestQuarantine.cpp
+++ b/modules/azurecross_dispatch/quarantine/RequestQuarantine.cpp
@@ -476,6 +476,13 @@
   return std::nullopt;
 }
 
+bool
+RequestQuarantine::IsSuspected(const Fingerprint& aRequest) const
+{
+  const auto found = suspects_.find(aRequest);
+  return found != suspects_.end() && !found->second.deaths_.empty();
+}
+
 void
 RequestQuarantine::RecordSend(const std::vector<Fingerprint>& aFingerprints,
                               Time aNow)
--- a/modules/azurecross_dispatch/quarantine/RequestQuarantine.h
+++ b/modules/azurecross_dispatch/quarantine/RequestQuarantine.h
@@ -117,6 +117,10 @@
     const std::vector<Fingerprint>& aFingerprints,
     Time aNow) const;
 
+  /** @returns whether a server died under the request before, and none has
+   * answered it since. */
+  bool IsSuspected(const Fingerprint& aRequest) const;
+
   /** Records that a request with these fingerprints is sent. If one of them is
    * due for a trial, this request is the trial. */
   void RecordSend(const std::vector<Fingerprint>& aFingerprints, Time aNow);
--- a/modules/azurecross_serving/forward/ForwardPipeline.cpp
+++ b/modules/azurecross_serving/forward/ForwardPipeline.cpp
@@ -270,7 +270,24 @@
   const bool isRetrySafe =
     isNotExecuted ||
     (context_.IsIdempotent() && possibleRuns_ < context_.route_->attemptLimit_);
-  return isRetrySafe && ConsumeRetryBudget(aResult);
+  return isRetrySafe && !MayEndServers(aResult) && ConsumeRetryBudget(aResult);
+}
+
+bool
+ForwardPipeline::MayEndServers(const AttemptResult& aResult) const
+{
+  const bool isUnanswered =
+    aResult.error_->verdict_ != Verdict::NotRun && !aResult.isAnswered_;
+  if (!isUnanswered ||
+      !services_.state_.GetQuarantine().IsSuspected(context_.fingerprint_)) {
+    return false;
+  }
+  services_.log_.Write(Decision::RequestRetried,
+                       { { "request", context_.metadata_.attemptId_ },
+                         { "backend_server", context_.server_ },
+                         { "outcome", "suspected of ending servers" },
+                         { "reason", aResult.error_->message_ } });
+  return true;
 }
 
 asio::awaitable<ForwardPipeline::Failure>
--- a/modules/azurecross_serving/forward/ForwardPipeline.h
+++ b/modules/azurecross_serving/forward/ForwardPipeline.h
@@ -64,6 +64,9 @@
     const PlacementRequest& aRequest);
   /** @returns whether the request may be sent to another backend server. */
   bool ShouldRetry(const AttemptResult& aResult);
+  /** @returns whether the request may have ended the server, and another one
+   * before it. */
+  bool MayEndServers(const AttemptResult& aResult) const;
   /** @returns whether the retry budget of the pool allows another attempt. */
   bool ConsumeRetryBudget(const AttemptResult& aResult);
   PlacementRequest MakePlacementRequest() const;
--- a/tests/serving_tests/QuarantineTests.cpp
+++ b/tests/serving_tests/QuarantineTests.cpp
@@ -432,6 +432,21 @@
   BOOST_TEST(Call(MakeRequest("/safe/x")).status_ == 200U);
 }
 
+// Guards against a repeat that ends a further server although one died under
+// the same request before.
+BOOST_FIXTURE_TEST_CASE(SuspectedCallIsNotSentToASecondServer,
+                        PlainServersFixture)
+{
+  const Fingerprint request = ComputeFingerprint(
+    { "POST", "test.example", "/safe/fatal", "", "body", 0 });
+  Run([&] {
+    const Time now = ReadMonotonicTime();
+    GetState().RecordServerDeath({ request }, BackendServerId("s"), now, now);
+  });
+  BOOST_TEST(Call(MakeRequest("/safe/fatal")).status_ == 502U);
+  BOOST_TEST(CountEndedServers() == 1);
+}
+
 // Guards against a request that may run once only and ends each server.
 BOOST_FIXTURE_TEST_CASE(RepeatedFatalCallThatRunsOnceIsRefused,
                         PlainServersFixture)
