Declare the comparison of fingerprints as the linter accepts it

clang-tidy 14 refuses a defaulted three-way comparison in each file that uses it (modernize-use-nullptr); the project's other types have a NOLINT for it.

--- a/modules/azurecross_dispatch/quarantine/Fingerprint.h
+++ b/modules/azurecross_dispatch/quarantine/Fingerprint.h
@@ -46,7 +46,8 @@
   {
   }
 
-  auto operator<=>(const Fingerprint&) const = default;
+  // NOLINTNEXTLINE(modernize-use-nullptr)
+  friend auto operator<=>(const Fingerprint&, const Fingerprint&) = default;
 
   FingerprintKind kind_ = FingerprintKind::PromptPart;
   std::uint64_t value_ = 0;
