End the serving thread of a test before the objects its coroutines use

The entry itself destroys the object after its event loop has ended, when no coroutine resumes (read in ServingDaemon and main).

Change: the fixture ends the serving thread first. No check changes.

--- a/tests/serving_tests/QuarantineTests.cpp
+++ b/tests/serving_tests/QuarantineTests.cpp
@@ -142,11 +142,8 @@
   }
   ~QuarantineFixture()
   {
-    Run([this] {
-      GetServices().deathProbe_ = nullptr;
-      probe_.reset();
-      exchange_.reset();
-    });
+    StopThread();
+    GetServices().deathProbe_ = nullptr;
   }
 
   void AddCrashingEngine(const std::string& aId, const CrashingEngine& aEngine)
--- a/tests/serving_tests/ServingFixture.cpp
+++ b/tests/serving_tests/ServingFixture.cpp
@@ -86,6 +86,15 @@
 
 ServingFixture::~ServingFixture()
 {
+  StopThread();
+}
+
+void
+ServingFixture::StopThread()
+{
+  if (!thread_.joinable()) {
+    return;
+  }
   StopServer();
   asio::post(context_, [this] { context_.stop(); });
   thread_.join();
--- a/tests/serving_tests/ServingFixture.h
+++ b/tests/serving_tests/ServingFixture.h
@@ -77,6 +77,11 @@
   /** @returns the metrics as text. */
   std::string FormatMetrics() const { return registry_.Serialize(); }
 
+protected:
+  /** Ends the serving thread. No coroutine resumes afterwards, so a derived
+   * fixture can destroy what its coroutines use. */
+  void StopThread();
+
 private:
   ServerRecord MakeRecord(const std::string& aId,
                           const std::string& aPool,
