--- a/review/rig/Callers.cpp
+++ b/review/rig/Callers.cpp
@@ -21,6 +21,7 @@
   return std::string(aCall.isIdempotent_ ? "GET /check/1" : "POST /book/1") +
          " HTTP/1.1\r\nHost: app.example\r\nAttempt-Id: " + aCall.id_ +
          "\r\nDeadline-Ms: " + std::to_string(kDeadline.count()) + "\r\n" +
+         (aCall.key_.empty() ? "" : "Api-Key: " + aCall.key_ + "\r\n") +
          (aCall.isIdempotent_
             ? ""
             : "Content-Length: " + std::to_string(body.size()) + "\r\n") +
@@ -30,11 +31,14 @@
 } // namespace
 
 void
-Callers::Add(const Entry& aEntry, bool aIsIdempotent, Milliseconds aPause)
+Callers::Add(const Entry& aEntry,
+             bool aIsIdempotent,
+             Milliseconds aPause,
+             const std::string& aKey)
 {
   const auto number = static_cast<unsigned>(threads_.size());
-  threads_.emplace_back([this, &aEntry, number, aIsIdempotent, aPause] {
-    Run(aEntry, number, aIsIdempotent, aPause);
+  threads_.emplace_back([this, &aEntry, number, aIsIdempotent, aPause, aKey] {
+    Run(aEntry, number, aIsIdempotent, aPause, aKey);
   });
 }
 
@@ -53,7 +57,8 @@
 Callers::Run(const Entry& aEntry,
              unsigned aNumber,
              bool aIsIdempotent,
-             Milliseconds aPause)
+             Milliseconds aPause,
+             const std::string& aKey)
 {
   Socket socket;
   HttpReader reader(socket);
@@ -72,6 +77,7 @@
     Call call;
     call.id_ = "c" + std::to_string(aNumber) + "-" + std::to_string(++count);
     call.entry_ = aEntry.GetName();
+    call.key_ = aKey;
     call.isIdempotent_ = aIsIdempotent;
     call.sentAt_ = Clock::now();
     HttpMessage answer;
@@ -81,7 +87,8 @@
     call.status_ = isAnswered ? answer.GetStatus() : 0;
     record_.WriteAt(call.sentAt_,
                     "sent " + call.id_ + (aIsIdempotent ? " check" : " book") +
-                      " to " + call.entry_ + ", answered at " +
+                      " to " + call.entry_ +
+                      (aKey.empty() ? "" : " key=" + aKey) + ", answered at " +
                       record_.FormatTime(call.endedAt_) + " with " +
                       std::to_string(call.status_));
     {
--- a/review/rig/Callers.h
+++ b/review/rig/Callers.h
@@ -9,6 +9,7 @@
 {
   std::string id_;
   std::string entry_;
+  std::string key_;
   bool isIdempotent_ = false;
   Clock::time_point sentAt_;
   Clock::time_point endedAt_;
@@ -17,7 +18,7 @@
 };
 
 /** Consumers that send one request after another on kept connections. Each one
- * stays with its entry. */
+ * stays with its entry and key. */
 class Callers
 {
 public:
@@ -30,8 +31,12 @@
   Callers& operator=(const Callers&) = delete;
 
   /** Adds a consumer.
-   * @param aPause between an answer and the next request. */
-  void Add(const Entry& aEntry, bool aIsIdempotent, Milliseconds aPause);
+   * @param aPause between an answer and the next request.
+   * @param aKey its API key; empty for none. */
+  void Add(const Entry& aEntry,
+           bool aIsIdempotent,
+           Milliseconds aPause,
+           const std::string& aKey = {});
   /** Ends the consumers. @returns all their requests. */
   std::vector<Call> Finish();
 
@@ -39,7 +44,8 @@
   void Run(const Entry& aEntry,
            unsigned aNumber,
            bool aIsIdempotent,
-           Milliseconds aPause);
+           Milliseconds aPause,
+           const std::string& aKey);
 
   Record& record_;
   std::mutex mutex_;
--- a/review/rig/Entry.cpp
+++ b/review/rig/Entry.cpp
@@ -158,7 +158,7 @@
 }
 
 std::string
-FormatConfiguration(unsigned aVersion)
+FormatConfiguration(unsigned aVersion, const std::string& aTenants)
 {
   const auto formatRoute = [](const std::string& aName,
                               const std::string& aKind) {
@@ -173,7 +173,8 @@
          R"(],"services":[{"name":"desk","healthPath":"/healthz",)"
          R"("maxConns":100,"protocol":"http"}],"limits":)"
          R"({"maxHeaderBytes":16384,"maxBodyBytes":4194304,)"
-         R"("headerTimeoutMs":5000,"idleTimeoutMs":10000}})";
+         R"("headerTimeoutMs":5000,"idleTimeoutMs":10000})" +
+         (aTenants.empty() ? "" : R"(,"tenants":)" + aTenants) + "}";
 }
 
 bool
--- a/review/rig/Entry.h
+++ b/review/rig/Entry.h
@@ -61,9 +61,11 @@
 MakeHost(unsigned aGroup, unsigned aNumber);
 
 /** The routes `check` (idempotent) and `book` (non_idempotent) of the service
- * `desk`. */
+ * `desk`.
+ * @param aTenants the list of tenants as JSON; empty: the configuration has no
+ * such field. */
 std::string
-FormatConfiguration(unsigned aVersion);
+FormatConfiguration(unsigned aVersion, const std::string& aTenants = {});
 
 /** @returns whether the case runs with its disruption. */
 bool
--- a/review/rig/Fleet.h
+++ b/review/rig/Fleet.h
@@ -30,6 +30,11 @@
   void CheckIn(const Desk& aDesk, const std::string& aState);
 
   Store& GetStore() { return store_; }
+  const std::vector<std::unique_ptr<Entry>>& GetEntries() const
+  {
+    return entries_;
+  }
+  const std::vector<std::unique_ptr<Desk>>& GetDesks() const { return desks_; }
   Desk& GetDesk(std::size_t aIndex) { return *desks_.at(aIndex); }
 
 private:
