Log the customers of applied tables and the customer of each send

Cause: a request that runs without a valid key can't be told from one of a deployment without customers: tables_applied has no customers, request_sent no customer.

--- a/modules/azurecross_dispatch/tables/ServingTables.h
+++ b/modules/azurecross_dispatch/tables/ServingTables.h
@@ -142,6 +142,7 @@
 
   /** @returns whether requests to non-public routes need an API key. */
   bool HasCustomers() const { return !content_.customers_.empty(); }
+  std::size_t CountCustomers() const { return content_.customers_.size(); }
   const ServingCustomer* FindCustomer(std::string_view aApiKey) const;
 
 private:
--- a/modules/azurecross_serving/forward/ForwardPipeline.cpp
+++ b/modules/azurecross_serving/forward/ForwardPipeline.cpp
@@ -214,6 +214,7 @@
     { { "request", context_.metadata_.attemptId_ },
       { "backend_server", aRun.choice_.server_ },
       { "route", context_.route_->name_ },
+      { "customer", context_.customer_.value_or(CustomerId()) },
       { "fingerprint", FormatFingerprint(context_.fingerprint_) },
       { "tables_version", context_.tables_->GetVersion() },
       { "send", context_.sendCount_ },
--- a/modules/azurecross_serving/state/ServingState.cpp
+++ b/modules/azurecross_serving/state/ServingState.cpp
@@ -65,7 +65,9 @@
   log_.Write(Decision::TablesApplied,
              { { "version", tables_->GetVersion() },
                { "version_before", previousVersion },
-               { "routes", tables_->GetRoutes().size() } });
+               { "routes", tables_->GetRoutes().size() },
+               { "customers", tables_->CountCustomers() },
+               { "needs_api_keys", tables_->HasCustomers() } });
   NotifyLoadChanged();
 }
 
