Ask for API keys also if the list of customers is empty (ROUTE)

What callers saw: once the last customer was taken out of the configuration, requests ran with the removed key, with a key that no configuration ever held and without a key, for no customer. The same from the start if the first configuration has an empty list. Cause: Content::customers_ was a vector. ParseOperatorDocument made the same of a document with an empty list and of one without a list, and ServingTables::HasCustomers took an empty vector for a deployment without customers, so that Admission asked for no key and IsServing for no fresh tables. Change: the list is optional. Without a list no key is needed, with an empty one none is valid.

--- a/modules/azurecross_dispatch/tables/ServingTables.cpp
+++ b/modules/azurecross_dispatch/tables/ServingTables.cpp
@@ -20,9 +20,11 @@
   for (const ServingPool& pool : content_.pools_) {
     pools_.emplace(pool.name_, &pool);
   }
-  for (const ServingCustomer& customer : content_.customers_) {
-    for (const std::string& key : customer.apiKeys_) {
-      customersByKey_.emplace(key, &customer);
+  if (content_.customers_) {
+    for (const ServingCustomer& customer : *content_.customers_) {
+      for (const std::string& key : customer.apiKeys_) {
+        customersByKey_.emplace(key, &customer);
+      }
     }
   }
 }
--- a/modules/azurecross_dispatch/tables/ServingTables.h
+++ b/modules/azurecross_dispatch/tables/ServingTables.h
@@ -120,8 +120,9 @@
     std::uint64_t version_ = 0;
     std::vector<ServingRoute> routes_;
     std::vector<ServingPool> pools_;
-    /** If empty, no request needs an API key. */
-    std::vector<ServingCustomer> customers_;
+    /** Without a list, no request needs an API key. With an empty list, no
+     * API key is valid. */
+    std::optional<std::vector<ServingCustomer>> customers_;
     CallerLimits limits_;
   };
 
@@ -141,8 +142,11 @@
   const ServingPool* FindPool(const PoolName& aName) const;
 
   /** @returns whether requests to non-public routes need an API key. */
-  bool HasCustomers() const { return !content_.customers_.empty(); }
-  std::size_t CountCustomers() const { return content_.customers_.size(); }
+  bool NeedApiKeys() const { return content_.customers_.has_value(); }
+  std::size_t CountCustomers() const
+  {
+    return content_.customers_ ? content_.customers_->size() : 0;
+  }
   const ServingCustomer* FindCustomer(std::string_view aApiKey) const;
 
 private:
--- a/modules/azurecross_serving/forward/Admission.cpp
+++ b/modules/azurecross_serving/forward/Admission.cpp
@@ -105,7 +105,7 @@
 bool
 Admission::NeedsApiKey() const
 {
-  return context_.tables_->HasCustomers() && !context_.route_->isPublic_;
+  return context_.tables_->NeedApiKeys() && !context_.route_->isPublic_;
 }
 
 asio::awaitable<std::optional<Error>>
--- a/modules/azurecross_serving/state/ServingState.cpp
+++ b/modules/azurecross_serving/state/ServingState.cpp
@@ -35,7 +35,7 @@
 ServingState::IsServing(Time aBootNow) const
 {
   return tables_ &&
-         (!tables_->HasCustomers() || keyFreshness_.IsFresh(aBootNow));
+         (!tables_->NeedApiKeys() || keyFreshness_.IsFresh(aBootNow));
 }
 
 std::optional<EngineTraits>
@@ -67,7 +67,7 @@
                { "version_before", previousVersion },
                { "routes", tables_->GetRoutes().size() },
                { "customers", tables_->CountCustomers() },
-               { "needs_api_keys", tables_->HasCustomers() } });
+               { "needs_api_keys", tables_->NeedApiKeys() } });
   NotifyLoadChanged();
 }
 
--- a/tests/dispatch_tests/TablesTests.cpp
+++ b/tests/dispatch_tests/TablesTests.cpp
@@ -37,14 +37,26 @@
 BOOST_AUTO_TEST_CASE(KeyBelongsToItsCustomer)
 {
   ServingTables::Content content;
-  content.customers_ = { { CustomerId("x"), { "k1", "k2" }, {} },
-                         { CustomerId("y"), { "k3" }, 1 } };
+  content.customers_.emplace();
+  content.customers_->push_back({ CustomerId("x"), { "k1", "k2" }, {} });
+  content.customers_->push_back({ CustomerId("y"), { "k3" }, 1 });
   const ServingTables tables(std::move(content));
   BOOST_TEST(tables.FindCustomer("k2")->name_.GetValue() == "x");
   BOOST_TEST(tables.FindCustomer("k3")->priority_.value() == 1);
   BOOST_TEST(tables.FindCustomer("k4") == nullptr);
 }
 
+// Guards against an empty list of customers that is taken for none.
+BOOST_AUTO_TEST_CASE(EmptyListOfCustomersNeedsKeys)
+{
+  ServingTables::Content content;
+  BOOST_TEST(!ServingTables(content).NeedApiKeys());
+  content.customers_.emplace();
+  const ServingTables tables(std::move(content));
+  BOOST_TEST(tables.NeedApiKeys());
+  BOOST_TEST(tables.FindCustomer("") == nullptr);
+}
+
 // Guards against pool shares that differ from the weights of the route.
 BOOST_AUTO_TEST_CASE(PoolsGetTheirShares)
 {
--- a/tests/serving_tests/AdmissionTests.cpp
+++ b/tests/serving_tests/AdmissionTests.cpp
@@ -22,7 +22,9 @@
 MakeTablesWithKeys(std::uint64_t aVersion, std::vector<std::string> aKeys)
 {
   ServingTables::Content tables = ServingFixture::MakeTables(aVersion);
-  tables.customers_ = { { CustomerId("painters"), std::move(aKeys), {} } };
+  tables.customers_.emplace();
+  tables.customers_->push_back(
+    { CustomerId("painters"), std::move(aKeys), {} });
   return tables;
 }
 
@@ -89,6 +91,28 @@
   BOOST_TEST(Call(MakeRequest("/safe/x", "X-Key: k1\r\n")).status_ == 401U);
 }
 
+// With an empty list of customers no request may run, whatever its key, and a
+// daemon whose tables may be out of date must not be ready.
+BOOST_FIXTURE_TEST_CASE(EmptyListOfCustomersRefusesEachKey, ServingFixture)
+{
+  FakeBackendServer server(MakeCustomerEcho());
+  SetTables(MakeTablesWithKeys(1, { "k1" }));
+  AddServer("s1", "desk", server);
+  ServingTables::Content tables = MakeTables(2);
+  tables.customers_.emplace();
+  tables.routes_[1].isPublic_ = true;
+  SetTables(std::move(tables));
+  for (const std::string headers : { "X-Key: k1\r\n", "X-Key: k2\r\n", "" }) {
+    BOOST_TEST(Call(MakeRequest("/once/x", headers)).status_ == 401U);
+  }
+  BOOST_TEST(Call(MakeRequest("/safe/x")).status_ == 200U);
+  Run([this] {
+    const Time now = ReadBootTime();
+    BOOST_TEST(GetState().IsServing(now));
+    BOOST_TEST(!GetState().IsServing(now + std::chrono::seconds(6)));
+  });
+}
+
 // A key must not be accepted from tables that may be out of date. A daemon
 // without access to the store rejects the request and reports that it has not
 // run.
