Reject a configuration with a malformed list as a whole (ROUTE)

What callers saw: with "tenants":null, or an object in place of the list, requests ran with any key, as with an empty list before; with an empty text among the apiKeys, requests without a key ran for that customer. In routes and services it turned callers away with a final 404 instead. Change: a list of another type, or an entry that can't be read, makes the version unusable: it is logged once (tables_rejected) and counted (rejected_tables_total), the version before stays in force, and nothing confirms its keys, so that requests with keys are refused with 503 from the bound for removed keys on. Before, such a document counted as a store that doesn't answer: the daemon lost its view of the servers and suspended its feed. Readers pass the malformed text on, so that each daemon knows of it and none reads the store for it.

--- a/modules/azurecross_dispatch/tables/ServingTables.cpp
+++ b/modules/azurecross_dispatch/tables/ServingTables.cpp
@@ -54,7 +54,10 @@
 const ServingCustomer*
 ServingTables::FindCustomer(std::string_view aApiKey) const
 {
-  const auto found = customersByKey_.find(std::string(aApiKey));
+  // A request without a key has the empty one.
+  const auto found = aApiKey.empty()
+                       ? customersByKey_.end()
+                       : customersByKey_.find(std::string(aApiKey));
   return found == customersByKey_.end() ? nullptr : found->second;
 }
 
--- a/modules/azurecross_serving/log/DecisionLog.h
+++ b/modules/azurecross_serving/log/DecisionLog.h
@@ -18,6 +18,7 @@
   DependencyLost,
   DependencyRegained,
   TablesApplied,
+  TablesRejected,
   StoreTablesCompared,
   ServerChanged,
   MemberChanged,
@@ -43,7 +44,7 @@
   RecordsDropped,
 };
 
-inline constexpr NameTable<Decision, 30> kDecisionNames{
+inline constexpr NameTable<Decision, 31> kDecisionNames{
   { { { Decision::Started, "started" },
       { Decision::Stopping, "stopping" },
       { Decision::Stopped, "stopped" },
@@ -51,6 +52,7 @@
       { Decision::DependencyLost, "dependency_lost" },
       { Decision::DependencyRegained, "dependency_regained" },
       { Decision::TablesApplied, "tables_applied" },
+      { Decision::TablesRejected, "tables_rejected" },
       { Decision::StoreTablesCompared, "store_tables_compared" },
       { Decision::ServerChanged, "server_changed" },
       { Decision::MemberChanged, "member_changed" },
--- a/modules/azurecross_serving/metrics/ServingMetrics.cpp
+++ b/modules/azurecross_serving/metrics/ServingMetrics.cpp
@@ -188,6 +188,15 @@
     .Increment();
 }
 
+void
+ServingMetrics::CountRejectedTables()
+{
+  metrics_
+    .GetCounter("azurecross_forward_rejected_tables_total",
+                "Versions of the tables that can't be used")
+    .Increment();
+}
+
 void
 ServingMetrics::CountRejection(bool aIsReused)
 {
--- a/modules/azurecross_serving/metrics/ServingMetrics.h
+++ b/modules/azurecross_serving/metrics/ServingMetrics.h
@@ -37,6 +37,7 @@
   void CountStoreCall(std::string_view aCall, bool aIsAnswered);
   void CountBackendConnection(bool aIsReused);
   void CountSkippedResponse();
+  void CountRejectedTables();
   void CountRejection(bool aIsReused);
   void CountQuarantineChange(FingerprintKind aKind, QuarantineChange aChange);
   void SetQuarantined(FingerprintKind aKind, std::size_t aCount);
--- a/modules/azurecross_serving/peers/RelayedStateSource.h
+++ b/modules/azurecross_serving/peers/RelayedStateSource.h
@@ -308,8 +308,7 @@
   template<typename Value>
   void RecordStoreResult(const AsyncResult<Value>& aStoreResult)
   {
-    if (aStoreResult.has_error() &&
-        aStoreResult.error().code_ != ErrorCode::GenerationLost) {
+    if (!IsSourceAnswer(aStoreResult)) {
       feed_.Suspend();
       ++watchCancellations_;
     }
@@ -373,9 +372,11 @@
 
   void PublishTables(const TablesSnapshot& aSnapshot)
   {
-    if (aSnapshot.content_) {
-      feed_.SetTables(aSnapshot.content_->version_, aSnapshot.text_);
-      knownVersion_ = std::max(knownVersion_, aSnapshot.content_->version_);
+    // Malformed tables too: each daemon has to know that there is a version
+    // which is newer than its own.
+    if (aSnapshot.content_ || !aSnapshot.defect_.empty()) {
+      feed_.SetTables(aSnapshot.GetVersion(), aSnapshot.text_);
+      knownVersion_ = std::max(knownVersion_, aSnapshot.GetVersion());
     }
   }
 
@@ -490,11 +491,11 @@
     result.age_ = tables->age_;
     if (!tables->text_.empty()) {
       auto content = store_.ParseTables(tables->text_);
-      if (!content) {
-        RecordReaderFailure(aReader);
-        co_return std::nullopt;
+      if (content) {
+        result.content_ = std::move(*content);
+      } else {
+        result.defect_ = content.error().message_;
       }
-      result.content_ = std::move(*content);
       result.text_ = tables->text_;
       PublishTables(result);
       tablesReceived_.Notify();
--- a/modules/azurecross_serving/state/ServingState.cpp
+++ b/modules/azurecross_serving/state/ServingState.cpp
@@ -71,11 +71,27 @@
   NotifyLoadChanged();
 }
 
+void
+ServingState::RejectTables(std::uint64_t aVersion, const std::string& aReason)
+{
+  // The same tables are read again and again.
+  if (aVersion == rejectedVersion_ && aReason == rejectionReason_) {
+    return;
+  }
+  rejectedVersion_ = aVersion;
+  rejectionReason_ = aReason;
+  metrics_.CountRejectedTables();
+  log_.Write(Decision::TablesRejected,
+             { { "version", aVersion },
+               { "version_in_force", tables_ ? tables_->GetVersion() : 0 },
+               { "reason", aReason } });
+}
+
 void
 ServingState::ConfirmTables(std::uint64_t aVersion, Time aSentAt)
 {
-  const std::uint64_t newest =
-    std::max(peerVersion_, tables_ ? tables_->GetVersion() : 0);
+  const std::uint64_t currentVersion = tables_ ? tables_->GetVersion() : 0;
+  const std::uint64_t newest = std::max(peerVersion_, currentVersion);
   const bool isOutdated = aVersion < newest;
   if (isOutdated != areStoreTablesOutdated_) {
     log_.Write(Decision::StoreTablesCompared,
@@ -84,7 +100,8 @@
                  { "newest_version", newest } });
   }
   areStoreTablesOutdated_ = isOutdated;
-  if (!isOutdated) {
+  // A newer version than the current one has been rejected.
+  if (!isOutdated && aVersion == currentVersion) {
     keyFreshness_.ConfirmUpToDate(aSentAt);
   }
 }
--- a/modules/azurecross_serving/state/ServingState.h
+++ b/modules/azurecross_serving/state/ServingState.h
@@ -46,8 +46,13 @@
    * customers need API keys, are fresh enough to check the keys. */
   bool IsServing(Time aBootNow) const;
 
-  /** Applies the tables if they are newer than the current ones. */
+  /** Applies the tables if they are newer than the current ones, and rejects
+   * them if they lack the customers that this deployment has. */
   void ApplyTables(std::optional<ServingTables::Content> aContent, Time aNow);
+  /** Records that the newest tables can't be used. The current ones stay in
+   * force, but nothing confirms their API keys any more.
+   * @param aVersion their version, or 0 if it can't be read. */
+  void RejectTables(std::uint64_t aVersion, const std::string& aReason);
   /** Records that a read of the store returned these tables. It confirms the
    * current ones as the newest unless they or those of a peer are newer: a
    * store that was restored from a backup lacks the last changes until they are
@@ -209,6 +214,9 @@
   /** The newest version of the tables that a peer has reported. */
   std::uint64_t peerVersion_ = 0;
   bool areStoreTablesOutdated_ = false;
+  /** The tables that were rejected last; they are logged once. */
+  std::uint64_t rejectedVersion_ = 0;
+  std::string rejectionReason_;
   std::map<BackendServerId, Time> leavingSince_;
   bool isStoreReachable_ = true;
   std::function<void(const BackendServerId&)> onServerLeaving_;
--- a/modules/azurecross_serving/state/StateSource.h
+++ b/modules/azurecross_serving/state/StateSource.h
@@ -16,8 +16,11 @@
 /** The operator's tables at a revision of the store. */
 struct TablesSnapshot
 {
-  /** Empty if the operator has not written any tables yet. */
+  /** Empty if the operator has not written any tables yet, or if the tables
+   * are malformed. */
   std::optional<ServingTables::Content> content_;
+  /** Why the tables of this version can't be used; empty if they can. */
+  std::string defect_;
   std::uint64_t revision_ = 0;
   /** The version of the tables that the source holds, also if `content_` is
    * empty because they are known; 0 if there are none. */
@@ -67,6 +70,17 @@
   std::uint32_t linkMbps_ = 0;
 };
 
+/** @returns whether a source has answered: the loss of the change history and
+ * tables that can't be read are answers too. */
+template<typename Value>
+bool
+IsSourceAnswer(const AsyncResult<Value>& aResult)
+{
+  return aResult.has_value() ||
+         aResult.error().code_ == ErrorCode::GenerationLost ||
+         aResult.error().code_ == ErrorCode::InvalidTables;
+}
+
 /**
  * The store of the durable state: the operator's tables, the registrations of
  * backend servers and the records of live daemons.
--- a/modules/azurecross_serving/state/StateSync.h
+++ b/modules/azurecross_serving/state/StateSync.h
@@ -221,6 +221,15 @@
     }
   }
 
+  void ApplySnapshot(TablesSnapshot& aSnapshot)
+  {
+    if (aSnapshot.defect_.empty()) {
+      state_.ApplyTables(std::move(aSnapshot.content_), ReadMonotonicTime());
+    } else {
+      state_.RejectTables(aSnapshot.GetVersion(), aSnapshot.defect_);
+    }
+  }
+
   /** Watches the tables from the revision of the last confirmation on, which
    * is the only full read: each daemon of a fleet would read them twice. */
   boost::asio::awaitable<void> RunTablesWatch()
@@ -233,17 +242,18 @@
       }
       AsyncResult<TablesSnapshot> result =
         co_await source_.WatchTables(tablesRevision_);
-      RecordCall("watch_tables", IsAnswered(result), GetErrorMessage(result));
+      RecordCall(
+        "watch_tables", IsSourceAnswer(result), GetErrorMessage(result));
       if (!result) {
         tablesRevision_ = 0;
-        failures += IsAnswered(result) ? 0 : 1;
+        failures += IsSourceAnswer(result) ? 0 : 1;
         co_await DelayAfterFailures(failures);
         confirmationRequested_.Notify();
         continue;
       }
       failures = 0;
       tablesRevision_ = result->revision_;
-      state_.ApplyTables(std::move(result->content_), ReadMonotonicTime());
+      ApplySnapshot(*result);
       co_await Sleep(kWatchDelay);
     }
   }
@@ -255,8 +265,12 @@
     for (;;) {
       const Time sentAt = ReadBootTime();
       AsyncResult<TablesSnapshot> result = co_await source_.ReadTables();
-      RecordCall("read_tables", IsAnswered(result), GetErrorMessage(result));
+      RecordCall(
+        "read_tables", IsSourceAnswer(result), GetErrorMessage(result));
       if (!result) {
+        if (result.error().code_ == ErrorCode::InvalidTables) {
+          state_.RejectTables(0, result.error().message_);
+        }
         const bool isFirst = ++failures == 1;
         co_await confirmationRequested_.Wait(
           isFirst ? kFirstRetryDelay : GetRetryDelay(failures, kMaxRetryDelay));
@@ -267,7 +281,7 @@
         tablesRevision_ = result->revision_;
       }
       const std::uint64_t version = result->GetVersion();
-      state_.ApplyTables(std::move(result->content_), ReadMonotonicTime());
+      ApplySnapshot(*result);
       state_.ConfirmTables(version, sentAt - result->age_);
       tablesConfirmed_.Notify();
       co_await confirmationRequested_.Wait(confirmationInterval_);
@@ -288,10 +302,11 @@
         result = co_await source_.WatchServers(revision);
       }
       const Time now = ReadMonotonicTime();
-      RecordCall("watch_servers", IsAnswered(result), GetErrorMessage(result));
+      RecordCall(
+        "watch_servers", IsSourceAnswer(result), GetErrorMessage(result));
       if (!result) {
         revision = 0;
-        failures += IsAnswered(result) ? 0 : 1;
+        failures += IsSourceAnswer(result) ? 0 : 1;
         co_await DelayAfterFailures(failures);
         continue;
       }
@@ -322,7 +337,7 @@
       } else {
         lease = co_await source_.Register(self_);
       }
-      RecordCall("register", IsAnswered(lease), GetErrorMessage(lease));
+      RecordCall("register", IsSourceAnswer(lease), GetErrorMessage(lease));
       if (!lease) {
         // The lease outlasts most outages, so other errors don't end it.
         isRegistered =
@@ -385,15 +400,6 @@
     co_return members->size();
   }
 
-  /** @returns whether the source answered; the loss of the change history is an
-   * answer too. */
-  template<typename Value>
-  static bool IsAnswered(const AsyncResult<Value>& aResult)
-  {
-    return aResult.has_value() ||
-           aResult.error().code_ == ErrorCode::GenerationLost;
-  }
-
   template<typename Value>
   static std::string GetErrorMessage(const AsyncResult<Value>& aResult)
   {
--- a/tests/serving_tests/FeedTests.cpp
+++ b/tests/serving_tests/FeedTests.cpp
@@ -32,7 +32,12 @@
       co_return MakeError();
     }
     TablesSnapshot result;
-    result.content_ = ServingFixture::MakeTables(version_);
+    if (isMalformed_) {
+      result.defect_ = "malformed";
+    } else {
+      result.content_ = ServingFixture::MakeTables(version_);
+    }
+    result.version_ = version_;
     result.text_ = std::to_string(version_);
     result.revision_ = version_;
     co_return result;
@@ -75,6 +80,11 @@
     const std::string& aText) const
   {
     ++parses_;
+    if (isMalformed_) {
+      return Error{
+        ErrorCode::InvalidTables, Verdict::NotRun, "malformed", {}
+      };
+    }
     return ServingFixture::MakeTables(std::stoull(aText));
   }
   std::optional<ServerRecord> ParseServer(const std::string& aId,
@@ -93,6 +103,7 @@
   std::atomic<int> reads_ = 0;
   mutable std::atomic<int> parses_ = 0;
   std::atomic<bool> isDown_ = false;
+  std::atomic<bool> isMalformed_ = false;
   std::atomic<bool> isRestored_ = false;
   std::atomic<bool> isServerDraining_ = false;
   std::atomic<std::uint64_t> version_ = 1;
@@ -734,6 +745,31 @@
   BOOST_TEST(reader.store_.parses_ == 0);
 }
 
+// Guards against a whole fleet that reads the store itself, or goes on with the
+// keys of older tables, because its readers have malformed ones.
+BOOST_FIXTURE_TEST_CASE(MalformedTablesReachEachDaemon, FeedFixture)
+{
+  for (Daemon* reader : readers_) {
+    BOOST_TEST(Read(*reader).has_value());
+  }
+  BOOST_TEST(Read(*nonReaders_[0]).has_value());
+  for (const auto& daemon : daemons_) {
+    daemon->store_.version_ = 2;
+    daemon->store_.isMalformed_ = true;
+  }
+  for (Daemon* reader : readers_) {
+    BOOST_TEST(Read(*reader)->defect_ == "malformed");
+  }
+  for (int read = 0; read < 2; ++read) {
+    const auto result = Read(*nonReaders_[0]);
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST(result->GetVersion() == 2U);
+    BOOST_TEST(!result->content_.has_value());
+    BOOST_TEST(result->defect_.empty() == (read == 1));
+  }
+  BOOST_TEST(nonReaders_[0]->store_.reads_ == 0);
+}
+
 // Guards against live servers that a daemon behind a reader removes, because
 // the copy from which the store came back lacks them.
 BOOST_FIXTURE_TEST_CASE(ReaderTellsOfARestoredStore, FeedFixture)
--- a/tests/serving_tests/SyncTests.cpp
+++ b/tests/serving_tests/SyncTests.cpp
@@ -20,8 +20,15 @@
     if (isDown_) {
       co_return MakeError(ErrorCode::StoreUnavailable);
     }
+    if (areTablesUnreadable_) {
+      co_return MakeError(ErrorCode::InvalidTables);
+    }
     TablesSnapshot result;
-    if (hasTables_) {
+    if (hasMalformedTables_) {
+      result.defect_ = "test";
+      result.version_ = 2;
+      result.revision_ = 6;
+    } else if (hasTables_) {
       result.content_ = ServingFixture::MakeTables();
       result.revision_ = 5;
     }
@@ -114,6 +121,8 @@
 
   bool isDown_ = false;
   bool hasTables_ = true;
+  bool hasMalformedTables_ = false;
+  bool areTablesUnreadable_ = false;
   bool hasChanges_ = false;
   bool rejectsMembers_ = false;
   bool losesHistory_ = false;
@@ -176,6 +185,31 @@
   BOOST_TEST((state_.GetTables() != nullptr));
 }
 
+// Guards against keys that stay valid under a newer version that can't be used,
+// and against a store that counts as lost although it answers.
+BOOST_FIXTURE_TEST_CASE(MalformedTablesConfirmNoKeys, SyncFixture)
+{
+  Start();
+  RunFor(1s);
+  BOOST_TEST(state_.GetKeyFreshness().IsFresh(ReadBootTime()));
+  const auto confirmedAt = [this] {
+    const Time now = ReadBootTime();
+    return now - state_.GetKeyFreshness().GetAge(now).value();
+  };
+  store_.hasMalformedTables_ = true;
+  RunFor(1s);
+  const Time lastConfirmation = confirmedAt();
+  RunFor(1s);
+  store_.areTablesUnreadable_ = true;
+  RunFor(2s);
+  BOOST_TEST((confirmedAt() == lastConfirmation));
+  BOOST_TEST(state_.IsStoreReachable());
+  BOOST_TEST(state_.GetTables()->GetVersion() == 1U);
+  BOOST_TEST(
+    registry_.Serialize().find("azurecross_forward_rejected_tables_total 2") !=
+    std::string::npos);
+}
+
 // Guards against an overload of a store that doesn't answer, by the calls of
 // all daemons. Only the confirmation of the tables calls the store; the other
 // calls resume once that call succeeds.
