--- a/modules/azurecross_serving/daemon/ServingDaemon.h
+++ b/modules/azurecross_serving/daemon/ServingDaemon.h
@@ -336,6 +336,7 @@
     settings_.shutdownGracePeriod_ = settings->shutdownGracePeriod_;
     state_.GetRetryBudget().SetBounds(settings->retryBounds_);
     state_.SetMaxKeyRevocationDelay(settings->maxKeyRevocationDelay_);
+    state_.SetRequiresCustomers(settings->requiresCustomers_);
     limits_.connectionLimit_ = settings->descriptorLimit_ / 2;
     log_.Write(Decision::Reloaded,
                { { "outcome", "applied" },
--- a/modules/azurecross_serving/state/ServingSettings.h
+++ b/modules/azurecross_serving/state/ServingSettings.h
@@ -32,6 +32,9 @@
   std::uint32_t linkMbps_ = 0;
   /** Longest time for which a removed API key may still be accepted. */
   Duration maxKeyRevocationDelay_ = std::chrono::seconds(5);
+  /** Whether the tables have to list the customers: tables without the list
+   * are rejected instead of accepting requests without an API key. */
+  bool requiresCustomers_ = false;
   /** Time between SIGTERM and SIGKILL. */
   Duration shutdownGracePeriod_ = std::chrono::seconds(8);
   /** Shortest time from SIGTERM to the end of a shutdown. The load balancer
--- a/modules/azurecross_serving/state/ServingState.cpp
+++ b/modules/azurecross_serving/state/ServingState.cpp
@@ -27,6 +27,7 @@
   , quarantine_(HashBytes(aSettings.entryId_))
   , limiter_(DrawSystemSeed())
   , keyFreshness_(aSettings.maxKeyRevocationDelay_, kKeyRevocationMargin)
+  , requiresCustomers_(aSettings.requiresCustomers_)
 {
   quarantine_.SetExempt(aSettings.exemptFingerprints_);
 }
@@ -56,6 +57,14 @@
   if (tables_ && aContent->version_ <= tables_->GetVersion()) {
     return;
   }
+  // Tables without a list of customers let in everybody. After tables with one,
+  // that can't be told from a list that was left out by mistake.
+  const bool needCustomers =
+    requiresCustomers_ || (tables_ && tables_->NeedApiKeys());
+  if (needCustomers && !aContent->customers_) {
+    RejectTables(aContent->version_, "the list of customers is missing");
+    return;
+  }
   const std::uint64_t previousVersion = tables_ ? tables_->GetVersion() : 0;
   tables_ = std::make_shared<const ServingTables>(std::move(*aContent));
   for (const auto& [id, record] : directory_.GetAll()) {
--- a/modules/azurecross_serving/state/ServingState.h
+++ b/modules/azurecross_serving/state/ServingState.h
@@ -41,6 +41,11 @@
   {
     keyFreshness_.SetRemovalBound(aDelay);
   }
+  /** Sets whether the tables have to list the customers. */
+  void SetRequiresCustomers(bool aRequiresCustomers)
+  {
+    requiresCustomers_ = aRequiresCustomers;
+  }
 
   /** @returns whether requests can be served: tables are loaded and, if
    * customers need API keys, are fresh enough to check the keys. */
@@ -211,6 +216,7 @@
   RequestQuarantine quarantine_;
   ServerLimiter limiter_;
   KeyFreshness keyFreshness_;
+  bool requiresCustomers_;
   /** The newest version of the tables that a peer has reported. */
   std::uint64_t peerVersion_ = 0;
   bool areStoreTablesOutdated_ = false;
--- a/tests/serving_tests/StateTests.cpp
+++ b/tests/serving_tests/StateTests.cpp
@@ -72,6 +72,41 @@
   BOOST_TEST(isFresh());
 }
 
+// A version without the customers of the one before must not let in everybody,
+// and no version may confirm the keys of another one.
+BOOST_FIXTURE_TEST_CASE(TablesWithoutTheirCustomersAreRejected, StateFixture)
+{
+  const auto isFresh = [&] {
+    return state_.GetKeyFreshness().IsFresh(ReadBootTime());
+  };
+  ServingTables::Content tables = ServingFixture::MakeTables(5);
+  tables.customers_.emplace();
+  state_.ApplyTables(tables, kNow);
+  state_.ApplyTables(ServingFixture::MakeTables(6), kNow);
+  BOOST_TEST(state_.GetTables()->GetVersion() == 5U);
+  BOOST_TEST(state_.GetTables()->NeedApiKeys());
+  state_.ConfirmTables(6, ReadBootTime());
+  BOOST_TEST(!isFresh());
+  BOOST_TEST(!state_.IsServing(ReadBootTime()));
+  tables.version_ = 7;
+  state_.ApplyTables(tables, kNow);
+  state_.ConfirmTables(7, ReadBootTime());
+  BOOST_TEST(isFresh());
+}
+
+// A daemon that has just started must not let in everybody either.
+BOOST_FIXTURE_TEST_CASE(FirstTablesNeedTheirCustomers, StateFixture)
+{
+  state_.SetRequiresCustomers(true);
+  state_.ApplyTables(ServingFixture::MakeTables(5), kNow);
+  state_.ConfirmTables(5, ReadBootTime());
+  BOOST_TEST((state_.GetTables() == nullptr));
+  BOOST_TEST(!state_.IsServing(ReadBootTime()));
+  state_.SetRequiresCustomers(false);
+  state_.ApplyTables(ServingFixture::MakeTables(6), kNow);
+  BOOST_TEST(state_.IsServing(ReadBootTime()));
+}
+
 // Leaving notices from other daemons must not override the store while it is
 // reachable.
 BOOST_FIXTURE_TEST_CASE(LeavingNoticesAreIgnoredWhileTheStoreIsReachable,
