--- a/modules/azurecross_gateway/backend/BackendConnection.cpp
+++ b/modules/azurecross_gateway/backend/BackendConnection.cpp
@@ -133,8 +133,19 @@
       co_return MakeError("no answer from", code);
     }
     end_ += length;
+    hasReceived_ = true;
   }
   deadline_.Clear();
+  const unsigned status = GetHead().result_int();
+  if (!IsFinalStatus(status)) {
+    // What follows on the connection is unknown.
+    Close();
+    co_return Error{ ErrorCode::BackendServerFailed,
+                     Verdict::MayHaveRun,
+                     "undefined status " + std::to_string(status) +
+                       " in the answer of " + address_.Format(),
+                     {} };
+  }
   co_return std::nullopt;
 }
 
@@ -273,6 +284,7 @@
   begin_ = 0;
   end_ = 0;
   mayHaveSent_ = false;
+  hasReceived_ = false;
 }
 
 void
--- a/modules/azurecross_gateway/backend/BackendConnection.h
+++ b/modules/azurecross_gateway/backend/BackendConnection.h
@@ -54,7 +54,8 @@
   /** @returns whether a request with this id was sent on the connection. */
   bool HasCarried(std::string_view aRequestId) const;
 
-  /** Reads the head of the answer. */
+  /** Reads the head of the answer. A head with a status that no final answer
+   * has is a failure and closes the connection. */
   boost::asio::awaitable<std::optional<Error>> ReadHead(bool aIsHeadRequest,
                                                         Time aDeadline);
 
@@ -92,6 +93,9 @@
   /** @returns whether a byte of the current request may have left. */
   bool MayHaveSent() const { return mayHaveSent_; }
 
+  /** @returns whether a byte has arrived since the request was sent. */
+  bool HasReceived() const { return hasReceived_; }
+
   const SocketAddress& GetAddress() const { return address_; }
   /** @returns the port of this process, or 0 if the connection is closed. */
   std::uint16_t GetLocalPort() const;
@@ -134,6 +138,7 @@
   std::size_t begin_ = 0;
   std::size_t end_ = 0;
   bool mayHaveSent_ = false;
+  bool hasReceived_ = false;
   bool timedOut_ = false;
   bool cancelled_ = false;
   /** Hashes of the ids of the requests that were sent. */
--- a/modules/azurecross_http/client/HttpClient.cpp
+++ b/modules/azurecross_http/client/HttpClient.cpp
@@ -152,6 +152,12 @@
     co_return MakeTransportError(
       Verdict::MayHaveRun, aAddress, "cannot read the answer of", code);
   }
+  if (!IsFinalStatus(parser.get().result_int())) {
+    co_return MakeTransportError(Verdict::MayHaveRun,
+                                 aAddress,
+                                 "undefined status in the answer of",
+                                 http::error::bad_status);
+  }
   HttpResponse response = ConvertHeader(parser.get().base());
   response.body_ = std::move(parser.get().body());
   co_return response;
@@ -172,6 +178,9 @@
   http::response_parser<http::buffer_body> parser;
   parser.body_limit(boost::none);
   co_await http::async_read_header(sent.stream_, sent.buffer_, parser, token);
+  if (!code && !IsFinalStatus(parser.get().result_int())) {
+    code = http::error::bad_status;
+  }
   std::array<char, kPartBytes> part{};
   bool wanted = true;
   while (!code && wanted && !parser.is_done()) {
--- a/modules/azurecross_http/messages/HttpMessages.h
+++ b/modules/azurecross_http/messages/HttpMessages.h
@@ -44,6 +44,17 @@
   std::string_view FindHeader(std::string_view aName) const;
 };
 
+/** @returns whether HTTP defines the class of this status of a final answer.
+ * An interim answer is not a final one. A server that upgrades the protocol
+ * unasked sends bytes that are no answer. */
+constexpr bool
+IsFinalStatus(unsigned aStatus)
+{
+  constexpr unsigned kFirst = 200;
+  constexpr unsigned kLast = 599;
+  return aStatus >= kFirst && aStatus <= kLast;
+}
+
 /** @returns a response with a JSON body. */
 HttpResponse
 MakeJsonResponse(unsigned aStatus, std::string aBody);
--- a/modules/azurecross_serving/forward/BackendCall.cpp
+++ b/modules/azurecross_serving/forward/BackendCall.cpp
@@ -88,7 +88,8 @@
   error = co_await SendAndReadHead(aOptions, aDeadline);
   const bool isConnectionStale =
     error && isReused_ && context_.IsIdempotent() &&
-    error->code_ == ErrorCode::BackendServerFailed && !context_.IsAborted();
+    error->code_ == ErrorCode::BackendServerFailed &&
+    !connection_->HasReceived() && !context_.IsAborted();
   if (!isConnectionStale) {
     co_return error;
   }
--- a/tests/gateway_tests/FailureTests.cpp
+++ b/tests/gateway_tests/FailureTests.cpp
@@ -63,6 +63,25 @@
   BOOST_TEST(controller_.WaitForReleases());
 }
 
+// Guards against a status that HTTP doesn't define and reaches the caller.
+BOOST_FIXTURE_TEST_CASE(UndefinedStatusIsNoAnswer, GatewayFixture)
+{
+  FakeBackendServer desk([](FakeConnection& aConnection) {
+    while (!aConnection.ReadRequest().empty()) {
+      aConnection.Answer(600, "{}");
+    }
+  });
+  controller_.AddBackendServer("a", desk.GetAddress());
+  constexpr int kCalls = 2;
+  for (int call = 0; call < kCalls; ++call) {
+    const CallerAnswer answer = Call(kBooking);
+    BOOST_TEST(answer.status_ == 502U);
+    BOOST_TEST(answer.FindHeader("X-Azurecross-Verdict") == "may_have_run");
+  }
+  BOOST_TEST(desk.CountConnections() == kCalls);
+  BOOST_TEST(controller_.WaitForReleases());
+}
+
 // Guards against a non-idempotent call on a connection that may be stale.
 BOOST_FIXTURE_TEST_CASE(NonIdempotentCallUsesFreshConnection, GatewayFixture)
 {
--- a/tests/http_tests/HttpTests.cpp
+++ b/tests/http_tests/HttpTests.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
 
+#include <array>
 #include <atomic>
 #include <thread>
 
@@ -211,6 +212,50 @@
   BOOST_TEST((response.has_error() || response->status_ == 413U));
 }
 
+// Guards against a status that HTTP doesn't define and that passes for a
+// success, because it is below that of each failure.
+BOOST_FIXTURE_TEST_CASE(UndefinedStatusIsNoAnswer, Fixture)
+{
+  for (const std::string status : { "000", "099", "101", "600", "999" }) {
+    for (const bool isStreamed : { false, true }) {
+      BOOST_TEST_CONTEXT(status << (isStreamed ? ", streamed" : ""))
+      {
+        asio::io_context peerContext;
+        asio::ip::tcp::acceptor acceptor(
+          peerContext, { asio::ip::address_v4::loopback(), 0 });
+        std::thread peer([&] {
+          asio::ip::tcp::socket socket = acceptor.accept();
+          asio::write(socket,
+                      asio::buffer("HTTP/1.1 " + status +
+                                   " Odd\r\nContent-Length: 2\r\n\r\nno"));
+          std::array<char, 1024> buffer{};
+          boost::system::error_code code;
+          while (!code) {
+            socket.read_some(asio::buffer(buffer), code);
+          }
+        });
+        const SocketAddress address{ "127.0.0.1",
+                                     acceptor.local_endpoint().port() };
+        int parts = 0;
+        const auto response =
+          asio::co_spawn(context_,
+                         isStreamed ? client_.Stream(address,
+                                                     HttpRequest{},
+                                                     [&](std::string_view) {
+                                                       ++parts;
+                                                       return true;
+                                                     })
+                                    : client_.Send(address, HttpRequest{}),
+                         asio::use_future)
+            .get();
+        peer.join();
+        BOOST_TEST(response.has_error());
+        BOOST_TEST(parts == 0);
+      }
+    }
+  }
+}
+
 // Guards against a chunk size line without end that fills the memory of a
 // client; the limits of head and body don't cover it.
 BOOST_FIXTURE_TEST_CASE(EndlessChunkSizeLineOfAnAnswerIsBounded, Fixture)
