Order the registrations of a server by their sequence (DRAIN)

What callers saw: after the store came back from a backup, requests went to a server that had begun to drain before, and bookings at work there were lost when it ended. Cause: ServerDirectory::Update replaced the known registration of a process by the older one of the backup. Evidence: server_changed began_draining, then updated to ready in the millisecond of dependency_regained. Change: registrations of a process are ordered by their sequence; an older one than that with which the process began to leave, or than the last before its removal, doesn't make it ready. A removal is remembered for 15 s. Ruled out: never taking a draining process for ready again; ignoring registrations for a time after a restore.

--- a/modules/azurecross_dispatch/servers/ServerDirectory.cpp
+++ b/modules/azurecross_dispatch/servers/ServerDirectory.cpp
@@ -1,5 +1,8 @@
 #include "ServerDirectory.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace azurecross {
 
 namespace {
@@ -8,28 +11,43 @@
  * serves after that, and than its registration may be restored with a backup of
  * the store. */
 constexpr Duration kLeavingLifetime = std::chrono::minutes(10);
+/** The same for a server whose registration was removed. Shorter, because a
+ * live server may have been unable to renew it: a restored registration that
+ * stays is valid. */
+constexpr Duration kRemovedLifetime = std::chrono::seconds(15);
+/** No registration of the process is newer. */
+constexpr std::uint64_t kLastSequence =
+  std::numeric_limits<std::uint64_t>::max();
 
 } // namespace
 
 ServerChange
-ServerDirectory::Update(const ServerRecord& aRecord)
+ServerDirectory::Update(const ServerRecord& aRecord, Time aNow)
 {
   missingSince_.erase(aRecord.id_);
   ServerRecord record = aRecord;
-  const auto leaving = leaving_.find(record.id_);
-  if (leaving != leaving_.end() &&
-      leaving->second.startedUnixMs_ == record.startedUnixMs_) {
+  if (IsOutdated(record)) {
     record.state_ = ServerState::Draining;
+  } else if (record.state_ == ServerState::Draining) {
+    RememberLeaving(record.id_,
+                    { record.startedUnixMs_,
+                      record.sequence_,
+                      aNow + kLeavingLifetime,
+                      false });
   }
   const auto [position, isNew] = servers_.try_emplace(record.id_, record);
   if (isNew) {
     return ServerChange::Added;
   }
   ServerRecord& known = position->second;
+  const bool isRestart = known.startedUnixMs_ != record.startedUnixMs_;
+  if (!isRestart) {
+    known.sequence_ = std::max(known.sequence_, record.sequence_);
+    record.sequence_ = known.sequence_;
+  }
   if (known == record) {
     return ServerChange::None;
   }
-  const bool isRestart = known.startedUnixMs_ != record.startedUnixMs_;
   const bool beganDraining = known.state_ == ServerState::Ready &&
                              record.state_ == ServerState::Draining;
   known = record;
@@ -39,6 +57,24 @@
   return beganDraining ? ServerChange::BeganDraining : ServerChange::Updated;
 }
 
+void
+ServerDirectory::RememberLeaving(const BackendServerId& aId, Leaving aLeaving)
+{
+  // Without a start time, the next process under the id looks the same.
+  if (aLeaving.startedUnixMs_ != 0) {
+    leaving_[aId] = aLeaving;
+  }
+}
+
+bool
+ServerDirectory::IsOutdated(const ServerRecord& aRecord) const
+{
+  const auto leaving = leaving_.find(aRecord.id_);
+  return leaving != leaving_.end() &&
+         leaving->second.startedUnixMs_ == aRecord.startedUnixMs_ &&
+         aRecord.sequence_ <= leaving->second.lastSequence_;
+}
+
 bool
 ServerDirectory::MarkDraining(const BackendServerId& aId)
 {
@@ -58,19 +94,33 @@
   if (found == servers_.end()) {
     return false;
   }
-  leaving_[aId] = Leaving{ found->second.startedUnixMs_, aNow };
+  leaving_[aId] = Leaving{
+    found->second.startedUnixMs_, kLastSequence, aNow + kLeavingLifetime, false
+  };
   return MarkDraining(aId);
 }
 
 ServerChange
-ServerDirectory::Remove(const BackendServerId& aId)
+ServerDirectory::Remove(const BackendServerId& aId, Time aNow)
 {
   missingSince_.erase(aId);
   // Without a start time, the next process under the id looks the same.
   std::erase_if(leaving_, [&](const auto& aEntry) {
     return aEntry.first == aId && aEntry.second.startedUnixMs_ == 0;
   });
-  return servers_.erase(aId) > 0 ? ServerChange::Removed : ServerChange::None;
+  const auto found = servers_.find(aId);
+  if (found == servers_.end()) {
+    return ServerChange::None;
+  }
+  if (!IsOutdated(found->second)) {
+    RememberLeaving(aId,
+                    { found->second.startedUnixMs_,
+                      found->second.sequence_,
+                      aNow + kRemovedLifetime,
+                      true });
+  }
+  servers_.erase(found);
+  return ServerChange::Removed;
 }
 
 void
@@ -97,7 +147,7 @@
 ServerDirectory::RemoveExpired(Time aNow)
 {
   std::erase_if(leaving_, [&](const auto& aEntry) {
-    return aNow - aEntry.second.statedAt_ > kLeavingLifetime;
+    return !aEntry.second.isRemoved_ && aNow > aEntry.second.until_;
   });
   std::vector<BackendServerId> removed;
   for (auto at = missingSince_.begin(); at != missingSince_.end();) {
@@ -112,6 +162,25 @@
   return removed;
 }
 
+std::vector<ServerRecord>
+ServerDirectory::ReleaseRestored(Time aNow)
+{
+  std::vector<ServerRecord> released;
+  std::erase_if(leaving_, [&](const auto& aEntry) {
+    const auto& [id, leaving] = aEntry;
+    if (!leaving.isRemoved_ || aNow <= leaving.until_) {
+      return false;
+    }
+    const auto found = servers_.find(id);
+    if (found != servers_.end() && IsOutdated(found->second)) {
+      found->second.state_ = ServerState::Ready;
+      released.push_back(found->second);
+    }
+    return true;
+  });
+  return released;
+}
+
 const ServerRecord*
 ServerDirectory::Find(const BackendServerId& aId) const
 {
--- a/modules/azurecross_dispatch/servers/ServerDirectory.h
+++ b/modules/azurecross_dispatch/servers/ServerDirectory.h
@@ -37,6 +37,8 @@
   Duration remainingWarmUp_{};
   /** Start time, which identifies a restart under the same id; 0 if unknown. */
   std::int64_t startedUnixMs_ = 0;
+  /** Grows with each registration of a process; a smaller one is older. */
+  std::uint64_t sequence_ = 0;
 
   friend bool operator==(const ServerRecord&, const ServerRecord&) = default;
 };
@@ -69,6 +71,9 @@
  * During an outage of the store, the registration of a live server expires; the
  * server registers again soon after the store is back. A server that is missing
  * after an outage is therefore kept for a grace period before its removal.
+ *
+ * A store that comes back from a backup holds older registrations. Those of a
+ * process that has begun to leave since don't make it ready again.
  */
 class ServerDirectory
 {
@@ -82,7 +87,7 @@
 
   /** Adds or replaces a registration, which is no longer missing.
    * @returns the kind of change. */
-  ServerChange Update(const ServerRecord& aRecord);
+  ServerChange Update(const ServerRecord& aRecord, Time aNow);
 
   /** Marks a server as draining after a notice from outside the store, until
    * its registration is read.
@@ -95,7 +100,7 @@
   bool MarkLeaving(const BackendServerId& aId, Time aNow);
 
   /** Removes a server whose registration was removed in normal operation. */
-  ServerChange Remove(const BackendServerId& aId);
+  ServerChange Remove(const BackendServerId& aId, Time aNow);
 
   /** Starts the grace period of a server whose registration may have expired
    * because of an outage of the store. */
@@ -112,6 +117,11 @@
    * @returns the removed servers. */
   std::vector<BackendServerId> RemoveExpired(Time aNow);
 
+  /** Makes the servers ready that were removed and came back with a backup of
+   * the store, if nothing confirms within some time that they leave.
+   * @returns their records. */
+  std::vector<ServerRecord> ReleaseRestored(Time aNow);
+
   const ServerRecord* Find(const BackendServerId& aId) const;
   const std::map<BackendServerId, ServerRecord>& GetAll() const
   {
@@ -119,13 +129,24 @@
   }
 
 private:
-  /** A server process that has stated that it leaves. */
+  /** A server process that leaves. */
   struct Leaving
   {
     std::int64_t startedUnixMs_ = 0;
-    Time statedAt_;
+    /** Registrations of the process up to this one are outdated. */
+    std::uint64_t lastSequence_ = 0;
+    /** When it is forgotten. */
+    Time until_;
+    /** Whether only the removal of its registration says so. */
+    bool isRemoved_ = false;
   };
 
+  /** Remembers that a server process leaves, if a later one can be told from
+   * it. */
+  void RememberLeaving(const BackendServerId& aId, Leaving aLeaving);
+  /** @returns whether a process has begun to leave since its registration. */
+  bool IsOutdated(const ServerRecord& aRecord) const;
+
   Duration gracePeriod_;
   std::map<BackendServerId, ServerRecord> servers_;
   std::map<BackendServerId, Time> missingSince_;
--- a/modules/azurecross_serving/state/ServingState.cpp
+++ b/modules/azurecross_serving/state/ServingState.cpp
@@ -127,7 +127,7 @@
   const ServerRecord* previous = directory_.Find(aRecord.id_);
   const bool wasDraining =
     previous != nullptr && previous->state_ == ServerState::Draining;
-  const ServerChange change = directory_.Update(aRecord);
+  const ServerChange change = directory_.Update(aRecord, aNow);
   if (change == ServerChange::None) {
     return;
   }
@@ -159,7 +159,7 @@
   const ServerRecord* previous = directory_.Find(aId);
   const bool wasReady =
     previous != nullptr && previous->state_ == ServerState::Ready;
-  if (directory_.Remove(aId) == ServerChange::None) {
+  if (directory_.Remove(aId, aNow) == ServerChange::None) {
     return;
   }
   log_.Write(Decision::ServerChanged,
@@ -426,6 +426,15 @@
     loadTracker_.Remove(id);
     limiter_.GetTable().Forget(id, aNow);
   }
+  for (const ServerRecord& record : directory_.ReleaseRestored(aNow)) {
+    loadTracker_.Update(record, FindEngineTraits(record.pool_), aNow);
+    log_.Write(
+      Decision::ServerChanged,
+      { { "backend_server", record.id_ },
+        { "change", kServerChangeNames.FindName(ServerChange::Updated) },
+        { "reason", "still registered after a restore of the store" },
+        { "state", kServerStateNames.FindName(record.state_) } });
+  }
   std::erase_if(leavingSince_, [&](const auto& aEntry) {
     return aNow - aEntry.second > kLeavingNoticeLifetime;
   });
--- a/tests/serving_tests/StateTests.cpp
+++ b/tests/serving_tests/StateTests.cpp
@@ -107,6 +107,25 @@
   BOOST_TEST(state_.IsServing(ReadBootTime()));
 }
 
+// A server that drains must get no requests because the store came back from a
+// backup in which its registration is older.
+BOOST_FIXTURE_TEST_CASE(RestoredRegistrationDoesNotEndTheDrain, StateFixture)
+{
+  const auto makeEvent = [](ServerState aState) {
+    ServerEvent event = MakeEvent("e1", aState);
+    event.record_->startedUnixMs_ = 1;
+    return event;
+  };
+  const auto getState = [this] {
+    return state_.GetLoadTracker().Find(BackendServerId("e1"))->record_.state_;
+  };
+  state_.ApplyServerList({ makeEvent(ServerState::Ready) }, false, kNow);
+  state_.ApplyServerEvents({ makeEvent(ServerState::Draining) }, false, kNow);
+  state_.ApplyServerList({ makeEvent(ServerState::Ready) }, true, kNow);
+  BOOST_CHECK(getState() == ServerState::Draining);
+  BOOST_TEST(leaving_.size() == 1U);
+}
+
 // Leaving notices from other daemons must not override the store while it is
 // reachable.
 BOOST_FIXTURE_TEST_CASE(LeavingNoticesAreIgnoredWhileTheStoreIsReachable,
