Begin a watch of the servers again that the store's revision has passed (DRAIN)

What callers saw: while the connections to the store were silent, requests went to a server that drained for 3 s and more, and bookings at work there were lost when it ended. Cause: a pending watch on a silent connection looks like one without changes; it lasts 4.5 s. Evidence: no server_changed and no dependency_lost at the entries until the watch ends, while the tables are confirmed on new connections all the while. Change: the reads that confirm the tables tell the store's revision. A watch of the servers that brings nothing 0.1 s after a newer revision was read is begun again on a new connection, from the same revision. Tests: SilentWatchDoesNotHideADrainingServer failed before; ChangesOfOtherKeysCostOneWatchEach bounds the cost.

--- a/modules/azurecross_serving/peers/RelayedStateSource.h
+++ b/modules/azurecross_serving/peers/RelayedStateSource.h
@@ -111,6 +111,7 @@
       result ? Time()
              : ReadMonotonicTime() + readerSelector_.GetStoreRetryInterval();
     if (result) {
+      RecordStoreRevision(result->revision_);
       PublishTables(*result);
       // A store that was restored from a backup may be behind this daemon.
       if (result->GetVersion() >= knownVersion_) {
@@ -190,8 +191,7 @@
     if (reader) {
       co_return co_await AwaitWatch<ServersUpdate>(WatchReaderServers(*reader));
     }
-    AsyncResult<ServersUpdate> result =
-      co_await AwaitWatch<ServersUpdate>(store_.WatchServers(aRevision));
+    AsyncResult<ServersUpdate> result = co_await WatchStoreServers(aRevision);
     RecordStoreResult(result);
     if (result) {
       feed_.UpdateServers(*result, false);
@@ -320,6 +320,46 @@
     ++watchCancellations_;
   }
 
+  void RecordStoreRevision(std::uint64_t aRevision)
+  {
+    if (aRevision != storeRevision_) {
+      storeRevision_ = aRevision;
+      storeRevisionReadAt_ = ReadMonotonicTime();
+    }
+  }
+
+  /**
+   * Watches the servers at the store. The reads of the tables, on connections
+   * of their own, show that the store has changed meanwhile. A watch that
+   * doesn't return soon after that may be on a connection that has gone silent,
+   * unless the change was none of the servers'; it returns without changes, so
+   * that the caller watches again on a new connection.
+   */
+  boost::asio::awaitable<AsyncResult<ServersUpdate>> WatchStoreServers(
+    std::uint64_t aRevision)
+  {
+    // The store answers this watch at once for what has changed so far.
+    const std::uint64_t coveredRevision = std::max(aRevision, storeRevision_);
+    bool isBehind = false;
+    AsyncResult<ServersUpdate> result =
+      co_await AwaitWatch<ServersUpdate>(store_.WatchServers(aRevision), [&] {
+        isBehind =
+          storeRevision_ > coveredRevision &&
+          ReadMonotonicTime() - storeRevisionReadAt_ >= kWatchPollInterval;
+        return isBehind;
+      });
+    if (isBehind) {
+      WriteLog(LogLevel::Info,
+               "the watch of the servers is begun again",
+               { { "revision", aRevision },
+                 { "store_revision", storeRevision_ } });
+      ServersUpdate unchanged;
+      unchanged.revision_ = aRevision;
+      result = std::move(unchanged);
+    }
+    co_return result;
+  }
+
   boost::asio::awaitable<AsyncResult<ServersUpdate>> WatchReaderServers(
     SocketAddress aReader)
   {
@@ -335,10 +375,12 @@
    * Waits for a watch until it completes or is cancelled because its source has
    * failed or a better source is available. A watch on a stalled connection
    * would otherwise hide changes until its timeout.
+   * @param aIsStalled whether the watch is given up for another reason.
    */
-  template<typename Value>
+  template<typename Value, typename Predicate>
   boost::asio::awaitable<AsyncResult<Value>> AwaitWatch(
-    boost::asio::awaitable<AsyncResult<Value>> aWatch)
+    boost::asio::awaitable<AsyncResult<Value>> aWatch,
+    Predicate aIsStalled)
   {
     struct PendingWatch
     {
@@ -362,7 +404,7 @@
                           });
     const std::uint64_t cancellationsBefore = watchCancellations_;
     while (!pendingWatch->result_ &&
-           watchCancellations_ == cancellationsBefore) {
+           watchCancellations_ == cancellationsBefore && !aIsStalled()) {
       co_await pendingWatch->done_.Wait(kWatchPollInterval);
     }
     co_return pendingWatch->result_
@@ -370,6 +412,13 @@
       : AsyncResult<Value>(MakeSourceChangedError());
   }
 
+  template<typename Value>
+  boost::asio::awaitable<AsyncResult<Value>> AwaitWatch(
+    boost::asio::awaitable<AsyncResult<Value>> aWatch)
+  {
+    return AwaitWatch<Value>(std::move(aWatch), [] { return false; });
+  }
+
   void PublishTables(const TablesSnapshot& aSnapshot)
   {
     // Malformed tables too: each daemon has to know that there is a version
@@ -575,6 +624,10 @@
   std::optional<Time> readerWaitStart_;
   /** The time before which the tables are not read from the store. */
   Time nextStoreReadAt_;
+  /** The store's revision at the last read of the tables, and when it was read
+   * first. */
+  std::uint64_t storeRevision_ = 0;
+  Time storeRevisionReadAt_;
   /** The epoch of the reader's change numbers; 0 if the servers were read
    * directly from the store. */
   std::uint64_t serversEpoch_ = 0;
--- a/tests/serving_tests/FeedTests.cpp
+++ b/tests/serving_tests/FeedTests.cpp
@@ -401,6 +401,75 @@
   std::thread thread_;
 };
 
+/** A store whose pending watches are on connections that have gone silent: they
+ * don't return for five seconds, while new calls are answered. */
+struct SilentWatchStore : WaitingStore
+{
+  asio::awaitable<AsyncResult<TablesSnapshot>> ReadTables()
+  {
+    AsyncResult<TablesSnapshot> result = co_await FakeStore::ReadTables();
+    result->revision_ = revision_;
+    co_return result;
+  }
+  asio::awaitable<AsyncResult<ServersUpdate>> ListServers()
+  {
+    AsyncResult<ServersUpdate> result = co_await FakeStore::ListServers();
+    ++lists_;
+    result->revision_ = revision_;
+    co_return result;
+  }
+  asio::awaitable<AsyncResult<ServersUpdate>> WatchServers(
+    std::uint64_t aRevision)
+  {
+    ++watches_;
+    if (aRevision >= serversRevision_) {
+      co_return co_await FakeStore::WatchServers(aRevision);
+    }
+    AsyncResult<ServersUpdate> result = co_await FakeStore::ListServers();
+    result->revision_ = revision_;
+    co_return result;
+  }
+
+  std::uint64_t revision_ = 7;
+  /** Revision of the last change of a server. */
+  std::uint64_t serversRevision_ = 7;
+  int lists_ = 0;
+  int watches_ = 0;
+};
+
+/** A daemon that reads from such a store. */
+struct SilentWatchFixture
+{
+  SilentWatchFixture()
+  {
+    const AvailabilityZone zone("a");
+    store_.members_ = { { address_, zone } };
+    sync_.Start({ address_, zone }, [](const std::vector<MemberRecord>&) {});
+    context_.run_for(std::chrono::milliseconds(2500));
+  }
+  ~SilentWatchFixture() { context_.DestroyPending(); }
+
+  SilentWatchFixture(const SilentWatchFixture&) = delete;
+  SilentWatchFixture& operator=(const SilentWatchFixture&) = delete;
+
+  DaemonContext context_;
+  SilentWatchStore store_;
+  StateFeed feed_{ context_, { "127.0.0.24", 0 }, 1234567 };
+  SocketAddress address_{ "127.0.0.24", feed_.GetAddress().port_ };
+  RelayedStateSource<SilentWatchStore> source_{ context_.get_executor(),
+                                                store_,
+                                                feed_,
+                                                address_ };
+  ServingSettings settings_;
+  Metrics registry_;
+  DecisionLog log_;
+  ServingMetrics metrics_{ registry_ };
+  ServingState state_{ settings_, log_, metrics_ };
+  StateSync<RelayedStateSource<SilentWatchStore>> sync_{ context_, source_,
+                                                         state_,   log_,
+                                                         metrics_, 1 };
+};
+
 /** The shortest time for which a server goes on serving after it has announced
  * its end, on any deployment. */
 constexpr Duration kShortestDrainTime = std::chrono::seconds(2);
@@ -446,6 +515,34 @@
   }
 }
 
+// Guards against requests to a server that drains while the connection of the
+// watch has gone silent: its timeout is longer than the drain time.
+BOOST_FIXTURE_TEST_CASE(SilentWatchDoesNotHideADrainingServer,
+                        SilentWatchFixture)
+{
+  BOOST_REQUIRE(state_.GetLoadTracker().Find(BackendServerId("e1")) != nullptr);
+  store_.isServerDraining_ = true;
+  store_.serversRevision_ = ++store_.revision_;
+  const Time drainingSince = ReadMonotonicTime();
+  while (state_.GetLeavingServers().empty() &&
+         ReadMonotonicTime() - drainingSince < 2 * kShortestDrainTime) {
+    context_.run_for(std::chrono::milliseconds(10));
+  }
+  BOOST_TEST((ReadMonotonicTime() - drainingSince < kShortestDrainTime));
+  BOOST_TEST(store_.lists_ == 1);
+}
+
+// Guards against a load on the store from watches that are begun again although
+// they are sound: each change of another key may cost one call.
+BOOST_FIXTURE_TEST_CASE(ChangesOfOtherKeysCostOneWatchEach, SilentWatchFixture)
+{
+  const int watchesBefore = store_.watches_;
+  store_.revision_ += 5;
+  context_.run_for(std::chrono::milliseconds(2000));
+  BOOST_TEST(store_.watches_ - watchesBefore <= 1);
+  BOOST_TEST(store_.lists_ == 1);
+}
+
 // Guards against tables that are read late because a reader accepts a
 // connection and stays silent.
 BOOST_AUTO_TEST_CASE(TablesAreReadWhileAllReadersAreFrozen)
