Serve or refuse connections that are made while a planned stop ends

Cause: closing a listening socket resets the connections that are completed between the last accept and the close. Change: before the close, a filter of the listening socket lets the kernel ignore requests for connections, and only them; connections whose handshake has begun are accepted for 0.05 s more. A caller whose request was ignored repeats it after a second and is refused. Without such filters the close is as before, with a log record. Ruled out: a backlog of 0 (one connection may still wait); shutdown of the socket (resets as the close does).

--- a/modules/azurecross_serving/daemon/ServingDaemon.h
+++ b/modules/azurecross_serving/daemon/ServingDaemon.h
@@ -421,8 +421,9 @@
       closedSince_ = aNow;
     }
     // Callers that have just been answered may still read.
-    const bool isClosed = frontServer_.CountConnections() == 0 ||
-                          (closedSince_ && aNow - *closedSince_ >= kIdleTime);
+    const bool isClosed = !frontServer_.IsAccepting() &&
+                          (frontServer_.CountConnections() == 0 ||
+                           (closedSince_ && aNow - *closedSince_ >= kIdleTime));
     if (isClosed || aNow >= graceEnd - kExitMargin) {
       frontServer_.Stop();
       context_.stop();
--- a/modules/azurecross_serving/server/FrontServer.cpp
+++ b/modules/azurecross_serving/server/FrontServer.cpp
@@ -1,5 +1,7 @@
 #include "FrontServer.h"
 
+#include "ConnectionFilter.h"
+
 #include <boost/asio/co_spawn.hpp>
 
 #include <algorithm>
@@ -15,6 +17,9 @@
  * descriptors.
  */
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
+/** Time in which a handshake that has begun is completed: several round trips
+ * to callers in the region. */
+constexpr Duration kHandshakeTime = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -85,19 +90,40 @@
 void
 FrontServer::StopAccepting()
 {
-  if (!acceptor_.is_open()) {
+  if (isStopping_) {
+    return;
+  }
+  isStopping_ = true;
+  if (!IgnoreConnectionRequests(acceptor_.native_handle())) {
+    WriteLog(LogLevel::Warning,
+             "connections that are made at this moment may be reset",
+             { { "reason", "the kernel has no socket filters" } });
+    CloseAcceptor();
     return;
   }
+  timer_.expires_after(kHandshakeTime);
+  timer_.async_wait([this](const boost::system::error_code& aCode) {
+    if (!aCode) {
+      CloseAcceptor();
+    }
+  });
+}
+
+void
+FrontServer::CloseAcceptor()
+{
   // Closing the acceptor resets the connections in its backlog.
   AcceptBacklog();
   boost::system::error_code ignored;
   acceptor_.close(ignored);
-  timer_.cancel();
 }
 
 void
 FrontServer::RetryAccept()
 {
+  if (isStopping_) {
+    return;
+  }
   timer_.expires_after(kAcceptRetryDelay);
   timer_.async_wait([this](const boost::system::error_code& aCode) {
     if (!aCode) {
--- a/modules/azurecross_serving/server/FrontServer.h
+++ b/modules/azurecross_serving/server/FrontServer.h
@@ -24,8 +24,10 @@
 
   /** Starts accepting connections. */
   void Start();
-  /** Accepts the connections that already wait in the backlog, then no more. */
+  /** Accepts the connections that callers have begun to make, then no more. */
   void StopAccepting();
+  /** @returns whether connections may still be accepted. */
+  bool IsAccepting() const { return acceptor_.is_open(); }
   /** Closes the connections that have been without a request, read or unread,
    * for this time. */
   void CloseIdle(Duration aMinIdleTime);
@@ -52,6 +54,7 @@
   void Accept();
   /** Serves the connections in the backlog without waiting for more. */
   void AcceptBacklog();
+  void CloseAcceptor();
   /** Accepts again after a delay. */
   void RetryAccept();
   /**
@@ -67,6 +70,7 @@
                          boost::intrusive::constant_time_size<false>>
     connections_;
   std::size_t connectionCount_ = 0;
+  bool isStopping_ = false;
 };
 
 } // namespace azurecross
--- a/tests/serving_tests/StopTests.cpp
+++ b/tests/serving_tests/StopTests.cpp
@@ -346,6 +346,9 @@
                              << ", interrupted " << record.CountInterrupted()
                              << ", unanswered "
                              << record.GetUnanswered().size());
+  for (const std::string& id : record.GetUnanswered()) {
+    BOOST_TEST_MESSAGE("unanswered: " << id);
+  }
   BOOST_TEST_CONTEXT("seed " << aSeed)
   {
     BOOST_TEST(record.CountServed() >= 50U);
@@ -419,6 +422,45 @@
   }
 }
 
+// Guards against the reset of connections that are made while the daemon stops
+// accepting: each one is either refused or served.
+BOOST_AUTO_TEST_CASE(ConnectionsAreRefusedOrServedAtTheStop)
+{
+  constexpr int kServers = 30;
+  constexpr int kCallersEach = 8;
+  std::atomic<int> served = 0;
+  std::atomic<int> cut = 0;
+  std::vector<std::unique_ptr<ServingFixture>> servers;
+  std::vector<std::jthread> callers;
+  for (int server = 0; server < kServers; ++server) {
+    servers.push_back(std::make_unique<ServingFixture>());
+    servers.back()->SetTables(ServingFixture::MakeTables());
+    const SocketAddress address = servers.back()->GetFrontServer().GetAddress();
+    for (int caller = 0; caller < kCallersEach; ++caller) {
+      callers.emplace_back([address, &served, &cut] {
+        for (;;) {
+          std::unique_ptr<TestCaller> connection;
+          try {
+            connection = std::make_unique<TestCaller>(address);
+          } catch (const boost::system::system_error&) {
+            return;
+          }
+          const bool isAnswered =
+            connection->Send(ServingFixture::MakeRequest("/nowhere/x")) &&
+            connection->ReadAnswer().status_ == 404U;
+          ++(isAnswered ? served : cut);
+        }
+      });
+    }
+    std::this_thread::sleep_for(10ms);
+    servers.back()->Run(
+      [&] { servers.back()->GetFrontServer().StopAccepting(); });
+  }
+  callers.clear();
+  BOOST_TEST(served > kServers * kCallersEach);
+  BOOST_TEST(cut == 0);
+}
+
 // Guards against a close without an answer at the end of the grace period, for
 // an incomplete request, a queued one and one that is running.
 BOOST_FIXTURE_TEST_CASE(EndOfShutdownAnswersRequests, ServingFixture)
