Refuse requests with a transfer coding that isn't decoded

What callers saw: a request with a coding other than chunked (identity, xchunked, gzip) ran with an empty body, and its body ran as a request of its own on the connection. Cause: the parser knows chunked alone and takes a body with another coding for none. The length of such a body is unknown, so that what follows can be smuggled past whoever decodes it. Change: CallerChannel, through which both gateways read requests, refuses them with 400 and closes the connection. Ruled out: 501 (the refusal has to be final and says that the request is malformed).

--- a/modules/azurecross_gateway/relay/CallerChannel.cpp
+++ b/modules/azurecross_gateway/relay/CallerChannel.cpp
@@ -41,6 +41,19 @@
          aCode == http::error::partial_message;
 }
 
+/** @returns whether the body has another coding than chunks. The parser takes
+ * such a body for the next request. */
+bool
+HasUnknownCoding(const CallerChannel::RequestParser& aParser)
+{
+  const auto& request = aParser.get();
+  const auto [begin, end] = request.equal_range(http::field::transfer_encoding);
+  return std::any_of(begin, end, [&](const auto& aField) {
+    return !boost::beast::iequals(aField.value(), "chunked") ||
+           !aParser.chunked();
+  });
+}
+
 } // namespace
 
 CallerChannel::CallerChannel(WorkerSocket aSocket,
@@ -135,6 +148,9 @@
   deadline_.Set(ReadMonotonicTime() + limits_.headerTimeout_);
   co_await http::async_read_header(
     socket_, buffer_, aParser, asio::redirect_error(asio::use_awaitable, code));
+  if (!code && HasUnknownCoding(aParser)) {
+    code = http::error::bad_transfer_encoding;
+  }
   if (!code && !aParser.is_done()) {
     deadline_.Set(ReadMonotonicTime() + limits_.bodyTimeout_);
     if (!ReserveBody(aParser.content_length().value_or(0))) {
--- a/tests/gateway_tests/InputTests.cpp
+++ b/tests/gateway_tests/InputTests.cpp
@@ -45,6 +45,26 @@
   BOOST_TEST(controller_.CountAcquires() == 0U);
 }
 
+// Guards against request smuggling by a transfer coding that isn't decoded: the
+// body would be taken for the next request.
+BOOST_FIXTURE_TEST_CASE(UnknownTransferCodingsAreRefused, GatewayFixture)
+{
+  for (const std::string coding :
+       { "identity", "xchunked", "gzip", "gzip, chunked", "chunked, gzip" }) {
+    BOOST_TEST_CONTEXT(coding)
+    {
+      TestCaller caller = Connect();
+      caller.Send(
+        "POST /bookings HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: " + coding +
+        "\r\n\r\nPOST /bookings HTTP/1.1\r\nHost: x\r\n"
+        "Content-Length: 2\r\n\r\n{}");
+      CheckRefusal(caller.ReadAnswer(), 400, "invalid_request");
+      BOOST_TEST(caller.WaitForClose());
+    }
+  }
+  BOOST_TEST(controller_.CountAcquires() == 0U);
+}
+
 // Guards against unbounded memory for headers and bodies.
 BOOST_FIXTURE_TEST_CASE(OversizedRequestIsRefused, GatewayFixture)
 {
