Begin with a quarter of a limit while its issuer changes (LIMIT)

Cause: daemons learn of a change of the members at different times, up to some 10 s apart. Until then the old issuer of a server and the new one both issue the whole limit, each to those that take it for the issuer. Change: a daemon that becomes the issuer in place of a live one issues a quarter for 10 s. One whose predecessor has gone from the list issues the whole limit at once. Ruled out: asking the old issuer (a further message and state, for one server in the number of daemons); half a limit (with the bursts of both more than one and a half times a large limit). SetMembers and GetShare take the time; the other checks are the same. Measured: dispatch_tests and serving_tests passed (release). Not played with whole processes.

--- a/modules/azurecross_dispatch/limits/IssuerSelector.cpp
+++ b/modules/azurecross_dispatch/limits/IssuerSelector.cpp
@@ -9,12 +9,25 @@
 
 /** Part of a limit that all substitutes together may issue. */
 constexpr double kSubstituteShare = 0.5;
+/** Part of a limit that its new issuer may issue beside the one before. With
+ * the bursts of both, less than one and a half times the limit. */
+constexpr double kNewIssuerShare = 0.25;
+/** Longest time until all daemons have read a changed list of members: up to 8
+ * s between two reads, with a jitter of a fifth. */
+constexpr Duration kHandoverTime = std::chrono::seconds(10);
 
 } // namespace
 
 void
-IssuerSelector::SetMembers(PermitPeer aSelf, std::vector<PermitPeer> aMembers)
+IssuerSelector::SetMembers(PermitPeer aSelf,
+                           std::vector<PermitPeer> aMembers,
+                           Time aNow)
 {
+  std::erase_if(pastMembers_,
+                [&](const PastMembers& aPast) { return aNow >= aPast.until_; });
+  if (!members_.empty() && members_ != aMembers) {
+    pastMembers_.push_back({ std::move(members_), aNow + kHandoverTime });
+  }
   self_ = std::move(aSelf);
   members_ = std::move(aMembers);
   if (members_.empty()) {
@@ -28,23 +41,24 @@
 }
 
 bool
-IssuerSelector::IsListed() const
+IssuerSelector::Contains(const Members& aMembers, const std::string& aName)
 {
   return std::any_of(
-    members_.begin(), members_.end(), [this](const PermitPeer& aMember) {
-      return aMember.name_ == self_.name_;
+    aMembers.begin(), aMembers.end(), [&](const PermitPeer& aMember) {
+      return aMember.name_ == aName;
     });
 }
 
 const PermitPeer*
-IssuerSelector::FindHighest(const BackendServerId& aServer,
+IssuerSelector::FindHighest(const Members& aMembers,
+                            const BackendServerId& aServer,
                             const AvailabilityZone* aZone,
-                            const std::string& aExcluded) const
+                            const std::string& aExcluded)
 {
   const std::uint64_t seed = HashBytes(aServer.GetValue());
   const PermitPeer* highest = nullptr;
   std::uint64_t highestWeight = 0;
-  for (const PermitPeer& member : members_) {
+  for (const PermitPeer& member : aMembers) {
     if (member.name_ == aExcluded ||
         (aZone != nullptr && member.zone_ != *aZone)) {
       continue;
@@ -58,14 +72,21 @@
   return highest;
 }
 
+const PermitPeer*
+IssuerSelector::FindIssuerAmong(const Members& aMembers,
+                                const BackendServerId& aServer,
+                                const AvailabilityZone& aServerZone)
+{
+  const PermitPeer* issuer = FindHighest(aMembers, aServer, &aServerZone, "");
+  return issuer != nullptr ? issuer
+                           : FindHighest(aMembers, aServer, nullptr, "");
+}
+
 const std::string&
 IssuerSelector::FindIssuer(const BackendServerId& aServer,
                            const AvailabilityZone& aServerZone) const
 {
-  const PermitPeer* issuer = FindHighest(aServer, &aServerZone, "");
-  if (issuer == nullptr) {
-    issuer = FindHighest(aServer, nullptr, "");
-  }
+  const PermitPeer* issuer = FindIssuerAmong(members_, aServer, aServerZone);
   return issuer == nullptr ? self_.name_ : issuer->name_;
 }
 
@@ -73,20 +94,36 @@
 IssuerSelector::FindSubstitute(const BackendServerId& aServer,
                                const AvailabilityZone& aServerZone) const
 {
-  const PermitPeer* substitute =
-    FindHighest(aServer, &self_.zone_, FindIssuer(aServer, aServerZone));
+  const PermitPeer* substitute = FindHighest(
+    members_, aServer, &self_.zone_, FindIssuer(aServer, aServerZone));
   return substitute == nullptr ? self_.name_ : substitute->name_;
 }
 
+bool
+IssuerSelector::IsBeingHandedOver(const BackendServerId& aServer,
+                                  const AvailabilityZone& aServerZone,
+                                  Time aNow) const
+{
+  return std::any_of(
+    pastMembers_.begin(), pastMembers_.end(), [&](const PastMembers& aPast) {
+      const PermitPeer* issuer =
+        FindIssuerAmong(aPast.members_, aServer, aServerZone);
+      return aNow < aPast.until_ && issuer != nullptr &&
+             issuer->name_ != self_.name_ && Contains(members_, issuer->name_);
+    });
+}
+
 double
 IssuerSelector::GetShare(const BackendServerId& aServer,
-                         const AvailabilityZone& aServerZone) const
+                         const AvailabilityZone& aServerZone,
+                         Time aNow) const
 {
   if (FindIssuer(aServer, aServerZone) == self_.name_) {
-    return 1.0;
+    return IsBeingHandedOver(aServer, aServerZone, aNow) ? kNewIssuerShare
+                                                         : 1.0;
   }
-  const bool isSubstitute =
-    IsListed() && FindSubstitute(aServer, aServerZone) == self_.name_;
+  const bool isSubstitute = Contains(members_, self_.name_) &&
+                            FindSubstitute(aServer, aServerZone) == self_.name_;
   return kSubstituteShare /
          static_cast<double>(isSubstitute ? zoneCount_ : members_.size());
 }
--- a/modules/azurecross_dispatch/limits/ServerLimiter.cpp
+++ b/modules/azurecross_dispatch/limits/ServerLimiter.cpp
@@ -80,13 +80,14 @@
 
 std::optional<double>
 ServerLimiter::GetIssueRate(const BackendServerId& aServer,
-                            const AvailabilityZone& aServerZone) const
+                            const AvailabilityZone& aServerZone,
+                            Time aNow) const
 {
   const std::optional<double> limit = table_.Find(aServer);
   if (!limit) {
     return std::nullopt;
   }
-  return *limit * selector_.GetShare(aServer, aServerZone);
+  return *limit * selector_.GetShare(aServer, aServerZone, aNow);
 }
 
 PermitDecision
@@ -95,7 +96,7 @@
                      Duration aMaxWait,
                      Time aNow)
 {
-  const std::optional<double> rate = GetIssueRate(aServer, aServerZone);
+  const std::optional<double> rate = GetIssueRate(aServer, aServerZone, aNow);
   if (!rate) {
     return { true, Duration::zero() };
   }
@@ -192,7 +193,7 @@
                        std::uint32_t aCount,
                        Time aNow)
 {
-  const std::optional<double> rate = GetIssueRate(aServer, aServerZone);
+  const std::optional<double> rate = GetIssueRate(aServer, aServerZone, aNow);
   if (!rate) {
     return;
   }
--- a/modules/azurecross_dispatch/limits/ServerLimiter.h
+++ b/modules/azurecross_dispatch/limits/ServerLimiter.h
@@ -70,9 +70,9 @@
   }
 
   /** Sets this daemon and the live daemons, which may lack this one. */
-  void SetMembers(PermitPeer aSelf, std::vector<PermitPeer> aMembers)
+  void SetMembers(PermitPeer aSelf, std::vector<PermitPeer> aMembers, Time aNow)
   {
-    selector_.SetMembers(std::move(aSelf), std::move(aMembers));
+    selector_.SetMembers(std::move(aSelf), std::move(aMembers), aNow);
   }
   ServerLimitTable& GetTable() { return table_; }
   const ServerLimitTable& GetTable() const { return table_; }
@@ -148,7 +148,8 @@
   /** @returns the rate at which this daemon issues permits, if the server is
    * limited. */
   std::optional<double> GetIssueRate(const BackendServerId& aServer,
-                                     const AvailabilityZone& aServerZone) const;
+                                     const AvailabilityZone& aServerZone,
+                                     Time aNow) const;
   PermitDecision Issue(const BackendServerId& aServer,
                        const AvailabilityZone& aServerZone,
                        Duration aMaxWait,
--- a/modules/azurecross_serving/peers/LoadExchange.cpp
+++ b/modules/azurecross_serving/peers/LoadExchange.cpp
@@ -69,7 +69,7 @@
   , correctionDelayShare_(Random(HashBytes(name_)).DrawUnit())
 {
   socket_.non_blocking(true);
-  state_.GetLimiter().SetMembers({ name_, zone_ }, {});
+  state_.GetLimiter().SetMembers({ name_, zone_ }, {}, ReadMonotonicTime());
 }
 
 SocketAddress
@@ -116,7 +116,8 @@
   for (const MemberRecord& member : aMembers) {
     permitPeers.push_back({ member.peerAddress_.Format(), member.zone_ });
   }
-  state_.GetLimiter().SetMembers({ name_, zone_ }, std::move(permitPeers));
+  state_.GetLimiter().SetMembers(
+    { name_, zone_ }, std::move(permitPeers), ReadMonotonicTime());
 }
 
 Duration
--- a/tests/dispatch_tests/LimitedFleetSimulation.cpp
+++ b/tests/dispatch_tests/LimitedFleetSimulation.cpp
@@ -27,13 +27,17 @@
   : config_(aConfig)
   , random_(aConfig.seed_)
 {
-  for (int index = 0; index < config_.daemons_; ++index) {
+  for (int index = 0; index < config_.daemons_ + config_.addedDaemons_;
+       ++index) {
     daemons_.push_back(std::make_unique<Daemon>());
-    daemons_.back()->name_ = "d" + std::to_string(index);
-    daemons_.back()->zone_ = index % config_.zones_;
-    StartDaemon(*daemons_.back());
+    Daemon& daemon = *daemons_.back();
+    daemon.name_ = "d" + std::to_string(index);
+    daemon.zone_ = index % config_.zones_;
+    StartDaemon(daemon);
+    daemon.isAlive_ = index < config_.daemons_;
+    daemon.isListed_ = daemon.isAlive_;
   }
-  SetMembers();
+  SetMembersOfAll();
 }
 
 void
@@ -65,18 +69,51 @@
     random_.DrawBits());
 }
 
-void
-LimitedFleetSimulation::SetMembers()
+std::vector<PermitPeer>
+LimitedFleetSimulation::ListMembers() const
 {
   std::vector<PermitPeer> members;
   for (const auto& daemon : daemons_) {
-    members.push_back(
-      { daemon->name_, AvailabilityZone(MakeZoneName(daemon->zone_)) });
+    if (daemon->isListed_) {
+      members.push_back(
+        { daemon->name_, AvailabilityZone(MakeZoneName(daemon->zone_)) });
+    }
+  }
+  return members;
+}
+
+void
+LimitedFleetSimulation::SetMembers(const Daemon& aDaemon,
+                                   const std::vector<PermitPeer>& aMembers)
+{
+  aDaemon.limiter_->SetMembers(
+    { aDaemon.name_, AvailabilityZone(MakeZoneName(aDaemon.zone_)) },
+    aMembers,
+    now_);
+}
+
+void
+LimitedFleetSimulation::SetMembersOfAll()
+{
+  for (const auto& daemon : daemons_) {
+    SetMembers(*daemon, ListMembers());
+  }
+}
+
+void
+LimitedFleetSimulation::AddDaemons()
+{
+  for (const auto& daemon : daemons_) {
+    if (!daemon->isListed_) {
+      // A daemon reads the list before it registers.
+      StartDaemon(*daemon);
+      SetMembers(*daemon, ListMembers());
+    }
   }
   for (const auto& daemon : daemons_) {
-    daemon->limiter_->SetMembers(
-      { daemon->name_, AvailabilityZone(MakeZoneName(daemon->zone_)) },
-      members);
+    daemon->isListed_ = true;
+    Schedule(FromSeconds(random_.DrawUnit() * config_.listDelaySeconds_),
+             [this, &reader = *daemon] { SetMembers(reader, ListMembers()); });
   }
 }
 
@@ -217,7 +254,7 @@
       daemon->isAlive_ = false;
       Schedule(FromSeconds(config_.restartSeconds_), [this, &killed = *daemon] {
         StartDaemon(killed);
-        SetMembers();
+        SetMembersOfAll();
       });
     }
   }
@@ -262,6 +299,9 @@
     ScheduleGossip(daemon);
   }
   Schedule(FromSeconds(config_.killAt_), [this] { Kill(); });
+  if (config_.addedDaemons_ > 0) {
+    Schedule(FromSeconds(config_.addAt_), [this] { AddDaemons(); });
+  }
   events_.RunUntil(At(config_.seconds_), now_);
   return Evaluate();
 }
--- a/tests/dispatch_tests/LimitedFleetSimulation.h
+++ b/tests/dispatch_tests/LimitedFleetSimulation.h
@@ -31,6 +31,11 @@
   double killedShare_ = 0.0;
   double killAt_ = 8.0;
   double restartSeconds_ = 2.0;
+  /** Daemons that are added at this time. Each daemon reads the list that has
+   * them at some time up to the delay after that. */
+  int addedDaemons_ = 0;
+  double addAt_ = 8.0;
+  double listDelaySeconds_ = 6.0;
   /** Time for which the first zone is cut off from the others. */
   double cutAt_ = 0.0;
   double cutUntil_ = 0.0;
@@ -71,6 +76,8 @@
     std::string name_;
     int zone_ = 0;
     bool isAlive_ = true;
+    /** Whether the list of members has the daemon. */
+    bool isListed_ = true;
     /** When the daemon first got an answer of each server. */
     std::map<BackendServerId, Time> toldAt_;
     std::unique_ptr<ServerLoadTracker> tracker_;
@@ -88,7 +95,11 @@
 
   void Schedule(Duration aDelay, std::function<void()> aAction);
   void StartDaemon(Daemon& aDaemon);
-  void SetMembers();
+  std::vector<PermitPeer> ListMembers() const;
+  void SetMembers(const Daemon& aDaemon,
+                  const std::vector<PermitPeer>& aMembers);
+  void SetMembersOfAll();
+  void AddDaemons();
   void ScheduleArrival();
   void ScheduleTick(std::size_t aDaemon);
   void ScheduleGossip(std::size_t aDaemon);
--- a/tests/dispatch_tests/LimitedFleetTests.cpp
+++ b/tests/dispatch_tests/LimitedFleetTests.cpp
@@ -87,6 +87,31 @@
   }
 }
 
+// Guards against two daemons that both issue a whole limit, because the lists
+// of members in which daemons have been added reach them at different times.
+BOOST_AUTO_TEST_CASE(LimitHoldsWhileDaemonsAreAdded)
+{
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    LimitedFleetConfig config;
+    config.daemons_ = 6;
+    config.zones_ = 3;
+    config.servers_ = 6;
+    config.limit_ = 40.0;
+    config.requestsPerSecond_ = 10.0 * config.limit_ * config.servers_;
+    config.addedDaemons_ = 3;
+    config.listDelaySeconds_ = 10.0;
+    config.seed_ = seed;
+    const LimitedFleetOutcome outcome =
+      LimitedFleetSimulation(config).Simulate();
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      BOOST_TEST(outcome.mostIn4Seconds_ <= GetBound(config.limit_));
+      // A third of the servers change their issuer.
+      BOOST_TEST(outcome.meanRate_ >= 0.75 * config.limit_ * config.servers_);
+    }
+  }
+}
+
 // Guards against many daemons that each send a request of their own because
 // neither the issuer of a server nor its substitute is alive.
 BOOST_AUTO_TEST_CASE(LimitHoldsWhileMostDaemonsAreDead)
--- a/tests/dispatch_tests/ServerLimitTests.cpp
+++ b/tests/dispatch_tests/ServerLimitTests.cpp
@@ -21,10 +21,10 @@
   {
     const std::vector<PermitPeer> members{ { "d1", kZone }, { "d2", kZone } };
     IssuerSelector selector;
-    selector.SetMembers(members[0], members);
+    selector.SetMembers(members[0], members, At(0));
     const bool isFirstIssuer = selector.FindIssuer(kServer, kZone) == "d1";
-    issuer_.SetMembers(members[isFirstIssuer ? 0 : 1], members);
-    user_.SetMembers(members[isFirstIssuer ? 1 : 0], members);
+    issuer_.SetMembers(members[isFirstIssuer ? 0 : 1], members, At(0));
+    user_.SetMembers(members[isFirstIssuer ? 1 : 0], members, At(0));
     user_.GetTable().RecordAnswer(kServer, 1.0, At(0), At(0));
   }
 
@@ -131,8 +131,8 @@
   std::set<std::string> substitutes;
   for (const PermitPeer& member : members) {
     IssuerSelector selector;
-    selector.SetMembers(member, members);
-    shares[member.name_] = selector.GetShare(kServer, kZone);
+    selector.SetMembers(member, members, At(0));
+    shares[member.name_] = selector.GetShare(kServer, kZone, At(0));
     issuers += shares[member.name_] == 1.0 ? 1 : 0;
     substitutes.insert(selector.FindSubstitute(kServer, kZone));
     BOOST_TEST(selector.FindIssuer(kServer, kZone) !=
@@ -160,16 +160,44 @@
   for (int index = 0; index < 50; ++index) {
     const BackendServerId server("s" + std::to_string(index));
     IssuerSelector selector;
-    selector.SetMembers(unlisted, members);
+    selector.SetMembers(unlisted, members, At(0));
     BOOST_TEST(selector.FindIssuer(server, kZone) == "d0");
-    BOOST_TEST(selector.GetShare(server, kZone) <= 0.25);
+    BOOST_TEST(selector.GetShare(server, kZone, At(0)) <= 0.25);
     IssuerSelector listed;
-    listed.SetMembers(members[0], members);
-    BOOST_TEST(listed.GetShare(server, kZone) == 1.0);
+    listed.SetMembers(members[0], members, At(0));
+    BOOST_TEST(listed.GetShare(server, kZone, At(0)) == 1.0);
   }
   IssuerSelector alone;
-  alone.SetMembers(unlisted, {});
-  BOOST_TEST(alone.GetShare(kServer, kZone) == 1.0);
+  alone.SetMembers(unlisted, {}, At(0));
+  BOOST_TEST(alone.GetShare(kServer, kZone, At(0)) == 1.0);
+}
+
+// Guards against a new issuer that issues the whole limit beside the one
+// before, and against one that waits for a dead one or forever.
+BOOST_AUTO_TEST_CASE(NewIssuerBeginsWithASmallShare)
+{
+  const std::vector<PermitPeer> before = { { "d0", kZone } };
+  const std::vector<PermitPeer> after = { { "d0", kZone }, { "d1", kZone } };
+  int changed = 0;
+  for (int index = 0; index < 20; ++index) {
+    const BackendServerId server("s" + std::to_string(index));
+    IssuerSelector joining;
+    joining.SetMembers(after[1], {}, At(0));
+    joining.SetMembers(after[1], before, At(1));
+    joining.SetMembers(after[1], after, At(2));
+    if (joining.FindIssuer(server, kZone) != "d1") {
+      continue;
+    }
+    ++changed;
+    BOOST_TEST(joining.GetShare(server, kZone, At(2)) == 0.25);
+    BOOST_TEST(joining.GetShare(server, kZone, At(11.9)) == 0.25);
+    BOOST_TEST(joining.GetShare(server, kZone, At(12)) == 1.0);
+    IssuerSelector successor;
+    successor.SetMembers(after[1], before, At(0));
+    successor.SetMembers(after[1], { after[1] }, At(1));
+    BOOST_TEST(successor.GetShare(server, kZone, At(1)) == 1.0);
+  }
+  BOOST_TEST(changed > 0);
 }
 
 // Guards against a daemon that sends before the issuer has granted a permit, or
@@ -267,7 +295,7 @@
   ServerLoadTracker tracker;
   tracker.Update(MakeService("s1"), std::nullopt, kStart);
   ServerLimiter limiter(1);
-  limiter.SetMembers({ "d1", kZone }, {});
+  limiter.SetMembers({ "d1", kZone }, {}, At(0));
   limiter.GetTable().RecordAnswer(kServer, 0.2, At(0), At(0));
   RequestQuarantine quarantine(1);
   Dispatcher dispatcher(
@@ -296,7 +324,7 @@
   tracker.Update(MakeService("s1"), std::nullopt, kStart);
   tracker.Update(MakeService("s2"), std::nullopt, kStart);
   ServerLimiter limiter(1);
-  limiter.SetMembers({ "d1", kZone }, {});
+  limiter.SetMembers({ "d1", kZone }, {}, At(0));
   limiter.GetTable().RecordAnswer(kServer, 2.0, At(0), At(0));
   RequestQuarantine quarantine(1);
   Dispatcher dispatcher(
