Record in the store that the tables list customers (ROUTE)

What callers saw: an entry that started while the list of customers was left out ran requests with any key, unless its settings name the contract; entries that had seen the list refused them. Cause: an entry that starts has no history, and what must last is in the platform's store, not in a process. Before a daemon applies tables without customers it reads the key, unless it knows that the deployment has customers; without an answer it applies none. Only deployments without customers pay for it, with one read for each version and daemon. Ruled out: a flag in load reports (comes 0.3 to 1 s after the start, and is lost with all daemons); in the daemons' own records (one more write for each start); refusing tables without a list on all deployments.

--- a/modules/azurecross_serving/peers/RelayedStateSource.h
+++ b/modules/azurecross_serving/peers/RelayedStateSource.h
@@ -207,6 +207,18 @@
   {
     return store_.KeepAlive();
   }
+  /** Only the daemons that read from the store record anything there. */
+  boost::asio::awaitable<AsyncResult<bool>> RecordCustomers()
+  {
+    if (GetRole() != FeedRole::StoreReader) {
+      co_return false;
+    }
+    co_return co_await store_.RecordCustomers();
+  }
+  boost::asio::awaitable<AsyncResult<bool>> WereCustomersRecorded()
+  {
+    return store_.WereCustomersRecorded();
+  }
   boost::asio::awaitable<AsyncResult<std::vector<MemberRecord>>> ListMembers(
     bool aMayBeOld)
   {
--- a/modules/azurecross_serving/state/ServingState.cpp
+++ b/modules/azurecross_serving/state/ServingState.cpp
@@ -39,6 +39,12 @@
          (!tables_->NeedApiKeys() || keyFreshness_.IsFresh(aBootNow));
 }
 
+bool
+ServingState::RequiresCustomers() const
+{
+  return requiresCustomers_ || (tables_ && tables_->NeedApiKeys());
+}
+
 std::optional<EngineTraits>
 ServingState::FindEngineTraits(const PoolName& aPool) const
 {
@@ -59,9 +65,7 @@
   }
   // Tables without a list of customers let in everybody. After tables with one,
   // that can't be told from a list that was left out by mistake.
-  const bool needCustomers =
-    requiresCustomers_ || (tables_ && tables_->NeedApiKeys());
-  if (needCustomers && !aContent->customers_) {
+  if (RequiresCustomers() && !aContent->customers_) {
     RejectTables(aContent->version_, "the list of customers is missing");
     return;
   }
--- a/modules/azurecross_serving/state/ServingState.h
+++ b/modules/azurecross_serving/state/ServingState.h
@@ -41,7 +41,10 @@
   {
     keyFreshness_.SetRemovalBound(aDelay);
   }
-  /** Sets whether the tables have to list the customers. */
+  /** @returns whether tables without a list of customers are rejected. */
+  bool RequiresCustomers() const;
+  /** Sets whether the tables have to list the customers, also if those in force
+   * don't. */
   void SetRequiresCustomers(bool aRequiresCustomers)
   {
     requiresCustomers_ = aRequiresCustomers;
--- a/modules/azurecross_serving/state/StateSource.h
+++ b/modules/azurecross_serving/state/StateSource.h
@@ -94,6 +94,8 @@
  *   the lease; `GenerationLost` means that the lease has expired.
  * - `ListMembers` may return a list that is some seconds old if the argument is
  *   true.
+ * - `RecordCustomers` records for good that the tables have listed customers,
+ *   and `WereCustomersRecorded` returns whether that has been recorded.
  * - `ParseTables` and `ParseServer` parse text that was forwarded by another
  *   daemon.
  */
@@ -121,6 +123,12 @@
   {
     aSource.KeepAlive()
     } -> std::same_as<boost::asio::awaitable<AsyncResult<bool>>>;
+  {
+    aSource.RecordCustomers()
+    } -> std::same_as<boost::asio::awaitable<AsyncResult<bool>>>;
+  {
+    aSource.WereCustomersRecorded()
+    } -> std::same_as<boost::asio::awaitable<AsyncResult<bool>>>;
   {
     aSource.ListMembers(true)
     } -> std::same_as<
--- a/modules/azurecross_serving/state/StateSync.h
+++ b/modules/azurecross_serving/state/StateSync.h
@@ -221,13 +221,51 @@
     }
   }
 
-  void ApplySnapshot(TablesSnapshot& aSnapshot)
+  /** Applies the tables of a read or of a watch. Tables without customers are
+   * compared with what has been recorded first: the daemon may have seen none
+   * before. The source doesn't return the tables again, so they are kept until
+   * that is possible. */
+  boost::asio::awaitable<void> ApplySnapshot(TablesSnapshot& aSnapshot)
   {
-    if (aSnapshot.defect_.empty()) {
-      state_.ApplyTables(std::move(aSnapshot.content_), ReadMonotonicTime());
-    } else {
+    if (!aSnapshot.defect_.empty()) {
       state_.RejectTables(aSnapshot.GetVersion(), aSnapshot.defect_);
+      co_return;
+    }
+    const bool hasCustomers =
+      aSnapshot.content_ && aSnapshot.content_->customers_;
+    if (aSnapshot.content_ && !hasCustomers && !state_.RequiresCustomers()) {
+      co_await ReadCustomersRecord();
+    }
+    state_.ApplyTables(std::move(aSnapshot.content_), ReadMonotonicTime());
+  }
+
+  /** Reads whether the tables have ever listed customers, until the source
+   * answers. */
+  boost::asio::awaitable<void> ReadCustomersRecord()
+  {
+    for (unsigned failures = 1;; ++failures) {
+      const AsyncResult<bool> recorded =
+        co_await source_.WereCustomersRecorded();
+      RecordCall("read_customers_record",
+                 IsSourceAnswer(recorded),
+                 GetErrorMessage(recorded));
+      if (recorded) {
+        state_.SetRequiresCustomers(*recorded);
+        co_return;
+      }
+      co_await Sleep(GetRetryDelay(failures, kMaxRetryDelay));
+    }
+  }
+
+  /** Records once that the tables list customers. */
+  boost::asio::awaitable<void> RecordCustomers()
+  {
+    const ServingTablesPtr& tables = state_.GetTables();
+    if (areCustomersRecorded_ || !tables || !tables->NeedApiKeys()) {
+      co_return;
     }
+    const AsyncResult<bool> recorded = co_await source_.RecordCustomers();
+    areCustomersRecorded_ = recorded && *recorded;
   }
 
   /** Watches the tables from the revision of the last confirmation on, which
@@ -253,7 +291,7 @@
       }
       failures = 0;
       tablesRevision_ = result->revision_;
-      ApplySnapshot(*result);
+      co_await ApplySnapshot(*result);
       co_await Sleep(kWatchDelay);
     }
   }
@@ -281,9 +319,10 @@
         tablesRevision_ = result->revision_;
       }
       const std::uint64_t version = result->GetVersion();
-      ApplySnapshot(*result);
+      co_await ApplySnapshot(*result);
       state_.ConfirmTables(version, sentAt - result->age_);
       tablesConfirmed_.Notify();
+      co_await RecordCustomers();
       co_await confirmationRequested_.Wait(confirmationInterval_);
     }
   }
@@ -421,6 +460,7 @@
    * first. */
   std::uint64_t tablesRevision_ = 0;
   bool hasMemberList_ = false;
+  bool areCustomersRecorded_ = false;
   /** When a list of members last had this daemon, or its record was written. */
   Time lastListedAt_;
   /** Whether the last list lacks this daemon for longer than a list is old. */
--- a/tests/serving_tests/FeedTests.cpp
+++ b/tests/serving_tests/FeedTests.cpp
@@ -72,6 +72,11 @@
   }
   asio::awaitable<AsyncResult<bool>> Register(MemberRecord) { co_return true; }
   asio::awaitable<AsyncResult<bool>> KeepAlive() { co_return true; }
+  asio::awaitable<AsyncResult<bool>> RecordCustomers() { co_return true; }
+  asio::awaitable<AsyncResult<bool>> WereCustomersRecorded()
+  {
+    co_return false;
+  }
   asio::awaitable<AsyncResult<std::vector<MemberRecord>>> ListMembers(bool)
   {
     co_return std::vector<MemberRecord>();
--- a/tests/serving_tests/SyncTests.cpp
+++ b/tests/serving_tests/SyncTests.cpp
@@ -30,6 +30,9 @@
       result.revision_ = 6;
     } else if (hasTables_) {
       result.content_ = ServingFixture::MakeTables();
+      if (hasCustomers_) {
+        result.content_->customers_.emplace();
+      }
       result.revision_ = 5;
     }
     co_return result;
@@ -64,6 +67,22 @@
     ++renewals_;
     co_return co_await RespondToMember();
   }
+  asio::awaitable<AsyncResult<bool>> RecordCustomers()
+  {
+    ++records_;
+    if (isDown_) {
+      co_return MakeError(ErrorCode::StoreUnavailable);
+    }
+    areCustomersRecorded_ = true;
+    co_return true;
+  }
+  asio::awaitable<AsyncResult<bool>> WereCustomersRecorded()
+  {
+    if (isRecordUnreadable_) {
+      co_return MakeError(ErrorCode::StoreUnavailable);
+    }
+    co_return areCustomersRecorded_;
+  }
   asio::awaitable<AsyncResult<std::vector<MemberRecord>>> ListMembers(bool)
   {
     std::vector<MemberRecord> members;
@@ -121,6 +140,10 @@
 
   bool isDown_ = false;
   bool hasTables_ = true;
+  bool hasCustomers_ = false;
+  bool areCustomersRecorded_ = false;
+  bool isRecordUnreadable_ = false;
+  int records_ = 0;
   bool hasMalformedTables_ = false;
   bool areTablesUnreadable_ = false;
   bool hasChanges_ = false;
@@ -185,6 +208,38 @@
   BOOST_TEST((state_.GetTables() != nullptr));
 }
 
+// Guards against a daemon that opens a deployment with customers to everybody,
+// because the first tables that it sees leave them out.
+BOOST_FIXTURE_TEST_CASE(TablesWithoutRecordedCustomersAreRejected, SyncFixture)
+{
+  store_.isRecordUnreadable_ = true;
+  store_.areCustomersRecorded_ = true;
+  Start();
+  RunFor(1500ms);
+  BOOST_TEST((state_.GetTables() == nullptr));
+  store_.isRecordUnreadable_ = false;
+  RunFor(1500ms);
+  BOOST_TEST((state_.GetTables() == nullptr));
+  BOOST_TEST(!state_.IsServing(ReadBootTime()));
+  BOOST_TEST(
+    registry_.Serialize().find("azurecross_forward_rejected_tables_total 1") !=
+    std::string::npos);
+  store_.hasCustomers_ = true;
+  RunFor(1500ms);
+  BOOST_TEST(state_.IsServing(ReadBootTime()));
+}
+
+// Guards against customers of which a daemon that starts later knows nothing,
+// and against a call of the store with each confirmation.
+BOOST_FIXTURE_TEST_CASE(CustomersAreRecordedOnce, SyncFixture)
+{
+  store_.hasCustomers_ = true;
+  Start();
+  RunFor(3s);
+  BOOST_TEST(store_.areCustomersRecorded_);
+  BOOST_TEST(store_.records_ == 1);
+}
+
 // Guards against keys that stay valid under a newer version that can't be used,
 // and against a store that counts as lost although it answers.
 BOOST_FIXTURE_TEST_CASE(MalformedTablesConfirmNoKeys, SyncFixture)
--- a/tests/serving_tests/UnchangingStore.h
+++ b/tests/serving_tests/UnchangingStore.h
@@ -44,6 +44,14 @@
     co_return true;
   }
   boost::asio::awaitable<AsyncResult<bool>> KeepAlive() { co_return true; }
+  boost::asio::awaitable<AsyncResult<bool>> RecordCustomers()
+  {
+    co_return true;
+  }
+  boost::asio::awaitable<AsyncResult<bool>> WereCustomersRecorded()
+  {
+    co_return false;
+  }
   boost::asio::awaitable<AsyncResult<std::vector<MemberRecord>>> ListMembers(
     bool)
   {
