Soak: unknown keys, configurations without customers, undefined statuses

Cause: no soak had callers with a key that no configuration has, took away the customers, or had servers whose answers are malformed in their status. Change: a kind of call with an unknown key; the disruptions remove_customers (an empty list, null or left out, for up to 1 s or for 7 s) and confuse_server; the promise checks_keys, and answers_right for statuses. Requests that are sent while the customers may be missing don't count as rejected or not served; no other check changed. Ruled out: confuse_server for engines (their streams are cut by other disruptions).

--- a/soak/Backends.cpp
+++ b/soak/Backends.cpp
@@ -94,14 +94,46 @@
                                aServer.slots_));
 }
 
+void
+Backends::WriteConfiguration()
+{
+  ++version_;
+  std::string text =
+    review::FormatConfiguration(version_, FormatRoutes(hasFurtherRoute_));
+  if (customers_) {
+    // The customers are the last member.
+    text.replace(text.find(",\"tenants\""), std::string::npos, *customers_);
+    text += "}";
+  }
+  store_.Put("op/config", text);
+}
+
 void
 Backends::ChangeConfiguration(bool aHasFurtherRoute)
 {
   const std::lock_guard lock(mutex_);
-  ++version_;
-  store_.Put(
-    "op/config",
-    review::FormatConfiguration(version_, FormatRoutes(aHasFurtherRoute)));
+  hasFurtherRoute_ = aHasFurtherRoute;
+  WriteConfiguration();
+}
+
+void
+Backends::SetCustomers(std::optional<std::string> aCustomers)
+{
+  const std::lock_guard lock(mutex_);
+  customers_ = std::move(aCustomers);
+  WriteConfiguration();
+}
+
+void
+Backends::SetHasUndefinedStatus(const std::string& aId,
+                                bool aHasUndefinedStatus)
+{
+  const std::lock_guard lock(mutex_);
+  for (const auto& server : servers_) {
+    if (server->id_ == aId && server->desk_) {
+      server->desk_->SetHasUndefinedStatus(aHasUndefinedStatus);
+    }
+  }
 }
 
 Backends::Server&
--- a/soak/Backends.h
+++ b/soak/Backends.h
@@ -24,6 +24,13 @@
   /** Writes the next version of the configuration, with or without one more
    * route. */
   void ChangeConfiguration(bool aHasFurtherRoute);
+  /** Writes the next version with another list of customers.
+   * @param aCustomers the member with a comma before it, an empty text to leave
+   * it out, or nothing for the usual one. */
+  void SetCustomers(std::optional<std::string> aCustomers);
+  /** Sets whether the answers of a plain service's server have a status that
+   * HTTP doesn't define. */
+  void SetHasUndefinedStatus(const std::string& aId, bool aHasUndefinedStatus);
   /** Announces that a server leaves, and adds another one of its kind. The
    * server goes on running until the end.
    * @param aIndex selects one of the servers that are ready. */
@@ -54,6 +61,8 @@
     bool isRegistered_ = true;
   };
 
+  /** Writes the next version of the configuration. */
+  void WriteConfiguration();
   void AddServer(const std::string& aService);
   void Register(const Server& aServer);
   Server& ChooseReadyServer(std::uint64_t aIndex);
@@ -63,6 +72,8 @@
   review::Store store_;
   platform::RunLedger ledger_;
   unsigned version_ = 0;
+  bool hasFurtherRoute_ = false;
+  std::optional<std::string> customers_;
   unsigned serverCount_ = 0;
   std::vector<std::unique_ptr<Server>> servers_;
 };
--- a/soak/Callers.cpp
+++ b/soak/Callers.cpp
@@ -40,7 +40,10 @@
 RequestKind
 DrawKind(Random& aRandom)
 {
-  const std::uint64_t draw = aRandom.DrawBits() % 20;
+  const std::uint64_t draw = aRandom.DrawBits() % 21;
+  if (draw == 20) {
+    return RequestKind::UnknownKeyCall;
+  }
   if (draw < 7) {
     return RequestKind::IdempotentCall;
   }
@@ -69,7 +72,8 @@
     const bool isLimited = aKind == RequestKind::LimitedStream;
     headers = platform::FormatGenerationHeaders(
       isLimited ? request.events_ * kTokensPerEvent : 0, aRandom.DrawBits());
-  } else if (aKind == RequestKind::NonIdempotentCall) {
+  } else if (aKind == RequestKind::NonIdempotentCall ||
+             aKind == RequestKind::UnknownKeyCall) {
     path = "/book/1";
   } else if (aKind == RequestKind::SlowCall) {
     request.deadlineMs_ = kSlowCallDeadlineMs;
@@ -77,6 +81,10 @@
   }
   request.text_ = review::FormatRequest(
     "POST", path, aId, request.deadlineMs_, headers, body);
+  if (aKind == RequestKind::UnknownKeyCall) {
+    const std::string key = review::kApiKey;
+    request.text_.replace(request.text_.find(key), key.size(), "k-never");
+  }
   return request;
 }
 
--- a/soak/Callers.h
+++ b/soak/Callers.h
@@ -23,14 +23,17 @@
   LimitedStream,
   /** A generation of unknown length. */
   UnlimitedStream,
+  /** A call that is not idempotent, with a key that no configuration has. */
+  UnknownKeyCall,
 };
 
-inline constexpr NameTable<RequestKind, 5> kRequestKindNames{
+inline constexpr NameTable<RequestKind, 6> kRequestKindNames{
   { { { RequestKind::IdempotentCall, "idempotent_call" },
       { RequestKind::NonIdempotentCall, "non_idempotent_call" },
       { RequestKind::SlowCall, "slow_call" },
       { RequestKind::LimitedStream, "limited_stream" },
-      { RequestKind::UnlimitedStream, "unlimited_stream" } } }
+      { RequestKind::UnlimitedStream, "unlimited_stream" },
+      { RequestKind::UnknownKeyCall, "unknown_key_call" } } }
 };
 
 /** One request as its caller saw it. */
--- a/soak/Disruptions.cpp
+++ b/soak/Disruptions.cpp
@@ -27,6 +27,15 @@
   Disruption::ReplaceServer
 };
 
+/** What replaces the list of customers. */
+constexpr std::array kCustomerForms = { ",\"tenants\":[]",
+                                        ",\"tenants\":null",
+                                        "" };
+/** Times without customers: mostly short, some longer than the bound for
+ * removed keys. */
+constexpr unsigned kMaxShortGapMs = 1000;
+constexpr Milliseconds kLongGap{ 7000 };
+
 Milliseconds
 DrawTime(Random& aRandom, unsigned aMaxMs)
 {
@@ -83,6 +92,13 @@
   return serverFaults_;
 }
 
+std::vector<DisturbedTime>
+Disruptions::GetCustomerGaps() const
+{
+  const std::lock_guard lock(mutex_);
+  return customerGaps_;
+}
+
 void
 Disruptions::Wait(Milliseconds aTime) const
 {
@@ -166,6 +182,12 @@
       Wait(kServerLeaveTime);
       backends_.RemoveLeavingServers();
       break;
+    case Disruption::ConfuseServer:
+      ConfuseServer(aRandom);
+      break;
+    case Disruption::RemoveCustomers:
+      RemoveCustomers(aRandom);
+      break;
   }
 }
 
@@ -242,4 +264,34 @@
   serverFaults_[index].end_ = Clock::now();
 }
 
+void
+Disruptions::ConfuseServer(Random& aRandom)
+{
+  const std::string server = backends_.ChooseServer(aRandom.DrawBits());
+  Write(server + " has undefined statuses");
+  backends_.SetHasUndefinedStatus(server, true);
+  Wait(DrawTime(aRandom, 2000));
+  backends_.SetHasUndefinedStatus(server, false);
+}
+
+void
+Disruptions::RemoveCustomers(Random& aRandom)
+{
+  const std::string form =
+    kCustomerForms.at(aRandom.DrawBits() % kCustomerForms.size());
+  const bool isLong = aRandom.DrawBits() % 4 == 0;
+  const Milliseconds time =
+    isLong ? kLongGap : DrawTime(aRandom, kMaxShortGapMs);
+  const std::lock_guard customersLock(customersMutex_);
+  Write("customers replaced by '" + form + "'");
+  const Clock::time_point begin = Clock::now();
+  backends_.SetCustomers(form);
+  Wait(time);
+  // Keys are valid again from here on at the earliest.
+  const Clock::time_point end = Clock::now();
+  backends_.SetCustomers(std::nullopt);
+  const std::lock_guard lock(mutex_);
+  customerGaps_.push_back({ "", begin, end });
+}
+
 } // namespace azurecross::soak
--- a/soak/Disruptions.h
+++ b/soak/Disruptions.h
@@ -27,9 +27,13 @@
   DisturbStore,
   DisturbServer,
   ReplaceServer,
+  /** The answers of a server have a status that HTTP doesn't define. */
+  ConfuseServer,
+  /** The configuration has no customers, or none that can be read. */
+  RemoveCustomers,
 };
 
-inline constexpr NameTable<Disruption, 10> kDisruptionNames{
+inline constexpr NameTable<Disruption, 12> kDisruptionNames{
   { { { Disruption::StopEntry, "stop_entry" },
       { Disruption::StopSeveralEntries, "stop_several_entries" },
       { Disruption::KillEntry, "kill_entry" },
@@ -39,7 +43,9 @@
       { Disruption::ChangeConfiguration, "change_configuration" },
       { Disruption::DisturbStore, "disturb_store" },
       { Disruption::DisturbServer, "disturb_server" },
-      { Disruption::ReplaceServer, "replace_server" } } }
+      { Disruption::ReplaceServer, "replace_server" },
+      { Disruption::ConfuseServer, "confuse_server" },
+      { Disruption::RemoveCustomers, "remove_customers" } } }
 };
 
 /** Disrupts the system in several overlapping series until it is told to
@@ -61,6 +67,8 @@
 
   void Finish();
   std::vector<DisturbedTime> GetServerFaults() const;
+  /** @returns when the configuration had no customers. */
+  std::vector<DisturbedTime> GetCustomerGaps() const;
 
 private:
   void Run(std::uint64_t aSeed);
@@ -70,6 +78,8 @@
   void StopSeveralEntries(Random& aRandom);
   void DisturbStore(Random& aRandom);
   void DisturbServer(Random& aRandom);
+  void ConfuseServer(Random& aRandom);
+  void RemoveCustomers(Random& aRandom);
   /** Waits up to this time; shorter at the end of the test. */
   void Wait(review::Milliseconds aTime) const;
   void Write(const std::string& aText);
@@ -82,6 +92,9 @@
   mutable std::mutex mutex_;
   std::ofstream file_;
   std::vector<DisturbedTime> serverFaults_;
+  /** One series at a time removes the customers. */
+  std::mutex customersMutex_;
+  std::vector<DisturbedTime> customerGaps_;
   std::vector<std::thread> threads_;
 };
 
--- a/soak/SoakChecks.cpp
+++ b/soak/SoakChecks.cpp
@@ -1,5 +1,7 @@
 #include "SoakChecks.h"
 
+#include <azurecross_http/azurecross_http.h>
+
 #include <algorithm>
 
 namespace azurecross::soak {
@@ -26,6 +28,10 @@
 constexpr int kGraceParts = 6;
 /** A server that leaves may still get requests for this long. */
 constexpr Milliseconds kDrainTime{ 2000 };
+/** `configMs` and `revokeMs` of the settings: times after which a version is in
+ * force, and after which no removed key is accepted. */
+constexpr Milliseconds kConfigurationTime{ 2000 };
+constexpr Milliseconds kRevocationTime{ 5000 };
 
 bool
 IsPromiseOfNotRun(int aStatus)
@@ -33,6 +39,18 @@
   return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
 }
 
+/** @returns whether the configuration in force may have had no customers. */
+bool
+MayLackCustomers(const Observations& aObservations, const CallRecord& aCall)
+{
+  return std::ranges::any_of(
+    aObservations.customerGaps_, [&](const DisturbedTime& aGap) {
+      return aCall.endedAt_ >= aGap.begin_ &&
+             aCall.sentAt_ <=
+               aGap.end_ + std::max(kConfigurationTime, kSettlingTime);
+    });
+}
+
 std::string
 Describe(const CallRecord& aCall)
 {
@@ -78,10 +96,17 @@
     if (call_.status_ == 200 && !call_.isRight_) {
       add(Promise::AnswersRight, "another body");
     }
+    if (call_.isWhole_ &&
+        !IsFinalStatus(static_cast<unsigned>(call_.status_))) {
+      add(Promise::AnswersRight, "undefined status");
+    }
+    const bool isProper = call_.kind_ != RequestKind::UnknownKeyCall &&
+                          !MayLackCustomers(observations_, call_);
     if (call_.status_ >= 300 && call_.status_ < 500 &&
-        !IsPromiseOfNotRun(call_.status_)) {
+        !IsPromiseOfNotRun(call_.status_) && isProper) {
       add(Promise::AcceptsProperRequests, "rejected");
     }
+    CheckKeys(add);
     if (call_.endedAt_ > call_.deadline_ + kLateEnd && !IsExcused()) {
       add(Promise::AnswersInTime,
           "ended " + DescribeSince(call_.endedAt_, call_.deadline_) +
@@ -175,6 +200,25 @@
            " after it, " + std::to_string(runs_.size()) + " runs";
   }
 
+  template<typename Add>
+  void CheckKeys(Add aAdd) const
+  {
+    if (runs_.empty()) {
+      return;
+    }
+    if (call_.kind_ == RequestKind::UnknownKeyCall) {
+      aAdd(Promise::ChecksKeys, "ran with a key that no configuration has");
+    }
+    for (const DisturbedTime& gap : observations_.customerGaps_) {
+      if (call_.sentAt_ > gap.begin_ + kRevocationTime &&
+          runs_.front().begin_ < gap.end_) {
+        aAdd(Promise::ChecksKeys,
+             "ran, sent " + DescribeSince(call_.sentAt_, gap.begin_) +
+               " after its key was removed");
+      }
+    }
+  }
+
   template<typename Add>
   void CheckLeavingServers(Add aAdd) const
   {
@@ -275,7 +319,9 @@
 {
   std::map<RequestKind, std::pair<unsigned, unsigned>> counts;
   for (const CallRecord& call : aObservations.calls_) {
-    if (IsStopping(aObservations.histories_.at(call.entry_), call.sentAt_)) {
+    if (IsStopping(aObservations.histories_.at(call.entry_), call.sentAt_) ||
+        call.kind_ == RequestKind::UnknownKeyCall ||
+        MayLackCustomers(aObservations, call)) {
       continue;
     }
     auto& [served, all] = counts[call.kind_];
--- a/soak/SoakChecks.h
+++ b/soak/SoakChecks.h
@@ -34,9 +34,12 @@
   Serves,
   /** A server that leaves gets no requests after a few seconds. */
   SparesLeavingServers,
+  /** Requests run with keys only that a configuration has, and had some seconds
+   * before. */
+  ChecksKeys,
 };
 
-inline constexpr NameTable<Promise, 10> kPromiseNames{
+inline constexpr NameTable<Promise, 11> kPromiseNames{
   { { { Promise::StaysUp, "stays_up" },
       { Promise::StopsInTime, "stops_in_time" },
       { Promise::RunsOnce, "runs_once" },
@@ -46,7 +49,8 @@
       { Promise::AnswersEach, "answers_each" },
       { Promise::AnswersInTime, "answers_in_time" },
       { Promise::Serves, "serves" },
-      { Promise::SparesLeavingServers, "spares_leaving_servers" } } }
+      { Promise::SparesLeavingServers, "spares_leaving_servers" },
+      { Promise::ChecksKeys, "checks_keys" } } }
 };
 
 struct Violation
@@ -55,7 +59,8 @@
   std::string detail_;
 };
 
-/** The time in which the link to a server was disturbed. */
+/** The time in which the link to a server was disturbed, or in which there were
+ * no customers. */
 struct DisturbedTime
 {
   std::string server_;
@@ -73,6 +78,8 @@
   std::vector<std::string> unexpectedEnds_;
   /** When the links to backend servers were disturbed. */
   std::vector<DisturbedTime> serverFaults_;
+  /** When the configuration had no customers; one after the other. */
+  std::vector<DisturbedTime> customerGaps_;
   /** When the store accepted that a server leaves. */
   std::map<std::string, Clock::time_point> leavingServers_;
   review::Milliseconds gracePeriod_{ 8000 };
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -78,6 +78,7 @@
   fleet.Finish();
   observations.ledger_ = &aBackends.GetLedger();
   observations.serverFaults_ = disruptions.GetServerFaults();
+  observations.customerGaps_ = disruptions.GetCustomerGaps();
   for (std::size_t index = 0; index < fleet.GetSize(); ++index) {
     const FleetEntry& entry = fleet.GetEntry(index);
     observations.histories_.push_back(entry.GetHistory());
