--- a/modules/azurecross_dispatch/limits/IssuerSelector.cpp
+++ b/modules/azurecross_dispatch/limits/IssuerSelector.cpp
@@ -12,8 +12,8 @@
 /** Part of a limit that its new issuer may issue beside the one before. With
  * the bursts of both, less than one and a half times the limit. */
 constexpr double kNewIssuerShare = 0.25;
-/** Longest time until all daemons have read a changed list of members: up to 8
- * s between two reads, with a jitter of a fifth. */
+/** Longest time until all daemons have read a changed list of members: the
+ * longest interval between two reads, and its jitter. */
 constexpr Duration kHandoverTime = std::chrono::seconds(10);
 
 } // namespace
--- a/modules/azurecross_serving/state/StateSource.h
+++ b/modules/azurecross_serving/state/StateSource.h
@@ -94,8 +94,9 @@
  *   the lease; `GenerationLost` means that the lease has expired.
  * - `ListMembers` may return a list that is some seconds old if the argument is
  *   true.
- * - `RecordCustomers` records for good that the tables have listed customers,
- *   and `WereCustomersRecorded` returns whether that has been recorded.
+ * - `RecordCustomers` records for good that the tables have listed customers;
+ *   false means that other daemons do that. `WereCustomersRecorded` returns
+ *   whether it has been recorded.
  * - `ParseTables` and `ParseServer` parse text that was forwarded by another
  *   daemon.
  */
--- a/modules/azurecross_serving/state/StateSync.h
+++ b/modules/azurecross_serving/state/StateSync.h
@@ -250,7 +250,9 @@
                  IsSourceAnswer(recorded),
                  GetErrorMessage(recorded));
       if (recorded) {
-        state_.SetRequiresCustomers(*recorded);
+        if (*recorded) {
+          state_.SetRequiresCustomers(true);
+        }
         co_return;
       }
       co_await Sleep(GetRetryDelay(failures, kMaxRetryDelay));
@@ -265,7 +267,13 @@
       co_return;
     }
     const AsyncResult<bool> recorded = co_await source_.RecordCustomers();
-    areCustomersRecorded_ = recorded && *recorded;
+    const bool isOtherDaemonsTask = recorded && !*recorded;
+    if (isOtherDaemonsTask) {
+      co_return;
+    }
+    areCustomersRecorded_ = recorded.has_value();
+    RecordCall(
+      "record_customers", IsSourceAnswer(recorded), GetErrorMessage(recorded));
   }
 
   /** Watches the tables from the revision of the last confirmation on, which
