--- a/modules/azurecross_core/time/Time.h
+++ b/modules/azurecross_core/time/Time.h
@@ -56,13 +56,13 @@
     .count();
 }
 
-inline double
+constexpr double
 ToSeconds(Duration aDuration)
 {
   return std::chrono::duration<double>(aDuration).count();
 }
 
-inline Duration
+constexpr Duration
 FromSeconds(double aSeconds)
 {
   return std::chrono::duration_cast<Duration>(
--- a/modules/azurecross_dispatch/azurecross_dispatch.h
+++ b/modules/azurecross_dispatch/azurecross_dispatch.h
@@ -19,6 +19,7 @@
 #include "limits/RetryAllowance.h"
 #include "limits/ServerLimitTable.h"
 #include "limits/ServerLimiter.h"
+#include "limits/WarmUpTable.h"
 #include "moves/MovePlanner.h"
 #include "placement/ServerLoadTracker.h"
 #include "placement/ServerPlacement.h"
@@ -26,3 +27,4 @@
 #include "queue/Dispatcher.h"
 #include "servers/ServerDirectory.h"
 #include "shutdown/ShutdownPlan.h"
+#include "zones/ZoneEvacuations.h"
--- a/modules/azurecross_dispatch/limits/PermitIssuer.cpp
+++ b/modules/azurecross_dispatch/limits/PermitIssuer.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-/** Time for which unused slots are kept. */
-constexpr Duration kBurstTime = std::chrono::milliseconds(250);
 /** Requests without a permit delay later ones by no more than this. */
 constexpr Duration kMaxDebtTime = std::chrono::seconds(8);
 /** A server without requests for this long starts anew. */
--- a/modules/azurecross_dispatch/limits/PermitIssuer.h
+++ b/modules/azurecross_dispatch/limits/PermitIssuer.h
@@ -25,6 +25,9 @@
 class PermitIssuer
 {
 public:
+  /** Time for which unused slots are kept. */
+  static constexpr Duration kBurstTime = std::chrono::milliseconds(250);
+
   /** Takes the next slot if it begins soon enough.
    * @param aRequestsPerSecond the rate of the slots, above 0.
    * @param aMaxWait the longest time that the request can wait. */
--- a/modules/azurecross_dispatch/limits/PermitMessage.h
+++ b/modules/azurecross_dispatch/limits/PermitMessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ServerLimitTable.h"
+#include "WarmUpTable.h"
 
 #include <cstdint>
 #include <optional>
@@ -39,6 +40,8 @@
   AvailabilityZone serverZone_;
   /** What the sender knows about the limit of the server. */
   std::optional<ServerLimit> limit_;
+  /** Set if the sender knows that the server is cold. */
+  std::optional<WarmUp> warmUp_;
   /** Request: the longest usable wait. Reply: the time until the permit may be
    * used, or until one is expected to be free. */
   Duration wait_{};
--- a/modules/azurecross_dispatch/limits/ServerLimiter.cpp
+++ b/modules/azurecross_dispatch/limits/ServerLimiter.cpp
@@ -20,15 +20,50 @@
 constexpr Duration kSilentIssuerTime = std::chrono::seconds(2);
 /** Time for which the wait in a denial is taken as given. */
 constexpr Duration kDenialLifetime = std::chrono::seconds(1);
+/** Permits that can be used within one second, in seconds of issuing: a permit
+ * may be used some time after its slot, and the issuer keeps unused slots. */
+constexpr double kIssueTimePerSecond =
+  1.0 + ToSeconds(kPermitLifetime) + ToSeconds(PermitIssuer::kBurstTime);
 
 } // namespace
 
+bool
+ServerLimiter::SetWarmUp(const BackendServerId& aServer,
+                         double aRequestsPerSecond,
+                         double aMaxInSecond,
+                         Duration aRemaining,
+                         Time aNow)
+{
+  const double rate =
+    std::min(aRequestsPerSecond, aMaxInSecond / kIssueTimePerSecond);
+  return warmUps_.Set(aServer, rate, aRemaining, aNow);
+}
+
+void
+ServerLimiter::Forget(const BackendServerId& aServer, Time aNow)
+{
+  table_.Forget(aServer, aNow);
+  warmUps_.Forget(aServer);
+}
+
+std::optional<double>
+ServerLimiter::FindRate(const BackendServerId& aServer, Time aNow) const
+{
+  const std::optional<double> stated = table_.Find(aServer);
+  const std::optional<WarmUp> warmUp = warmUps_.Find(aServer, aNow);
+  if (!warmUp) {
+    return stated;
+  }
+  return std::min(stated.value_or(warmUp->requestsPerSecond_),
+                  warmUp->requestsPerSecond_);
+}
+
 PermitStatus
 ServerLimiter::FindStatus(const BackendServerId& aServer,
                           Duration aMaxWait,
                           Time aNow) const
 {
-  if (!table_.Find(aServer)) {
+  if (!FindRate(aServer, aNow)) {
     return {};
   }
   const auto found = holdings_.find(aServer);
@@ -83,7 +118,7 @@
                             const AvailabilityZone& aServerZone,
                             Time aNow) const
 {
-  const std::optional<double> limit = table_.Find(aServer);
+  const std::optional<double> limit = FindRate(aServer, aNow);
   if (!limit) {
     return std::nullopt;
   }
@@ -141,7 +176,7 @@
   }
   holding.pending_ =
     PendingRequest{ nextId_++, issuer, aNow, aNow, 1, aMaxWait };
-  SendRequest(aServer, holding);
+  SendRequest(aServer, holding, aNow);
 }
 
 void
@@ -149,7 +184,7 @@
                    const AvailabilityZone& aServerZone,
                    Time aNow)
 {
-  if (!table_.Find(aServer)) {
+  if (!FindRate(aServer, aNow)) {
     return;
   }
   Holding& holding = holdings_[aServer];
@@ -181,7 +216,7 @@
     Account(aKind, aServer, aServerZone, aCount, aNow);
     return;
   }
-  PermitMessage message = MakeMessage(aKind, aServer, aServerZone, aIssuer);
+  PermitMessage message = MakeMessage(aKind, aServer, aServerZone, aIssuer, aNow);
   message.count_ = aCount;
   messages_.push_back(std::move(message));
 }
@@ -210,7 +245,8 @@
 ServerLimiter::MakeMessage(PermitMessageKind aKind,
                            const BackendServerId& aServer,
                            const AvailabilityZone& aServerZone,
-                           std::string aReceiver) const
+                           std::string aReceiver,
+                           Time aNow) const
 {
   PermitMessage message;
   message.kind_ = aKind;
@@ -219,16 +255,21 @@
   message.server_ = aServer;
   message.serverZone_ = aServerZone;
   message.limit_ = table_.FindStatement(aServer);
+  message.warmUp_ = warmUps_.Find(aServer, aNow);
   return message;
 }
 
 void
 ServerLimiter::SendRequest(const BackendServerId& aServer,
-                           const Holding& aHolding)
+                           const Holding& aHolding,
+                           Time aNow)
 {
   const PendingRequest& pending = *aHolding.pending_;
-  PermitMessage message = MakeMessage(
-    PermitMessageKind::Request, aServer, aHolding.serverZone_, pending.issuer_);
+  PermitMessage message = MakeMessage(PermitMessageKind::Request,
+                                      aServer,
+                                      aHolding.serverZone_,
+                                      pending.issuer_,
+                                      aNow);
   message.id_ = pending.id_;
   message.wait_ = pending.maxWait_;
   messages_.push_back(std::move(message));
@@ -240,6 +281,12 @@
   if (aMessage.limit_) {
     table_.Merge(*aMessage.limit_);
   }
+  if (aMessage.warmUp_) {
+    warmUps_.Set(aMessage.server_,
+                 aMessage.warmUp_->requestsPerSecond_,
+                 aMessage.warmUp_->until_ - aNow,
+                 aNow);
+  }
   switch (aMessage.kind_) {
     case PermitMessageKind::Request:
       HandleRequest(aMessage, aNow);
@@ -266,7 +313,8 @@
   PermitMessage reply = MakeMessage(PermitMessageKind::Reply,
                                     aMessage.server_,
                                     aMessage.serverZone_,
-                                    aMessage.sender_);
+                                    aMessage.sender_,
+                                    aNow);
   reply.id_ = aMessage.id_;
   reply.isGranted_ = decision.isGranted_;
   reply.wait_ = decision.wait_;
@@ -311,7 +359,7 @@
   if (pending.sends_ < kMaxSends) {
     ++pending.sends_;
     pending.sentAt_ = aNow;
-    SendRequest(aServer, aHolding);
+    SendRequest(aServer, aHolding, aNow);
     return;
   }
   ++counts_.unanswered_;
@@ -378,12 +426,13 @@
     const Holding& holding = aEntry.second;
     const bool isEmpty = holding.permits_.empty() && !holding.pending_ &&
                          (!holding.denial_ || aNow >= holding.denial_->until_);
-    return isEmpty || !table_.Find(aEntry.first);
+    return isEmpty || !FindRate(aEntry.first, aNow);
   });
   std::erase_if(silentUntil_,
                 [&](const auto& aPeer) { return aNow >= aPeer.second; });
   issuer_.Tick(aNow);
   table_.Tick(aNow);
+  warmUps_.Tick(aNow);
 }
 
 std::size_t
--- a/modules/azurecross_dispatch/limits/ServerLimiter.h
+++ b/modules/azurecross_dispatch/limits/ServerLimiter.h
@@ -4,6 +4,7 @@
 #include "PermitIssuer.h"
 #include "PermitMessage.h"
 #include "ServerLimitTable.h"
+#include "WarmUpTable.h"
 
 #include <azurecross_core/azurecross_core.h>
 
@@ -17,7 +18,7 @@
 
 enum class PermitState
 {
-  /** The server states no limit. */
+  /** The server has no limit. */
   NotNeeded,
   /** This daemon holds a permit that may be used now. */
   Held,
@@ -49,7 +50,7 @@
 
 /**
  * Keeps the requests of all daemons to a backend server within the rate that
- * the server states in its answers.
+ * the server states in its answers, or that a cold server can take.
  *
  * One daemon issues the permits of a server, so their sum never exceeds the
  * limit, whoever has the demand; a request to a limited server needs a permit
@@ -58,7 +59,8 @@
  *
  * This covers services whose servers take less than one request a second in a
  * fleet of hundreds of daemons, in which equal shares would starve most of
- * them.
+ * them, and zones whose servers come back cold while all daemons have waiting
+ * requests.
  */
 class ServerLimiter
 {
@@ -77,6 +79,19 @@
   ServerLimitTable& GetTable() { return table_; }
   const ServerLimitTable& GetTable() const { return table_; }
 
+  /** Limits a cold server until it is warm.
+   * @param aRequestsPerSecond the rate that it tolerates.
+   * @param aMaxInSecond the largest number of requests in any second.
+   * @returns whether the server was not known to be cold. */
+  bool SetWarmUp(const BackendServerId& aServer,
+                 double aRequestsPerSecond,
+                 double aMaxInSecond,
+                 Duration aRemaining,
+                 Time aNow);
+  /** Forgets the limits of a server that has ended or started again. */
+  void Forget(const BackendServerId& aServer, Time aNow);
+  std::size_t CountCold() const { return warmUps_.CountCold(); }
+
   /** @param aMaxWait the longest usable wait for a permit. */
   PermitStatus FindStatus(const BackendServerId& aServer,
                           Duration aMaxWait,
@@ -141,12 +156,15 @@
     std::optional<Denial> denial_;
   };
 
+  /** @returns the lowest of the limits of a server, if it has one. */
+  std::optional<double> FindRate(const BackendServerId& aServer,
+                                 Time aNow) const;
   /** @returns the daemon to ask, which may be this one. */
   const std::string& FindReachableIssuer(const BackendServerId& aServer,
                                          const AvailabilityZone& aServerZone,
                                          Time aNow) const;
-  /** @returns the rate at which this daemon issues permits, if the server is
-   * limited. */
+  /** @returns the rate at which this daemon issues permits, if the server has a
+   * limit. */
   std::optional<double> GetIssueRate(const BackendServerId& aServer,
                                      const AvailabilityZone& aServerZone,
                                      Time aNow) const;
@@ -158,7 +176,9 @@
              const std::string& aIssuer,
              const PermitDecision& aDecision,
              Time aNow);
-  void SendRequest(const BackendServerId& aServer, const Holding& aHolding);
+  void SendRequest(const BackendServerId& aServer,
+                   const Holding& aHolding,
+                   Time aNow);
   /** Tells the issuer about permits that were not used or used without grant,
    * or accounts for them if this daemon is the issuer. */
   void Report(PermitMessageKind aKind,
@@ -184,9 +204,11 @@
   PermitMessage MakeMessage(PermitMessageKind aKind,
                             const BackendServerId& aServer,
                             const AvailabilityZone& aServerZone,
-                            std::string aReceiver) const;
+                            std::string aReceiver,
+                            Time aNow) const;
 
   ServerLimitTable table_;
+  WarmUpTable warmUps_;
   IssuerSelector selector_;
   PermitIssuer issuer_;
   std::map<BackendServerId, Holding> holdings_;
--- a/modules/azurecross_dispatch/placement/ServerLoadTracker.cpp
+++ b/modules/azurecross_dispatch/placement/ServerLoadTracker.cpp
@@ -162,6 +162,7 @@
   }
   load.record_ = aRecord;
   load.engine_ = aEngine;
+  load.isEvacuated_ = evacuatedZones_.contains(aRecord.zone_);
   if (isNew) {
     RecomputePeerTotals();
   }
@@ -183,6 +184,29 @@
   load.ownStatistics_.Reset();
 }
 
+void
+ServerLoadTracker::SetWarmUpEnd(const BackendServerId& aServer, Time aEnd)
+{
+  const auto found = servers_.find(aServer);
+  if (found != servers_.end()) {
+    found->second.warmUpEnd_ = std::max(found->second.warmUpEnd_, aEnd);
+  }
+}
+
+void
+ServerLoadTracker::SetEvacuated(const AvailabilityZone& aZone,
+                                bool aIsEvacuated)
+{
+  if (aIsEvacuated) {
+    evacuatedZones_.insert(aZone);
+  } else {
+    evacuatedZones_.erase(aZone);
+  }
+  for (auto& [id, server] : servers_) {
+    server.isEvacuated_ = evacuatedZones_.contains(server.record_.zone_);
+  }
+}
+
 void
 ServerLoadTracker::Pause(const BackendServerId& aServer, Time aUntil)
 {
--- a/modules/azurecross_dispatch/placement/ServerLoadTracker.h
+++ b/modules/azurecross_dispatch/placement/ServerLoadTracker.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -125,6 +126,8 @@
   Time suspectUntil_;
   /** Until this time this daemon sends the server nothing, at its request. */
   Time pausedUntil_;
+  /** Whether the operator has evacuated the server's zone. */
+  bool isEvacuated_ = false;
   std::uint32_t consecutiveFailures_ = 0;
   /** Statistics of this daemon. */
   DecayingStatistics ownStatistics_;
@@ -169,6 +172,10 @@
               Time aNow);
   /** Discards the statistics and cached prefixes of a restarted server. */
   void Restart(const BackendServerId& aServer, Time aNow);
+  /** Sets the time until which a server is slow because it is cold. */
+  void SetWarmUpEnd(const BackendServerId& aServer, Time aEnd);
+  /** Sets whether new requests are kept from the servers of a zone. */
+  void SetEvacuated(const AvailabilityZone& aZone, bool aIsEvacuated);
   /** Sends a server nothing until this time. */
   void Pause(const BackendServerId& aServer, Time aUntil);
   /** Marks a server as draining and removes it if it has no runs. */
@@ -305,6 +312,7 @@
   /** The sum of the peers' `daemonCount_`. */
   std::size_t peerCount_ = 0;
   std::map<AvailabilityZone, ZoneFailure> zoneFailures_;
+  std::set<AvailabilityZone> evacuatedZones_;
   RunId nextRunId_ = 1;
   std::uint32_t nextPrefixIndexId_ = 0;
 };
--- a/modules/azurecross_dispatch/placement/ServerPlacement.cpp
+++ b/modules/azurecross_dispatch/placement/ServerPlacement.cpp
@@ -70,7 +70,7 @@
 {
   return aServer.record_.pool_ == aRequest.pool_ &&
          aServer.record_.state_ == ServerState::Ready &&
-         aNow >= aServer.pausedUntil_ &&
+         !aServer.isEvacuated_ && aNow >= aServer.pausedUntil_ &&
          std::find(aRequest.excludedServers_.begin(),
                    aRequest.excludedServers_.end(),
                    aServer.record_.id_) == aRequest.excludedServers_.end();
--- a/modules/azurecross_dispatch/queue/Dispatcher.cpp
+++ b/modules/azurecross_dispatch/queue/Dispatcher.cpp
@@ -66,14 +66,31 @@
 }
 
 bool
-Dispatcher::IsReadyServer(const ServerRecord& aServer,
+Dispatcher::IsReadyServer(const ServerLoad& aServer,
                           const PlacementRequest& aRequest)
 {
-  return aServer.pool_ == aRequest.pool_ &&
-         aServer.state_ == ServerState::Ready &&
+  return aServer.record_.pool_ == aRequest.pool_ &&
+         aServer.record_.state_ == ServerState::Ready &&
+         !aServer.isEvacuated_ &&
          std::find(aRequest.excludedServers_.begin(),
                    aRequest.excludedServers_.end(),
-                   aServer.id_) == aRequest.excludedServers_.end();
+                   aServer.record_.id_) == aRequest.excludedServers_.end();
+}
+
+bool
+Dispatcher::IsEvacuated(const PoolName& aPool) const
+{
+  bool hasServers = false;
+  for (const auto& [id, server] : loadTracker_.GetServers()) {
+    if (server.record_.pool_ != aPool) {
+      continue;
+    }
+    if (!server.isEvacuated_) {
+      return false;
+    }
+    hasServers = true;
+  }
+  return hasServers;
 }
 
 bool
@@ -81,7 +98,7 @@
 {
   const auto& servers = loadTracker_.GetServers();
   return std::any_of(servers.begin(), servers.end(), [&](const auto& aServer) {
-    return IsReadyServer(aServer.second.record_, aRequest);
+    return IsReadyServer(aServer.second, aRequest);
   });
 }
 
@@ -101,7 +118,7 @@
 {
   std::optional<Duration> shortest;
   for (const auto& [id, server] : loadTracker_.GetServers()) {
-    if (!IsReadyServer(server.record_, aTicket.request_)) {
+    if (!IsReadyServer(server, aTicket.request_)) {
       continue;
     }
     const PermitStatus permit =
@@ -126,11 +143,13 @@
   const PlacementRequest& request = aTicket.request_;
   const double wait = EstimateWait(aTicket, aNow);
   const double left = ToSeconds(aTicket.deadline_ - aNow);
-  // A request that has failed on all servers is refused at once. Without any
-  // known server the request waits: this daemon may just have started.
+  // A request that has failed on all servers is refused at once, and so is one
+  // to whose servers nothing may be sent. Without any known server the request
+  // waits: this daemon may just have started.
   const bool hasFailedEverywhere =
     !request.excludedServers_.empty() && !HasReadyServer(request);
-  if (hasFailedEverywhere || wait > kUsableWaitShare * left) {
+  if (hasFailedEverywhere || IsEvacuated(request.pool_) ||
+      wait > kUsableWaitShare * left) {
     aOut.refusals_.push_back(
       { ticketId,
         HasReadyServer(request) ? ErrorCode::DeadlineUnreachable
@@ -329,7 +348,8 @@
     const bool isQuarantined = RefuseIfQuarantined(queued.ticket_, aNow, aOut);
     if (isQuarantined) {
       quarantined.push_back(ticketId);
-    } else if (aNow >= FindLatestStart(queued.ticket_)) {
+    } else if (aNow >= FindLatestStart(queued.ticket_) ||
+               IsEvacuated(queued.ticket_.request_.pool_)) {
       expired.push_back(ticketId);
     } else if (aNow >= queued.ticket_.targetTime_ &&
                queued.key_.second < kLatePriorityOffset) {
--- a/modules/azurecross_dispatch/queue/Dispatcher.h
+++ b/modules/azurecross_dispatch/queue/Dispatcher.h
@@ -135,7 +135,9 @@
   void DemoteLateRequest(QueueEntry& aEntry);
   /** @returns whether the pool has a ready server that is not excluded. */
   bool HasReadyServer(const PlacementRequest& aRequest) const;
-  static bool IsReadyServer(const ServerRecord& aServer,
+  /** @returns whether all servers of the pool are in evacuated zones. */
+  bool IsEvacuated(const PoolName& aPool) const;
+  static bool IsReadyServer(const ServerLoad& aServer,
                             const PlacementRequest& aRequest);
 
   ServerLoadTracker& loadTracker_;
--- a/modules/azurecross_dispatch/tables/ServingTables.h
+++ b/modules/azurecross_dispatch/tables/ServingTables.h
@@ -80,6 +80,15 @@
   std::uint32_t tokensPerEvent_ = 1;
 };
 
+/** How the servers of a pool warm up. */
+struct PoolWarmUp
+{
+  /** Time from the start of a server until it is warm. */
+  Duration time_{};
+  /** Requests per second that a cold server tolerates. */
+  double requestsPerSecond_ = 0.0;
+};
+
 /** A group of backend servers. */
 struct ServingPool
 {
@@ -88,6 +97,8 @@
   std::uint32_t connectionLimit_ = 0;
   /** Set for model engines. */
   std::optional<EngineTraits> engine_;
+  /** Set if cold servers take fewer requests. */
+  std::optional<PoolWarmUp> warmUp_;
 };
 
 /** A customer with its API keys. */
--- a/modules/azurecross_serving/daemon/ServingDaemon.h
+++ b/modules/azurecross_serving/daemon/ServingDaemon.h
@@ -337,6 +337,7 @@
     state_.GetRetryBudget().SetBounds(settings->retryBounds_);
     state_.SetMaxKeyRevocationDelay(settings->maxKeyRevocationDelay_);
     state_.SetRequiresCustomers(settings->requiresCustomers_);
+    state_.SetWarmUpBound(settings->warmUpBound_);
     limits_.connectionLimit_ = settings->descriptorLimit_ / 2;
     log_.Write(Decision::Reloaded,
                { { "outcome", "applied" },
--- a/modules/azurecross_serving/dispatch/AsyncDispatcher.h
+++ b/modules/azurecross_serving/dispatch/AsyncDispatcher.h
@@ -53,7 +53,7 @@
   void Finish()
   {
     if (state_ != nullptr) {
-      state_->GetLoadTracker().Finish(run_, end_, ReadMonotonicTime());
+      state_->FinishRun(run_, end_, ReadMonotonicTime());
       state_->NotifyLoadChanged();
       state_ = nullptr;
     }
--- a/modules/azurecross_serving/forward/BackendCall.cpp
+++ b/modules/azurecross_serving/forward/BackendCall.cpp
@@ -158,6 +158,9 @@
   const Time now = ReadMonotonicTime();
   services_.state_.RecordServerLimit(
     aServer, info_.requestLimit_, aSentAt, now);
+  if (info_.warmUpTime_) {
+    services_.state_.RecordServerWarmUp(aServer, *info_.warmUpTime_, now);
+  }
   if (info_.pause_) {
     services_.state_.PauseServer(aServer, *info_.pause_, now);
   }
--- a/modules/azurecross_serving/forward/GenerationExchange.cpp
+++ b/modules/azurecross_serving/forward/GenerationExchange.cpp
@@ -251,10 +251,14 @@
 GenerationExchange::RecordEvents()
 {
   const Time now = ReadMonotonicTime();
+  timing_.RecordEvents(
+    context_.arrival_,
+    now,
+    services_.state_.GetLoadTracker().Find(generation_->server_));
   if (generation_->tokens_ == 0) {
-    services_.metrics_.ObserveFirstEvent(now - context_.arrival_);
+    services_.metrics_.ObserveFirstEvent(timing_.GetFirstEventTime());
   } else {
-    services_.metrics_.ObserveEventGap(now - lastEventTime_);
+    services_.metrics_.ObserveEventGap(timing_.GetLastGap());
   }
   lastEventTime_ = now;
   const std::uint32_t tokensPerEvent =
@@ -277,12 +281,42 @@
     co_await writer_.WriteStreamData(remainder);
   }
   co_await writer_.EndStream();
+  RecordTiming();
   call_->ReturnToPool();
   AttemptResult result;
   result.isResponseStarted_ = true;
   co_return result;
 }
 
+void
+GenerationExchange::RecordTiming()
+{
+  const ServingRoute& route = *context_.route_;
+  const auto cause =
+    timing_.FindCause(route.latencyTarget_, route.gapTarget_);
+  if (!cause) {
+    return;
+  }
+  services_.metrics_.CountLateStream(*cause);
+  const EngineSnapshot& engine = *cause == LateCause::FirstEvent
+                                   ? timing_.GetEngineAtFirstEvent()
+                                   : timing_.GetEngineAtLongestGap();
+  services_.log_.Write(
+    Decision::StreamLate,
+    { { "request", context_.metadata_.attemptId_ },
+      { "route", route.name_ },
+      { "cause", kLateCauseNames.FindName(*cause) },
+      { "first_event_s", ToSeconds(timing_.GetFirstEventTime()) },
+      { "first_event_target_s", ToSeconds(route.latencyTarget_) },
+      { "longest_gap_s", ToSeconds(timing_.GetLongestGap()) },
+      { "gap_target_s", ToSeconds(route.gapTarget_) },
+      { "backend_server", engine.server_ },
+      { "runs", engine.runs_ },
+      { "pending_prompt_tokens", engine.pendingPromptTokens_ },
+      { "s_per_token", engine.secondsPerToken_ },
+      { "resumes", resumeCount_ } });
+}
+
 AttemptResult
 GenerationExchange::FailStream()
 {
@@ -392,9 +426,30 @@
   co_return isResumed;
 }
 
+void
+GenerationExchange::LogResume(const KvCacheCopy& aCopy,
+                              std::string_view aReason,
+                              bool aIsResumed)
+{
+  services_.log_.Write(
+    Decision::GenerationResumed,
+    { { "request", context_.metadata_.attemptId_ },
+      { "outcome", aIsResumed ? "resumed" : "not resumed" },
+      { "reason", aReason },
+      { "from", generation_->server_ },
+      { "to", aCopy.server_ },
+      { "last_event", buffer_.GetLastId() },
+      { "tokens", generation_->tokens_ },
+      { "pause_s", ToSeconds(ReadMonotonicTime() - lastEventTime_) } });
+}
+
 asio::awaitable<std::optional<Verdict>>
 GenerationExchange::ResumeFrom(KvCacheCopy aCopy)
 {
+  if (!services_.state_.MayResumeAt(aCopy.server_, ReadMonotonicTime())) {
+    LogResume(aCopy, "the zone of the engine is evacuated");
+    co_return Verdict::NotRun;
+  }
   SendOptions options;
   options.server_ = aCopy.server_;
   options.address_ = aCopy.address_;
@@ -410,18 +465,12 @@
   const bool isResumed = !error && call_->GetResponseInfo().isEventStream_ &&
                          call_->GetResponseInfo().isVerified_ &&
                          call_->GetHead().result() == http::status::ok;
-  services_.log_.Write(
-    Decision::GenerationResumed,
-    { { "request", context_.metadata_.attemptId_ },
-      { "outcome", isResumed ? "resumed" : "not resumed" },
-      { "reason",
-        error ? error->message_
-              : std::to_string(isResumed ? 0 : call_->GetHead().result_int()) },
-      { "from", generation_->server_ },
-      { "to", aCopy.server_ },
-      { "last_event", options.lastEventId_ },
-      { "tokens", generation_->tokens_ },
-      { "pause_s", ToSeconds(ReadMonotonicTime() - lastEventTime_) } });
+  LogResume(
+    aCopy,
+    isResumed ? "0"
+              : (error ? error->message_
+                       : std::to_string(call_->GetHead().result_int())),
+    isResumed);
   if (error) {
     co_return error->verdict_;
   }
--- a/modules/azurecross_serving/forward/GenerationExchange.h
+++ b/modules/azurecross_serving/forward/GenerationExchange.h
@@ -6,6 +6,7 @@
 #include "BackendCall.h"
 #include "EventBuffer.h"
 #include "ResponseWriter.h"
+#include "StreamTiming.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -67,6 +68,8 @@
   /** Updates the token count, the metrics and the load tracker. */
   void RecordEvents();
   boost::asio::awaitable<AttemptResult> FinishStream();
+  /** Logs and counts a complete stream that missed a target of its route. */
+  void RecordTiming();
   AttemptResult FailStream();
   /** Waits until a move in progress has finished or timed out. */
   boost::asio::awaitable<void> WaitForMove();
@@ -86,6 +89,9 @@
    * @returns nothing if the stream continues, or else whether that engine may
    * run the generation. */
   boost::asio::awaitable<std::optional<Verdict>> ResumeFrom(KvCacheCopy aCopy);
+  void LogResume(const KvCacheCopy& aCopy,
+                 std::string_view aReason,
+                 bool aIsResumed = false);
   /** @returns whether the end of the stream may have been caused by a move. */
   bool IsEndAmbiguous() const;
   /** @returns whether a stream that ends with its connection ended inside an
@@ -103,6 +109,7 @@
   BufferBudget::Reservation eventMemory_;
   std::optional<Error> readError_;
   Time lastEventTime_;
+  StreamTiming timing_;
   unsigned resumeCount_ = 0;
   RunEvidence evidence_;
   /** When the stream broke off, if it has not been resumed. */
--- a/modules/azurecross_serving/log/DecisionLog.h
+++ b/modules/azurecross_serving/log/DecisionLog.h
@@ -41,10 +41,13 @@
   RequestQuarantineChanged,
   ServerLimitChanged,
   ServerPaused,
+  ZoneEvacuationChanged,
+  WarmUpChanged,
+  StreamLate,
   RecordsDropped,
 };
 
-inline constexpr NameTable<Decision, 31> kDecisionNames{
+inline constexpr NameTable<Decision, 34> kDecisionNames{
   { { { Decision::Started, "started" },
       { Decision::Stopping, "stopping" },
       { Decision::Stopped, "stopped" },
@@ -75,6 +78,9 @@
       { Decision::RequestQuarantineChanged, "request_quarantine_changed" },
       { Decision::ServerLimitChanged, "server_limit_changed" },
       { Decision::ServerPaused, "server_paused" },
+      { Decision::ZoneEvacuationChanged, "zone_evacuation_changed" },
+      { Decision::WarmUpChanged, "warm_up_changed" },
+      { Decision::StreamLate, "stream_late" },
       { Decision::RecordsDropped, "records_dropped" } } }
 };
 
--- a/modules/azurecross_serving/metrics/ServingMetrics.cpp
+++ b/modules/azurecross_serving/metrics/ServingMetrics.cpp
@@ -36,6 +36,12 @@
       kLatencyBounds))
   , limitedServers_(aMetrics.GetGauge("azurecross_forward_limited_servers",
                                       "Backend servers that limit their rate"))
+  , coldServers_(
+      aMetrics.GetGauge("azurecross_forward_cold_servers",
+                        "Backend servers that are limited while they are cold"))
+  , evacuatedZones_(
+      aMetrics.GetGauge("azurecross_forward_evacuated_zones",
+                        "Availability zones that the operator has evacuated"))
   , quarantinedParts_(aMetrics.GetGauge(
       "azurecross_forward_quarantined_prompt_parts",
       "Parts of prompts whose requests are refused because they end engines"))
@@ -122,6 +128,16 @@
   eventGap_.Observe(ToSeconds(aGap));
 }
 
+void
+ServingMetrics::CountLateStream(LateCause aCause)
+{
+  metrics_
+    .GetCounter("azurecross_forward_late_streams_total",
+                "Complete streams that missed a target of their route",
+                { { "cause", std::string(kLateCauseNames.FindName(aCause)) } })
+    .Increment();
+}
+
 void
 ServingMetrics::ObserveQueueWait(Duration aWait)
 {
@@ -238,6 +254,18 @@
   limitedServers_.Set(static_cast<double>(aCount));
 }
 
+void
+ServingMetrics::SetColdServers(std::size_t aCount)
+{
+  coldServers_.Set(static_cast<double>(aCount));
+}
+
+void
+ServingMetrics::SetEvacuatedZones(std::size_t aCount)
+{
+  evacuatedZones_.Set(static_cast<double>(aCount));
+}
+
 void
 ServingMetrics::SetPermitCounts(const PermitCounts& aCounts)
 {
--- a/modules/azurecross_serving/metrics/ServingMetrics.h
+++ b/modules/azurecross_serving/metrics/ServingMetrics.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "../forward/StreamTiming.h"
+
 #include <azurecross_core/azurecross_core.h>
 #include <azurecross_dispatch/azurecross_dispatch.h>
 #include <azurecross_gateway/azurecross_gateway.h>
@@ -30,6 +32,7 @@
   void CountFailure(ErrorCode aReason);
   void ObserveFirstEvent(Duration aLatency);
   void ObserveEventGap(Duration aGap);
+  void CountLateStream(LateCause aCause);
   void ObserveQueueWait(Duration aWait);
   void CountRetry(bool aIsAllowed);
   void CountMove(std::string_view aOutcome);
@@ -42,6 +45,8 @@
   void CountQuarantineChange(FingerprintKind aKind, QuarantineChange aChange);
   void SetQuarantined(FingerprintKind aKind, std::size_t aCount);
   void SetLimitedServers(std::size_t aCount);
+  void SetColdServers(std::size_t aCount);
+  void SetEvacuatedZones(std::size_t aCount);
   /** Counts what became of the requests for permits since the last call. */
   void SetPermitCounts(const PermitCounts& aCounts);
   void ObservePermitWait(Duration aWait);
@@ -61,6 +66,8 @@
   prometheus::Histogram& queueWait_;
   prometheus::Histogram& permitWait_;
   prometheus::Gauge& limitedServers_;
+  prometheus::Gauge& coldServers_;
+  prometheus::Gauge& evacuatedZones_;
   PermitCounts permitCounts_;
   prometheus::Gauge& quarantinedParts_;
   prometheus::Gauge& quarantinedRequests_;
--- a/modules/azurecross_serving/peers/PermitMessageCodec.cpp
+++ b/modules/azurecross_serving/peers/PermitMessageCodec.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/json.hpp>
 
+#include <cmath>
+
 namespace azurecross {
 
 namespace json = boost::json;
@@ -41,6 +43,36 @@
   return *number;
 }
 
+/** JSON array of a cold server: requests per second, remaining milliseconds. */
+json::array
+FormatWarmUp(const WarmUp& aWarmUp, Time aNow)
+{
+  return { aWarmUp.requestsPerSecond_,
+           std::chrono::ceil<std::chrono::milliseconds>(aWarmUp.until_ - aNow)
+             .count() };
+}
+
+std::optional<WarmUp>
+ParseWarmUp(const json::value& aValue, Time aNow)
+{
+  constexpr std::size_t kFieldCount = 2;
+  const json::array* fields = aValue.if_array();
+  if (fields == nullptr || fields->size() != kFieldCount) {
+    return std::nullopt;
+  }
+  boost::system::error_code code;
+  const double rate =
+    (*fields)[0].is_number() ? (*fields)[0].to_number<double>(code) : 0.0;
+  const std::int64_t* remaining = (*fields)[1].if_int64();
+  const bool isValid = !code && std::isfinite(rate) && rate > 0.0 &&
+                       remaining != nullptr && *remaining >= 0 &&
+                       *remaining <= kMaxWaitMs;
+  if (!isValid) {
+    return std::nullopt;
+  }
+  return WarmUp{ rate, aNow + std::chrono::milliseconds(*remaining) };
+}
+
 } // namespace
 
 bool
@@ -61,6 +93,9 @@
   if (aMessage.limit_) {
     object["limit"] = FormatServerLimit(*aMessage.limit_, aNow);
   }
+  if (aMessage.warmUp_) {
+    object["cold"] = FormatWarmUp(*aMessage.warmUp_, aNow);
+  }
   object["wait_ms"] =
     std::chrono::ceil<std::chrono::milliseconds>(aMessage.wait_).count();
   object["granted"] = aMessage.isGranted_;
@@ -107,6 +142,12 @@
       return std::nullopt;
     }
   }
+  if (const json::value* warmUp = object->if_contains("cold")) {
+    message.warmUp_ = ParseWarmUp(*warmUp, aNow);
+    if (!message.warmUp_) {
+      return std::nullopt;
+    }
+  }
   return message;
 }
 
--- a/modules/azurecross_serving/peers/RelayedStateSource.h
+++ b/modules/azurecross_serving/peers/RelayedStateSource.h
@@ -433,6 +433,11 @@
 
   void PublishTables(const TablesSnapshot& aSnapshot)
   {
+    if (aSnapshot.evacuatedZones_) {
+      feed_.SetEvacuatedZones(*aSnapshot.evacuatedZones_);
+      knownZonesDigest_ =
+        ComputeZonesDigest(aSnapshot.evacuatedZones_->zones_);
+    }
     // Malformed tables too: each daemon has to know that there is a version
     // which is newer than its own.
     if (aSnapshot.content_ || !aSnapshot.defect_.empty()) {
@@ -537,6 +542,7 @@
       aClient,
       aReader,
       "/feed/tables?known=" + std::to_string(knownVersion_) +
+        "&zones=" + std::to_string(knownZonesDigest_) +
         "&wait=" + std::to_string(ToMilliseconds(aWait)) +
         (aIncludesTables ? "" : "&tables=0"));
     const auto tables = body ? ParseTablesFeedResponse(*body) : std::nullopt;
@@ -550,6 +556,7 @@
     result.revision_ = tables->version_;
     result.version_ = tables->version_;
     result.age_ = tables->age_;
+    result.evacuatedZones_ = tables->evacuatedZones_;
     if (!tables->text_.empty()) {
       auto content = store_.ParseTables(tables->text_);
       if (content) {
@@ -558,7 +565,9 @@
         result.defect_ = content.error().message_;
       }
       result.text_ = tables->text_;
-      PublishTables(result);
+    }
+    PublishTables(result);
+    if (!tables->text_.empty()) {
       tablesReceived_.Notify();
     }
     areTablesFromStore_ = false;
@@ -626,6 +635,7 @@
   HttpClient startListClient_;
   HttpClient listClient_;
   std::uint64_t knownVersion_ = 0;
+  std::uint64_t knownZonesDigest_ = 0;
   /** Notified when tables have been received from a reader. */
   AsyncCondition tablesReceived_;
   /** The reader from which a pending watch receives changed tables. */
--- a/modules/azurecross_serving/peers/StateFeed.cpp
+++ b/modules/azurecross_serving/peers/StateFeed.cpp
@@ -86,16 +86,58 @@
   return stream ? DecompressText(*stream, kMaxTextBytes) : std::nullopt;
 }
 
+json::object
+FormatZones(const EvacuatedZones& aZones)
+{
+  json::array zones;
+  for (const AvailabilityZone& zone : aZones.zones_) {
+    zones.emplace_back(zone.GetValue());
+  }
+  json::object object;
+  object["zones"] = std::move(zones);
+  object["restores"] = aZones.restoreCount_;
+  object["revision"] = aZones.revision_;
+  return object;
+}
+
+std::optional<EvacuatedZones>
+ParseZones(const json::value& aValue)
+{
+  const json::object* object = aValue.if_object();
+  const json::value* list = object ? object->if_contains("zones") : nullptr;
+  const auto restores =
+    object ? FindUnsignedField(*object, "restores") : std::nullopt;
+  const auto revision =
+    object ? FindUnsignedField(*object, "revision") : std::nullopt;
+  if (list == nullptr || !list->is_array() || !restores || !revision) {
+    return std::nullopt;
+  }
+  EvacuatedZones zones;
+  zones.restoreCount_ = *restores;
+  zones.revision_ = *revision;
+  for (const json::value& zone : list->get_array()) {
+    if (!zone.is_string()) {
+      return std::nullopt;
+    }
+    zones.zones_.emplace(std::string(zone.get_string()));
+  }
+  return zones;
+}
+
 std::string
 FormatTables(std::uint64_t aVersion,
              Duration aAge,
-             const std::string& aEncodedTables)
+             const std::string& aEncodedTables,
+             const std::optional<EvacuatedZones>& aZones)
 {
   json::object object;
   object["version"] = aVersion;
   object["age_us"] =
     std::chrono::duration_cast<std::chrono::microseconds>(aAge).count();
   object["tables"] = aEncodedTables;
+  if (aZones) {
+    object["evacuated"] = FormatZones(*aZones);
+  }
   return json::serialize(object);
 }
 
@@ -132,13 +174,27 @@
 
 } // namespace
 
+std::uint64_t
+ComputeZonesDigest(const std::set<AvailabilityZone>& aZones)
+{
+  if (aZones.empty()) {
+    return 0;
+  }
+  std::string names;
+  for (const AvailabilityZone& zone : aZones) {
+    names.append(zone.GetValue()).push_back('\0');
+  }
+  return HashBytes(names);
+}
+
 std::string
 FormatTablesFeedResponse(const TablesFeedResponse& aTables)
 {
   return FormatTables(aTables.version_,
                       aTables.age_,
                       aTables.text_.empty() ? std::string()
-                                            : EncodeText(aTables.text_));
+                                            : EncodeText(aTables.text_),
+                      aTables.evacuatedZones_);
 }
 
 std::optional<TablesFeedResponse>
@@ -163,6 +219,12 @@
     }
     tables.text_ = std::move(*text);
   }
+  if (const json::value* zones = object->if_contains("evacuated")) {
+    tables.evacuatedZones_ = ParseZones(*zones);
+    if (!tables.evacuatedZones_) {
+      return std::nullopt;
+    }
+  }
   return tables;
 }
 
@@ -305,6 +367,20 @@
   changed_.Notify();
 }
 
+void
+StateFeed::SetEvacuatedZones(const EvacuatedZones& aZones)
+{
+  if (evacuatedZones_ && aZones.IsOlderThan(*evacuatedZones_)) {
+    return;
+  }
+  evacuatedZones_ = aZones;
+  const std::uint64_t digest = ComputeZonesDigest(aZones.zones_);
+  if (digest != zonesDigest_) {
+    zonesDigest_ = digest;
+    changed_.Notify();
+  }
+}
+
 void
 StateFeed::ConfirmTables(Time aSentAt)
 {
@@ -411,9 +487,11 @@
 StateFeed::HandleTablesRequest(HttpRequest aRequest)
 {
   const std::uint64_t known = ParseQueryNumber(aRequest, "known");
+  const std::uint64_t knownZones = ParseQueryNumber(aRequest, "zones");
   const Duration wait = ParseWaitTime(aRequest);
   const Time deadline = ReadMonotonicTime() + wait;
-  while (version_ == known && confirmedAt_ && ReadMonotonicTime() < deadline) {
+  while (version_ == known && zonesDigest_ == knownZones && confirmedAt_ &&
+         ReadMonotonicTime() < deadline) {
     co_await changed_.Wait(deadline - ReadMonotonicTime());
   }
   if (version_ == 0 || !confirmedAt_) {
@@ -428,7 +506,8 @@
     200,
     FormatTables(version_,
                  ReadBootTime() - *confirmedAt_,
-                 includesTables ? encodedTables_ : std::string()));
+                 includesTables ? encodedTables_ : std::string(),
+                 evacuatedZones_));
 }
 
 bool
--- a/modules/azurecross_serving/peers/StateFeed.h
+++ b/modules/azurecross_serving/peers/StateFeed.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,8 @@
   Duration age_{};
   /** Empty if the requesting daemon has this version. */
   std::string text_;
+  /** Empty if the store has no such list or the sender doesn't know it. */
+  std::optional<EvacuatedZones> evacuatedZones_ = std::nullopt;
 };
 
 /** The response to `GET /feed/servers`: registrations for another daemon. */
@@ -43,6 +46,10 @@
   std::vector<std::pair<std::string, std::string>> servers_;
 };
 
+/** @returns a number that identifies the evacuated zones; 0 for none. */
+std::uint64_t
+ComputeZonesDigest(const std::set<AvailabilityZone>& aZones);
+
 /** @returns the response as JSON, with the tables compressed. */
 std::string
 FormatTablesFeedResponse(const TablesFeedResponse& aTables);
@@ -96,6 +103,8 @@
 
   /** Sets the tables to serve if the version is newer than the served one. */
   void SetTables(std::uint64_t aVersion, const std::string& aText);
+  /** Sets the evacuated zones to serve, unless newer ones are served. */
+  void SetEvacuatedZones(const EvacuatedZones& aZones);
   /** Records that the tables were confirmed as the newest, and resumes the feed
    * after `Suspend`.
    * @param aSentAt boot time at which the read of the store was sent that
@@ -148,6 +157,8 @@
   std::string tables_;
   /** `tables_` in the encoding of the feed; empty until a daemon needs it. */
   std::string encodedTables_;
+  std::optional<EvacuatedZones> evacuatedZones_;
+  std::uint64_t zonesDigest_ = 0;
   std::vector<MemberRecord> members_;
   /** Boot time of the last confirmation; empty if the store doesn't answer. */
   std::optional<Time> confirmedAt_;
--- a/modules/azurecross_serving/state/ServingSettings.h
+++ b/modules/azurecross_serving/state/ServingSettings.h
@@ -3,11 +3,21 @@
 #include <azurecross_dispatch/azurecross_dispatch.h>
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 
 namespace azurecross {
 
+/** The largest number of requests that all daemons together send to a cold
+ * server in any second: a factor of the rate that its pool names, plus a
+ * number. */
+struct WarmUpBound
+{
+  double factor_ = 1.0;
+  double slack_ = 0.0;
+};
+
 /** The settings of one entry daemon. */
 struct ServingSettings
 {
@@ -42,6 +52,8 @@
    * checks; requests keep arriving until then. */
   Duration minShutdownTime_ = std::chrono::milliseconds(3500);
   RetryAllowance::Bounds retryBounds_;
+  /** Set if the number of requests to cold servers is limited. */
+  std::optional<WarmUpBound> warmUpBound_;
   /** What is never quarantined. */
   std::set<Fingerprint> exemptFingerprints_;
 };
--- a/modules/azurecross_serving/state/ServingState.cpp
+++ b/modules/azurecross_serving/state/ServingState.cpp
@@ -14,6 +14,10 @@
 /** Subtracted from the key revocation delay, to allow for clock drift and for
  * the transit time of a request. */
 constexpr Duration kKeyRevocationMargin = std::chrono::milliseconds(300);
+/** Time for which generations may resume in a zone after this daemon has learned
+ * of its evacuation. A change reaches the daemons within two seconds, which
+ * leaves a second of the five that operators allow. */
+constexpr Duration kResumeGracePeriod = std::chrono::seconds(2);
 
 } // namespace
 
@@ -27,6 +31,7 @@
   , quarantine_(HashBytes(aSettings.entryId_))
   , limiter_(DrawSystemSeed())
   , keyFreshness_(aSettings.maxKeyRevocationDelay_, kKeyRevocationMargin)
+  , warmUpBound_(aSettings.warmUpBound_)
   , requiresCustomers_(aSettings.requiresCustomers_)
 {
   quarantine_.SetExempt(aSettings.exemptFingerprints_);
@@ -125,6 +130,106 @@
   peerVersion_ = std::max(peerVersion_, aVersion);
 }
 
+void
+ServingState::ApplyEvacuatedZones(const EvacuatedZones& aZones, Time aNow)
+{
+  for (const ZoneEvacuationChange& change : evacuations_.Apply(aZones, aNow)) {
+    ApplyEvacuationChange(change, aNow);
+  }
+}
+
+void
+ServingState::ApplyEvacuationChange(const ZoneEvacuationChange& aChange,
+                                    Time aNow)
+{
+  loadTracker_.SetEvacuated(aChange.zone_, aChange.isEvacuated_);
+  std::size_t servers = 0;
+  std::size_t runs = 0;
+  for (const auto& [id, server] : loadTracker_.GetServers()) {
+    if (server.record_.zone_ != aChange.zone_) {
+      continue;
+    }
+    ++servers;
+    runs += server.ownUsage_.runs_;
+    if (!aChange.isEvacuated_) {
+      LimitWarmUp(
+        id, GetWarmUpTime(server.record_.pool_), "zone taken back", aNow);
+    }
+  }
+  metrics_.SetEvacuatedZones(evacuations_.CountEvacuated());
+  // An unknown zone has no servers.
+  log_.Write(Decision::ZoneEvacuationChanged,
+             { { "availability_zone", aChange.zone_ },
+               { "change", aChange.isEvacuated_ ? "evacuated" : "taken_back" },
+               { "backend_servers", servers },
+               { "running", runs } });
+  NotifyLoadChanged();
+}
+
+Duration
+ServingState::GetWarmUpTime(const PoolName& aPool) const
+{
+  const ServingPool* pool = tables_ ? tables_->FindPool(aPool) : nullptr;
+  return pool != nullptr && pool->warmUp_ ? pool->warmUp_->time_
+                                          : Duration::zero();
+}
+
+void
+ServingState::LimitWarmUp(const BackendServerId& aServer,
+                          Duration aRemaining,
+                          std::string_view aSource,
+                          Time aNow)
+{
+  const ServerRecord* server = directory_.Find(aServer);
+  const ServingPool* pool =
+    server != nullptr && tables_ ? tables_->FindPool(server->pool_) : nullptr;
+  if (!warmUpBound_ || pool == nullptr || !pool->warmUp_ ||
+      aRemaining <= Duration::zero()) {
+    return;
+  }
+  const double rate = pool->warmUp_->requestsPerSecond_;
+  const double maxInSecond =
+    warmUpBound_->factor_ * rate + warmUpBound_->slack_;
+  loadTracker_.SetWarmUpEnd(aServer, aNow + aRemaining);
+  if (limiter_.SetWarmUp(aServer, rate, maxInSecond, aRemaining, aNow)) {
+    log_.Write(Decision::WarmUpChanged,
+               { { "backend_server", aServer },
+                 { "pool", pool->name_ },
+                 { "requests_per_s", rate },
+                 { "for_s", ToSeconds(aRemaining) },
+                 { "source", aSource } });
+  }
+}
+
+void
+ServingState::FinishRun(RunId aRun, RunOutcome aEnd, Time aNow)
+{
+  const RunDescription* run = loadTracker_.FindRun(aRun);
+  const bool isUnreachable = run != nullptr && aEnd == RunOutcome::Unreachable;
+  const BackendServerId server =
+    isUnreachable ? run->server_ : BackendServerId();
+  loadTracker_.Finish(aRun, aEnd, aNow);
+  // It may be starting again, which only its registration tells.
+  const ServerLoad* load =
+    isUnreachable && !isStoreReachable_ ? loadTracker_.Find(server) : nullptr;
+  if (load != nullptr) {
+    const Duration warmUpTime = GetWarmUpTime(load->record_.pool_);
+    const Duration remaining = load->suspectUntil_ - aNow + warmUpTime;
+    LimitWarmUp(server,
+                warmUpTime > Duration::zero() ? remaining : warmUpTime,
+                "unreachable",
+                aNow);
+  }
+}
+
+bool
+ServingState::MayResumeAt(const BackendServerId& aServer, Time aNow) const
+{
+  const ServerRecord* server = directory_.Find(aServer);
+  return server == nullptr || !evacuations_.IsEvacuatedFor(
+                                server->zone_, kResumeGracePeriod, aNow);
+}
+
 void
 ServingState::ApplyRegistration(const ServerRecord& aRecord, Time aNow)
 {
@@ -137,7 +242,7 @@
   }
   if (change == ServerChange::Restarted) {
     loadTracker_.Restart(aRecord.id_, aNow);
-    limiter_.GetTable().Forget(aRecord.id_, aNow);
+    limiter_.Forget(aRecord.id_, aNow);
   }
   // The state can differ from that of a registration that is out of date.
   const ServerRecord record = *directory_.Find(aRecord.id_);
@@ -150,6 +255,7 @@
                { "availability_zone", record.zone_ },
                { "state", kServerStateNames.FindName(record.state_) },
                { "slots", record.slots_ } });
+  LimitWarmUp(record.id_, record.remainingWarmUp_, "registration", aNow);
   if (record.state_ == ServerState::Draining && !wasDraining) {
     MarkLeaving(record.id_, aNow);
   }
@@ -175,7 +281,7 @@
     MarkLeaving(aId, aNow);
   }
   loadTracker_.Remove(aId);
-  limiter_.GetTable().Forget(aId, aNow);
+  limiter_.Forget(aId, aNow);
 }
 
 void
@@ -343,6 +449,7 @@
                  { "source", change.isFromPeer_ ? "peer" : "answer" } });
   }
   metrics_.SetLimitedServers(limiter_.GetTable().CountLimited());
+  metrics_.SetColdServers(limiter_.CountCold());
 }
 
 void
@@ -420,6 +527,9 @@
   metrics_.SetPermitCounts(limiter_.GetCounts());
   quarantine_.Tick(aNow);
   SetQuarantineMetrics();
+  for (const ZoneEvacuationChange& change : evacuations_.Tick(aNow)) {
+    ApplyEvacuationChange(change, aNow);
+  }
   for (const BackendServerId& id : directory_.RemoveExpired(aNow)) {
     log_.Write(
       Decision::ServerChanged,
@@ -428,7 +538,7 @@
         { "reason", "still missing after an outage of the store" } });
     MarkLeaving(id, aNow);
     loadTracker_.Remove(id);
-    limiter_.GetTable().Forget(id, aNow);
+    limiter_.Forget(id, aNow);
   }
   for (const ServerRecord& record : directory_.ReleaseRestored(aNow)) {
     loadTracker_.Update(record, FindEngineTraits(record.pool_), aNow);
--- a/modules/azurecross_serving/state/ServingState.h
+++ b/modules/azurecross_serving/state/ServingState.h
@@ -50,6 +50,12 @@
     requiresCustomers_ = aRequiresCustomers;
   }
 
+  /** Replaces the limit of the requests to cold servers. */
+  void SetWarmUpBound(std::optional<WarmUpBound> aBound)
+  {
+    warmUpBound_ = aBound;
+  }
+
   /** @returns whether requests can be served: tables are loaded and, if
    * customers need API keys, are fresh enough to check the keys. */
   bool IsServing(Time aBootNow) const;
@@ -71,6 +77,13 @@
   /** Records the version of the tables that a peer has. */
   void RecordPeerVersion(std::uint64_t aVersion);
 
+  /** Applies the operator's list of evacuated zones. */
+  void ApplyEvacuatedZones(const EvacuatedZones& aZones, Time aNow);
+  /** @returns whether a generation may resume at a server. After its zone was
+   * evacuated, a generation that had already stopped for its move there may
+   * resume for a moment. */
+  bool MayResumeAt(const BackendServerId& aServer, Time aNow) const;
+
   /** Applies a complete list of registrations. Servers missing from the list
    * are removed.
    * @param aIsAfterOutage whether the store was unavailable recently: missing
@@ -106,6 +119,15 @@
                          std::optional<double> aRequestsPerSecond,
                          Time aSentAt,
                          Time aNow);
+  /** Records that a server has stated that it stays cold for some time. */
+  void RecordServerWarmUp(const BackendServerId& aServer,
+                          Duration aRemaining,
+                          Time aNow)
+  {
+    LimitWarmUp(aServer, aRemaining, "answer", aNow);
+  }
+  /** Ends a run. */
+  void FinishRun(RunId aRun, RunOutcome aEnd, Time aNow);
   /** Adds the limits that another daemon reported. */
   void MergeServerLimits(const std::vector<ServerLimit>& aLimits);
   /** Handles a message of another daemon about permits. */
@@ -202,6 +224,15 @@
                     std::string_view aReason,
                     Time aNow);
   void MarkLeaving(const BackendServerId& aId, Time aNow);
+  void ApplyEvacuationChange(const ZoneEvacuationChange& aChange, Time aNow);
+  /** @returns the time that a server of the pool needs to become warm; 0 if cold
+   * servers are not limited. */
+  Duration GetWarmUpTime(const PoolName& aPool) const;
+  /** Limits a cold server, if the settings and the tables ask for that. */
+  void LimitWarmUp(const BackendServerId& aServer,
+                   Duration aRemaining,
+                   std::string_view aSource,
+                   Time aNow);
   /** Applies that a server drains by a notice from outside the store. */
   void ApplyDraining(const BackendServerId& aServer,
                      std::string_view aSource,
@@ -215,10 +246,12 @@
   ServingTablesPtr tables_;
   ServerDirectory directory_;
   ServerLoadTracker loadTracker_;
+  ZoneEvacuations evacuations_;
   RetryAllowance retryBudget_;
   RequestQuarantine quarantine_;
   ServerLimiter limiter_;
   KeyFreshness keyFreshness_;
+  std::optional<WarmUpBound> warmUpBound_;
   bool requiresCustomers_;
   /** The newest version of the tables that a peer has reported. */
   std::uint64_t peerVersion_ = 0;
--- a/modules/azurecross_serving/state/StateSource.h
+++ b/modules/azurecross_serving/state/StateSource.h
@@ -27,6 +27,8 @@
   std::uint64_t version_ = 0;
   /** The tables in the store's format, to be forwarded to other daemons. */
   std::string text_;
+  /** The evacuated zones; empty if the source doesn't tell them. */
+  std::optional<EvacuatedZones> evacuatedZones_;
   /** Age of the snapshot when the request for the snapshot was sent; not zero
    * if another daemon served the snapshot. */
   Duration age_{};
@@ -85,7 +87,8 @@
  * The store of the durable state: the operator's tables, the registrations of
  * backend servers and the records of live daemons.
  *
- * - `ReadTables` and `ListServers` return the newest state.
+ * - `ReadTables` and `ListServers` return the newest state. The tables come
+ *   with the evacuated zones.
  * - `WatchTables` and `WatchServers` return after a change that is newer than
  *   the revision, or without changes after a timeout. `GenerationLost` means
  *   that the changes since the revision are no longer available and that the
--- a/modules/azurecross_serving/state/StateSync.h
+++ b/modules/azurecross_serving/state/StateSync.h
@@ -227,6 +227,11 @@
    * that is possible. */
   boost::asio::awaitable<void> ApplySnapshot(TablesSnapshot& aSnapshot)
   {
+    // First, so that this daemon isn't ready before it knows the zones.
+    if (aSnapshot.evacuatedZones_) {
+      state_.ApplyEvacuatedZones(*aSnapshot.evacuatedZones_,
+                                 ReadMonotonicTime());
+    }
     if (!aSnapshot.defect_.empty()) {
       state_.RejectTables(aSnapshot.GetVersion(), aSnapshot.defect_);
       co_return;
--- a/modules/azurecross_serving/wire/WireProtocol.h
+++ b/modules/azurecross_serving/wire/WireProtocol.h
@@ -78,6 +78,8 @@
   /** The requests per second that the server takes from all daemons together,
    * if it states a limit. */
   std::optional<double> requestLimit_;
+  /** How long the server stays cold, if it states that. */
+  std::optional<Duration> warmUpTime_;
   /** How long the server keeps an idle connection open, if announced. */
   std::optional<Duration> keepAliveTimeout_;
 };
