--- a/modules/azurecross_dispatch/limits/PermitIssuer.cpp
+++ b/modules/azurecross_dispatch/limits/PermitIssuer.cpp
@@ -8,6 +8,15 @@
 
 /** Requests without a permit delay later ones by no more than this. */
 constexpr Duration kMaxDebtTime = std::chrono::seconds(8);
+/** Time for which a free slot is kept for a request that was denied one. Its
+ * daemon asks again within two ticks of its dispatcher. */
+constexpr Duration kReservationTime = std::chrono::milliseconds(60);
+/** A slot is only kept for a request whose rank is better by this. Less isn't
+ * worth the time for which the engine stands idle. */
+constexpr int kReservationMargin = 50;
+/** Every tenth slot is kept for requests of a much worse rank, so that lesser
+ * work goes on under a flood of urgent work. */
+constexpr unsigned kMaxPassedSlots = 9;
 /** A server without requests for this long starts anew. */
 constexpr Duration kIdleTime = std::chrono::seconds(10);
 
@@ -36,6 +45,40 @@
   return { true, wait };
 }
 
+PermitDecision
+PermitIssuer::IssueByRank(const BackendServerId& aServer,
+                          double aRequestsPerSecond,
+                          int aRank,
+                          Time aNow)
+{
+  RankedDemand& demand = demands_[aServer];
+  const bool isLesser =
+    aNow < demand.until_ && demand.rank_ + kReservationMargin <= aRank;
+  const bool isLesserTurn =
+    demand.passedSlots_ >= kMaxPassedSlots && aNow < demand.lesserUntil_;
+  const bool isFree = FindNextSlot(aServer, aNow) <= aNow;
+  PermitDecision decision;
+  if (isFree && isLesser != isLesserTurn) {
+    decision.wait_ = (isLesser ? demand.until_ : demand.lesserUntil_) - aNow;
+  } else {
+    decision = Issue(aServer, aRequestsPerSecond, Duration::zero(), aNow);
+  }
+  if (decision.isGranted_) {
+    const bool isPassedOver = !isLesser && aNow < demand.lesserUntil_;
+    demand.passedSlots_ = isPassedOver ? demand.passedSlots_ + 1 : 0;
+    demand.until_ = aNow;
+    return decision;
+  }
+  const Time expectedAt = aNow + decision.wait_ + kReservationTime;
+  if (isLesser) {
+    demand.lesserUntil_ = expectedAt;
+  } else if (aNow >= demand.until_ || aRank <= demand.rank_) {
+    demand.rank_ = aRank;
+    demand.until_ = expectedAt;
+  }
+  return decision;
+}
+
 void
 PermitIssuer::Charge(const BackendServerId& aServer,
                      double aRequestsPerSecond,
@@ -62,6 +105,9 @@
   std::erase_if(nextSlots_, [&](const auto& aEntry) {
     return aNow - aEntry.second > kIdleTime;
   });
+  std::erase_if(demands_, [&](const auto& aEntry) {
+    return aNow - aEntry.second.until_ > kIdleTime;
+  });
 }
 
 } // namespace azurecross
--- a/modules/azurecross_dispatch/limits/PermitIssuer.h
+++ b/modules/azurecross_dispatch/limits/PermitIssuer.h
@@ -35,6 +35,14 @@
                        double aRequestsPerSecond,
                        Duration aMaxWait,
                        Time aNow);
+  /** Takes the next slot if it is free now and no request of a much better rank
+   * has been denied one lately. The daemons ask again as soon as the slot is
+   * free, so that the best rank among all of them gets it.
+   * @param aRank the rank of the request; the lowest is served first. */
+  PermitDecision IssueByRank(const BackendServerId& aServer,
+                             double aRequestsPerSecond,
+                             int aRank,
+                             Time aNow);
   /** Takes slots for requests that were sent without a permit. */
   void Charge(const BackendServerId& aServer,
               double aRequestsPerSecond,
@@ -46,11 +54,24 @@
   void Tick(Time aNow);
 
 private:
+  /** The best rank that was denied a slot. */
+  struct RankedDemand
+  {
+    int rank_ = 0;
+    /** Until when the slot is kept for it. */
+    Time until_;
+    /** Until when a request of a much worse rank is expected to ask again. */
+    Time lesserUntil_;
+    /** Consecutive slots that such requests have not got. */
+    unsigned passedSlots_ = 0;
+  };
+
   /** @returns the start of the next slot. */
   Time& FindNextSlot(const BackendServerId& aServer, Time aNow);
 
   /** The start of the next free slot; in the past while slots are unused. */
   std::map<BackendServerId, Time> nextSlots_;
+  std::map<BackendServerId, RankedDemand> demands_;
 };
 
 } // namespace azurecross
--- a/modules/azurecross_dispatch/limits/PermitMessage.h
+++ b/modules/azurecross_dispatch/limits/PermitMessage.h
@@ -45,6 +45,8 @@
   /** Request: the longest usable wait. Reply: the time until the permit may be
    * used, or until one is expected to be free. */
   Duration wait_{};
+  /** Request: its rank; the lowest is served first. */
+  int rank_ = 0;
   bool isGranted_ = false;
   /** The number of permits that are returned, or of requests without one. */
   std::uint32_t count_ = 1;
--- a/modules/azurecross_dispatch/limits/ServerLimiter.cpp
+++ b/modules/azurecross_dispatch/limits/ServerLimiter.cpp
@@ -44,18 +44,24 @@
 {
   table_.Forget(aServer, aNow);
   warmUps_.Forget(aServer);
+  paces_.erase(aServer);
 }
 
 std::optional<double>
 ServerLimiter::FindRate(const BackendServerId& aServer, Time aNow) const
 {
-  const std::optional<double> stated = table_.Find(aServer);
-  const std::optional<WarmUp> warmUp = warmUps_.Find(aServer, aNow);
-  if (!warmUp) {
-    return stated;
+  std::optional<double> rate = table_.Find(aServer);
+  const auto lower = [&rate](double aLimit) {
+    rate = std::min(rate.value_or(aLimit), aLimit);
+  };
+  if (const auto warmUp = warmUps_.Find(aServer, aNow)) {
+    lower(warmUp->requestsPerSecond_);
+  }
+  const auto pace = paces_.find(aServer);
+  if (pace != paces_.end()) {
+    lower(pace->second);
   }
-  return std::min(stated.value_or(warmUp->requestsPerSecond_),
-                  warmUp->requestsPerSecond_);
+  return rate;
 }
 
 PermitStatus
@@ -90,11 +96,20 @@
   if (holding.denial_ && aNow < holding.denial_->until_) {
     wait = std::max(holding.denial_->slotAt_ - aNow, Duration::zero());
   }
-  return { wait > aMaxWait ? PermitState::Unavailable : PermitState::Obtainable,
+  const Duration maxWait =
+    HasPaceOnly(aServer, aNow) ? Duration::zero() : aMaxWait;
+  return { wait > maxWait ? PermitState::Unavailable : PermitState::Obtainable,
            wait,
            false };
 }
 
+bool
+ServerLimiter::HasPaceOnly(const BackendServerId& aServer, Time aNow) const
+{
+  return paces_.contains(aServer) && !table_.Find(aServer) &&
+         !warmUps_.Find(aServer, aNow);
+}
+
 const std::string&
 ServerLimiter::FindReachableIssuer(const BackendServerId& aServer,
                                    const AvailabilityZone& aServerZone,
@@ -129,12 +144,16 @@
 ServerLimiter::Issue(const BackendServerId& aServer,
                      const AvailabilityZone& aServerZone,
                      Duration aMaxWait,
+                     int aRank,
                      Time aNow)
 {
   const std::optional<double> rate = GetIssueRate(aServer, aServerZone, aNow);
   if (!rate) {
     return { true, Duration::zero() };
   }
+  if (HasPaceOnly(aServer, aNow)) {
+    return issuer_.IssueByRank(aServer, *rate, aRank, aNow);
+  }
   return issuer_.Issue(aServer, *rate, aMaxWait, aNow);
 }
 
@@ -162,7 +181,8 @@
 ServerLimiter::Request(const BackendServerId& aServer,
                        const AvailabilityZone& aServerZone,
                        Duration aMaxWait,
-                       Time aNow)
+                       Time aNow,
+                       int aRank)
 {
   Holding& holding = holdings_[aServer];
   holding.serverZone_ = aServerZone;
@@ -171,11 +191,14 @@
   }
   const std::string& issuer = FindReachableIssuer(aServer, aServerZone, aNow);
   if (issuer == selector_.GetSelf()) {
-    Apply(holding, issuer, Issue(aServer, aServerZone, aMaxWait, aNow), aNow);
+    Apply(holding,
+          issuer,
+          Issue(aServer, aServerZone, aMaxWait, aRank, aNow),
+          aNow);
     return;
   }
   holding.pending_ =
-    PendingRequest{ nextId_++, issuer, aNow, aNow, 1, aMaxWait };
+    PendingRequest{ nextId_++, issuer, aNow, aNow, 1, aMaxWait, aRank };
   SendRequest(aServer, holding, aNow);
 }
 
@@ -195,6 +218,10 @@
     holding.permits_.erase(holding.permits_.begin());
     return;
   }
+  // A generation that resumes from a copy has no prompt to read.
+  if (HasPaceOnly(aServer, aNow)) {
+    return;
+  }
   ++counts_.charged_;
   Report(PermitMessageKind::Charge,
          aServer,
@@ -216,7 +243,8 @@
     Account(aKind, aServer, aServerZone, aCount, aNow);
     return;
   }
-  PermitMessage message = MakeMessage(aKind, aServer, aServerZone, aIssuer, aNow);
+  PermitMessage message =
+    MakeMessage(aKind, aServer, aServerZone, aIssuer, aNow);
   message.count_ = aCount;
   messages_.push_back(std::move(message));
 }
@@ -272,6 +300,7 @@
                                       aNow);
   message.id_ = pending.id_;
   message.wait_ = pending.maxWait_;
+  message.rank_ = pending.rank_;
   messages_.push_back(std::move(message));
 }
 
@@ -308,8 +337,11 @@
 void
 ServerLimiter::HandleRequest(const PermitMessage& aMessage, Time aNow)
 {
-  const PermitDecision decision =
-    Issue(aMessage.server_, aMessage.serverZone_, aMessage.wait_, aNow);
+  const PermitDecision decision = Issue(aMessage.server_,
+                                        aMessage.serverZone_,
+                                        aMessage.wait_,
+                                        aMessage.rank_,
+                                        aNow);
   PermitMessage reply = MakeMessage(PermitMessageKind::Reply,
                                     aMessage.server_,
                                     aMessage.serverZone_,
--- a/modules/azurecross_dispatch/limits/ServerLimiter.h
+++ b/modules/azurecross_dispatch/limits/ServerLimiter.h
@@ -88,6 +88,11 @@
                  double aMaxInSecond,
                  Duration aRemaining,
                  Time aNow);
+  /** Replaces the rates at which engines read prompts. */
+  void SetPaces(std::map<BackendServerId, double> aPaces)
+  {
+    paces_ = std::move(aPaces);
+  }
   /** Forgets the limits of a server that has ended or started again. */
   void Forget(const BackendServerId& aServer, Time aNow);
   std::size_t CountCold() const { return warmUps_.CountCold(); }
@@ -97,11 +102,14 @@
                           Duration aMaxWait,
                           Time aNow) const;
   /** Requests a permit, unless one is outstanding. A permit that this daemon
-   * issues itself is available at once. */
+   * issues itself is available at once.
+   * @param aRank the rank of the waiting request among those of all daemons;
+   * the lowest is served first. It counts at engines that only have a pace. */
   void Request(const BackendServerId& aServer,
                const AvailabilityZone& aServerZone,
                Duration aMaxWait,
-               Time aNow);
+               Time aNow,
+               int aRank = 0);
   /** Uses a permit for a request that is sent now. Without a permit, the issuer
    * counts the request against the following permits. */
   void Use(const BackendServerId& aServer,
@@ -136,6 +144,7 @@
     Time sentAt_;
     unsigned sends_ = 1;
     Duration maxWait_{};
+    int rank_ = 0;
   };
 
   /** The denial of a permit. */
@@ -159,6 +168,10 @@
   /** @returns the lowest of the limits of a server, if it has one. */
   std::optional<double> FindRate(const BackendServerId& aServer,
                                  Time aNow) const;
+  /** @returns whether the server is an engine without other limits than its
+   * pace. A request never waits for a permit of such an engine: another one is
+   * used meanwhile. */
+  bool HasPaceOnly(const BackendServerId& aServer, Time aNow) const;
   /** @returns the daemon to ask, which may be this one. */
   const std::string& FindReachableIssuer(const BackendServerId& aServer,
                                          const AvailabilityZone& aServerZone,
@@ -171,6 +184,7 @@
   PermitDecision Issue(const BackendServerId& aServer,
                        const AvailabilityZone& aServerZone,
                        Duration aMaxWait,
+                       int aRank,
                        Time aNow);
   void Apply(Holding& aHolding,
              const std::string& aIssuer,
@@ -209,6 +223,7 @@
 
   ServerLimitTable table_;
   WarmUpTable warmUps_;
+  std::map<BackendServerId, double> paces_;
   IssuerSelector selector_;
   PermitIssuer issuer_;
   std::map<BackendServerId, Holding> holdings_;
--- a/modules/azurecross_dispatch/limits/WarmUpTable.cpp
+++ b/modules/azurecross_dispatch/limits/WarmUpTable.cpp
@@ -39,9 +39,8 @@
 void
 WarmUpTable::Tick(Time aNow)
 {
-  std::erase_if(warmUps_, [&](const auto& aEntry) {
-    return aNow >= aEntry.second.until_;
-  });
+  std::erase_if(
+    warmUps_, [&](const auto& aEntry) { return aNow >= aEntry.second.until_; });
 }
 
 } // namespace azurecross
--- a/modules/azurecross_dispatch/placement/ServerLoadTracker.cpp
+++ b/modules/azurecross_dispatch/placement/ServerLoadTracker.cpp
@@ -1,6 +1,7 @@
 #include "ServerLoadTracker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace azurecross {
 
@@ -39,6 +40,11 @@
 constexpr Duration kPeerLifetime = std::chrono::milliseconds(1500);
 /** Output growth is reported to the length predictor in steps of this size. */
 constexpr std::uint32_t kGrowthStepTokens = 64;
+/** Tokens of one measurement of an engine's pace. Events can arrive together,
+ * so that single gaps are too short. */
+constexpr std::uint32_t kPaceTokens = 24;
+/** Prompt tokens of a run before any observation. */
+constexpr double kAssumedPromptTokens = 2000.0;
 
 double
 GetMean(const ServerLoad& aServer,
@@ -77,6 +83,7 @@
 AddToSummary(LoadSummary& aSummary,
              const std::vector<ServerUsage>& aUsage,
              const std::vector<ReportedStatistics>& aStatistics,
+             const std::vector<ReportedPace>& aPaces,
              std::uint32_t aDaemonCount)
 {
   aSummary.daemonCount_ += aDaemonCount;
@@ -90,6 +97,13 @@
     FindOrAddEntry(aSummary.statistics_, report.server_)
       .statistics_.Add(report.statistics_);
   }
+  for (const ReportedPace& pace : aPaces) {
+    ReportedPace& fastest = FindOrAddEntry(aSummary.paces_, pace.server_);
+    const bool isFaster = fastest.secondsPerToken_ <= 0.0 ||
+                          pace.secondsPerToken_ < fastest.secondsPerToken_;
+    fastest.secondsPerToken_ =
+      isFaster ? pace.secondsPerToken_ : fastest.secondsPerToken_;
+  }
 }
 
 /** Forgets the failures of a zone after an answer, which shows that the zone is
@@ -129,6 +143,17 @@
                  kAssumedTokenGaps);
 }
 
+std::optional<double>
+ServerLoad::FindFastestPace(Time aNow) const
+{
+  const auto own = ownPace_.Find(aNow);
+  const auto reported = peerPace_.Find(aNow);
+  if (own && reported) {
+    return std::min(*own, *reported);
+  }
+  return own ? own : reported;
+}
+
 double
 ServerLoad::GetSecondsPerCall() const
 {
@@ -182,6 +207,8 @@
   load.suspectUntil_ = Time();
   load.pausedUntil_ = Time();
   load.ownStatistics_.Reset();
+  load.ownPace_ = TokenPace();
+  load.peerPace_ = TokenPace();
 }
 
 void
@@ -263,6 +290,27 @@
   return std::max(0.0, expected - aTokens);
 }
 
+double
+ServerLoadTracker::PredictOutputQuantile(const RouteName& aRoute,
+                                         const CustomerId& aCustomer,
+                                         const GenerationDemand& aDemand,
+                                         double aProbability) const
+{
+  constexpr std::uint32_t kFirstTokens = 8;
+  constexpr std::uint32_t kMaxTokens = std::uint32_t{ 1 } << 16U;
+  const auto lengthClass =
+    lengths_.FindOrAddClass(aRoute, ModelName(), aCustomer);
+  const std::uint32_t limit = aDemand.outputLimit_ > 0
+                                ? std::min(aDemand.outputLimit_, kMaxTokens)
+                                : kMaxTokens;
+  std::uint32_t tokens = std::min(kFirstTokens, limit);
+  while (tokens < limit &&
+         lengths_.PredictSurvival(lengthClass, 0, tokens) > aProbability) {
+    tokens = std::min(2 * tokens, limit);
+  }
+  return tokens;
+}
+
 RunId
 ServerLoadTracker::Start(const RunDescription& aRun)
 {
@@ -288,6 +336,7 @@
       run.promptTokensAhead_ =
         server.GetPendingPromptTokens() + run.pendingPromptTokens_;
       server.ownUsage_.pendingPromptTokens_ += run.pendingPromptTokens_;
+      promptTokens_[server.record_.pool_].Add(run.pendingPromptTokens_);
       prefixes_.AddPrompt(
         server.prefixIndexId_, aRun.demand_.prefixHashes_, aRun.startedAt_);
     }
@@ -322,6 +371,7 @@
     server.ownStatistics_.Get(aNow).secondsPerToken_.Add(
       since / (aTokens - run.tokens_));
   }
+  ObservePace(run, server, aTokens, aNow);
   server.consecutiveFailures_ = 0;
   ForgetEarlierFailure(zoneFailures_, server.record_.zone_, aNow);
   run.lastEvent_ = aNow;
@@ -336,6 +386,53 @@
   run.memory_ = memory;
 }
 
+void
+ServerLoadTracker::ObservePace(Run& aRun,
+                               ServerLoad& aServer,
+                               std::uint32_t aTokens,
+                               Time aNow)
+{
+  // The time before the first event is that of the prompt or of a move.
+  const bool isFirst = !std::exchange(aRun.hasEvent_, true);
+  const bool isMeasured = aServer.engine_ && aServer.engine_->pacesPrompts_;
+  if (isFirst || !isMeasured || aTokens <= aRun.tokens_) {
+    aRun.paceStart_ = aNow;
+    aRun.paceStartTokens_ = std::max(aTokens, aRun.tokens_);
+    return;
+  }
+  if (const auto fastest = aServer.FindFastestPace(aNow)) {
+    const double gap = ToSeconds(aNow - aRun.lastEvent_);
+    stalls_.Observe(gap / (*fastest * (aTokens - aRun.tokens_)), aNow);
+  }
+  const std::uint32_t tokens = aTokens - aRun.paceStartTokens_;
+  if (tokens >= kPaceTokens) {
+    aServer.ownPace_.Observe(ToSeconds(aNow - aRun.paceStart_) / tokens, aNow);
+    aRun.paceStart_ = aNow;
+    aRun.paceStartTokens_ = aTokens;
+  }
+}
+
+double
+ServerLoadTracker::GetMeanPromptTokens(const PoolName& aPool) const
+{
+  const auto found = promptTokens_.find(aPool);
+  return found == promptTokens_.end()
+           ? kAssumedPromptTokens
+           : found->second.GetMean(kAssumedPromptTokens, 1.0);
+}
+
+std::optional<double>
+ServerLoadTracker::PredictLongestGap(const ServerLoad& aEngine, Time aNow) const
+{
+  const auto fastest = aEngine.FindFastestPace(aNow);
+  if (!fastest || !aEngine.engine_) {
+    return std::nullopt;
+  }
+  DecayedMean ratio = peerDisturbedRatio_;
+  ratio.Add(stalls_.GetDisturbedRatio());
+  return *fastest * aEngine.engine_->tokensPerEvent_ * ratio.GetMean(1.0, 0.0);
+}
+
 void
 ServerLoadTracker::Finish(RunId aRun, RunOutcome aEnd, Time aNow)
 {
@@ -452,6 +549,27 @@
   AddStatistics(peer.reportedStatistics_, 1.0);
 }
 
+void
+ServerLoadTracker::SetPeerPaces(const std::string& aPeer,
+                                std::vector<ReportedPace> aPaces,
+                                const DecayedMean& aDisturbedRatio,
+                                Time aNow)
+{
+  for (const ReportedPace& pace : aPaces) {
+    const auto found = servers_.find(pace.server_);
+    if (found != servers_.end()) {
+      found->second.peerPace_.Observe(pace.secondsPerToken_, aNow);
+    }
+  }
+  const auto peer = peers_.find(aPeer);
+  if (peer != peers_.end()) {
+    peer->second.paces_ = std::move(aPaces);
+    peerDisturbedRatio_.Add(peer->second.disturbedRatio_, -1.0);
+    peer->second.disturbedRatio_ = aDisturbedRatio;
+    peerDisturbedRatio_.Add(aDisturbedRatio);
+  }
+}
+
 std::size_t
 ServerLoadTracker::ExpirePeers(Time aNow)
 {
@@ -472,8 +590,12 @@
   LoadSummary summary;
   for (const auto& [name, peer] : peers_) {
     if (peer.scope_ == aScope) {
-      AddToSummary(
-        summary, peer.usage_, peer.reportedStatistics_, peer.daemonCount_);
+      AddToSummary(summary,
+                   peer.usage_,
+                   peer.reportedStatistics_,
+                   peer.paces_,
+                   peer.daemonCount_);
+      summary.disturbedRatio_.Add(peer.disturbedRatio_);
     }
   }
   return summary;
@@ -483,7 +605,9 @@
 ServerLoadTracker::SummarizeDaemons(Time aNow)
 {
   LoadSummary summary = SummarizePeers(LoadScope::Daemon);
-  AddToSummary(summary, GetOwnUsage(), GetOwnStatistics(aNow), 1);
+  AddToSummary(
+    summary, GetOwnUsage(), GetOwnStatistics(aNow), GetOwnPaces(aNow), 1);
+  summary.disturbedRatio_.Add(GetOwnDisturbedRatio());
   return summary;
 }
 
@@ -500,9 +624,11 @@
     server.peerUsage_ = ServerUsage{ id, 0, 0.0, 0.0 };
     server.peerStatistics_ = ServerStatistics();
   }
+  peerDisturbedRatio_ = DecayedMean();
   for (const auto& [name, peer] : peers_) {
     AddUsage(peer.usage_);
     AddStatistics(peer.reportedStatistics_, 1.0);
+    peerDisturbedRatio_.Add(peer.disturbedRatio_);
   }
 }
 
@@ -579,6 +705,18 @@
   return statistics;
 }
 
+std::vector<ReportedPace>
+ServerLoadTracker::GetOwnPaces(Time aNow) const
+{
+  std::vector<ReportedPace> paces;
+  for (const auto& [id, server] : servers_) {
+    if (const auto pace = server.ownPace_.Find(aNow)) {
+      paces.push_back({ id, *pace });
+    }
+  }
+  return paces;
+}
+
 bool
 ServerLoadTracker::IsDesignatedUser(const std::string& aDaemon,
                                     const BackendServerId& aServer) const
--- a/modules/azurecross_dispatch/placement/ServerLoadTracker.h
+++ b/modules/azurecross_dispatch/placement/ServerLoadTracker.h
@@ -4,6 +4,7 @@
 #include "../servers/ServerDirectory.h"
 #include "../tables/ServingTables.h"
 #include "ServerStatistics.h"
+#include "TokenPace.h"
 
 #include <azurecross_policy/azurecross_policy.h>
 
@@ -87,6 +88,13 @@
   ServerStatistics statistics_;
 };
 
+/** The shortest time per output token that an engine has shown recently. */
+struct ReportedPace
+{
+  BackendServerId server_;
+  double secondsPerToken_ = 0.0;
+};
+
 /** The daemons whose load a report covers. */
 enum class LoadScope
 {
@@ -109,6 +117,8 @@
 {
   std::vector<ServerUsage> usage_;
   std::vector<ReportedStatistics> statistics_;
+  std::vector<ReportedPace> paces_;
+  DecayedMean disturbedRatio_;
   std::uint32_t daemonCount_ = 0;
 };
 
@@ -133,6 +143,10 @@
   DecayingStatistics ownStatistics_;
   /** Combined statistics of all peers. */
   ServerStatistics peerStatistics_;
+  /** The fastest pace of an engine, as seen by this daemon, and as reported by
+   * peers. */
+  TokenPace ownPace_;
+  TokenPace peerPace_;
   /** Id of this server process in the prefix index; changes at a restart. */
   std::uint32_t prefixIndexId_ = 0;
 
@@ -150,6 +164,8 @@
   double GetSecondsPerPromptToken() const;
   /** @returns the time between two output tokens. */
   double GetSecondsPerToken() const;
+  /** @returns the time between two output tokens of an undisturbed engine. */
+  std::optional<double> FindFastestPace(Time aNow) const;
   /** @returns the duration of a plain call. */
   double GetSecondsPerCall() const;
   /** @returns the share of recent runs that failed or were rejected. */
@@ -201,6 +217,11 @@
   void SetPeerStatistics(const std::string& aPeer,
                          std::vector<ReportedStatistics> aStatistics,
                          Time aNow);
+  /** Adds the paces of engines that a peer has reported. */
+  void SetPeerPaces(const std::string& aPeer,
+                    std::vector<ReportedPace> aPaces,
+                    const DecayedMean& aDisturbedRatio,
+                    Time aNow);
   /** Discards the reports of peers that have expired.
    * @returns the number of daemons that the remaining reports cover. */
   std::size_t ExpirePeers(Time aNow);
@@ -219,6 +240,15 @@
   std::vector<ServerUsage> GetOwnUsage() const;
   /** @returns the recent statistics of this daemon, for its load report. */
   std::vector<ReportedStatistics> GetOwnStatistics(Time aNow);
+  /** @returns the paces that this daemon has seen of engines whose pools pace
+   * prompts, for its load report. */
+  std::vector<ReportedPace> GetOwnPaces(Time aNow) const;
+  /** @returns how much longer gaps of disturbed engines are than at their
+   * fastest pace, as seen by this daemon; without weight if it is unknown. */
+  DecayedMean GetOwnDisturbedRatio() const
+  {
+    return stalls_.GetDisturbedRatio();
+  }
 
   /** @returns whether no daemon with a smaller name uses the server. Selects
    * one daemon for work that must be done once per server. */
@@ -242,8 +272,21 @@
                                 const CustomerId& aCustomer,
                                 const GenerationDemand& aDemand,
                                 std::uint32_t aTokens) const;
+  /** @returns the output tokens that a new run exceeds with this probability.
+   */
+  double PredictOutputQuantile(const RouteName& aRoute,
+                               const CustomerId& aCustomer,
+                               const GenerationDemand& aDemand,
+                               double aProbability) const;
   /** @returns the expected remaining output tokens of a run. */
   double PredictRemainingOutputOfRun(RunId aRun) const;
+  /** @returns the mean number of prompt tokens that an engine of the pool reads
+   * for a run. */
+  double GetMeanPromptTokens(const PoolName& aPool) const;
+  /** @returns the longest gap between two events that a stream on the engine
+   * must expect, if the engine's pace is known. */
+  std::optional<double> PredictLongestGap(const ServerLoad& aEngine,
+                                          Time aNow) const;
   const RunDescription* FindRun(RunId aRun) const;
   std::vector<RunId> FindRunsOn(const BackendServerId& aServer) const;
 
@@ -267,12 +310,19 @@
     double promptTokensAhead_ = 0.0;
     std::uint32_t recordedTokens_ = 0;
     Time lastEvent_;
+    /** Whether this engine has sent an event. */
+    bool hasEvent_ = false;
+    /** Start of the current measurement of the engine's pace. */
+    Time paceStart_;
+    std::uint32_t paceStartTokens_ = 0;
   };
 
   struct Peer
   {
     std::vector<ServerUsage> usage_;
     std::vector<ReportedStatistics> reportedStatistics_;
+    std::vector<ReportedPace> paces_;
+    DecayedMean disturbedRatio_;
     Time receivedAt_;
     LoadScope scope_ = LoadScope::Daemon;
     std::uint32_t daemonCount_ = 1;
@@ -284,6 +334,11 @@
                        const GenerationDemand& aDemand,
                        std::uint32_t aTokens) const;
   void ClearPendingPrompt(Run& aRun, ServerLoad& aServer);
+  /** Measures the pace of the engine and the gap before an event. */
+  void ObservePace(Run& aRun,
+                   ServerLoad& aServer,
+                   std::uint32_t aTokens,
+                   Time aNow);
   void ObserveFailure(ServerLoad& aServer, RunOutcome aEnd, Time aNow);
   void ObserveUnreachable(const ServerRecord& aRecord, Time aNow);
   /** Recomputes the load and statistics totals over all peers. */
@@ -305,6 +360,11 @@
   };
 
   mutable LengthPredictor lengths_;
+  StallStatistics stalls_;
+  /** The sum of the peers' ratios. */
+  DecayedMean peerDisturbedRatio_;
+  /** Prompt tokens read for each run, by pool. */
+  std::map<PoolName, DecayedMean> promptTokens_;
   PrefixIndex prefixes_;
   std::map<BackendServerId, ServerLoad> servers_;
   std::unordered_map<RunId, Run> runs_;
--- a/modules/azurecross_dispatch/placement/ServerPlacement.cpp
+++ b/modules/azurecross_dispatch/placement/ServerPlacement.cpp
@@ -35,8 +35,26 @@
  * grows quadratically: half of that time costs about as much as most of an
  * engine's memory, a tenth of it almost nothing. */
 constexpr double kWaitCost = 3.0;
+/** Calls per slot of a service that may run and wait there, if they are
+ * expected to be answered in time, and if they are late anyway. A server
+ * rejects calls beyond its own queue, which holds several for each slot. */
+constexpr double kMaxServiceLoad = 3.0;
+constexpr double kMaxLateServiceLoad = 2.0;
 /** Cost of 10 ms between tokens: a run occupies a slow engine for longer. */
 constexpr double kTokenGapCost = 0.1;
+/** Cost of an engine whose gaps will exceed their target, for a long stream.
+ * Such a stream is late for its reader, whatever else the engine offers. */
+constexpr double kStallCost = 1.5;
+/** Cost of an engine whose gaps keep their target, for a short stream. */
+constexpr double kGapSafeEngineCost = 0.3;
+/** A stream with at least this many events meets disturbances of its engine. */
+constexpr double kLongStreamEvents = 10.0;
+/** Expected longest gaps, as shares of the target, from which a risk begins and
+ * is certain. Below 1, because the expectation is a mean over many streams. */
+constexpr double kMinRiskyGap = 0.8;
+constexpr double kMaxRiskyGap = 1.0;
+/** Risk of an engine whose pace is unknown. */
+constexpr double kUnknownStallRisk = 0.3;
 /** Cost of a server whose recent runs all failed. */
 constexpr double kFailureCost = 3.0;
 /** Cost of a server that was recently unreachable or has failed repeatedly. */
@@ -153,23 +171,57 @@
   PlacementChoice choice;
   choice.expectedSeconds_ = seconds;
   choice.loadShare_ = share;
-  choice.cost_ = share + kWaitCost * waitShare * waitShare +
-                 kTokenGapCost * aServer.GetSecondsPerToken() / 0.01;
+  choice.expectedGapSeconds_ =
+    aLoadTracker.PredictLongestGap(aServer, aNow).value_or(0.0);
+  choice.cost_ =
+    share + kWaitCost * waitShare * waitShare +
+    kTokenGapCost * aServer.GetSecondsPerToken() / 0.01 +
+    ComputeStallCost(engine, aRequest, choice.expectedGapSeconds_, output);
   return choice;
 }
 
+double
+ServerPlacement::ComputeStallCost(const EngineTraits& aEngine,
+                                  const PlacementRequest& aRequest,
+                                  double aGapSeconds,
+                                  double aOutput) const
+{
+  const double target = ToSeconds(aRequest.gapTarget_);
+  if (!aEngine.pacesPrompts_ || target <= 0.0) {
+    return 0.0;
+  }
+  const double risk = aGapSeconds > 0.0
+                        ? std::clamp((aGapSeconds / target - kMinRiskyGap) /
+                                       (kMaxRiskyGap - kMinRiskyGap),
+                                     0.0,
+                                     1.0)
+                        : kUnknownStallRisk;
+  const bool isLong = aOutput / aEngine.tokensPerEvent_ >= kLongStreamEvents;
+  return isLong ? kStallCost * risk : kGapSafeEngineCost * (1.0 - risk);
+}
+
 std::optional<PlacementChoice>
 ServerPlacement::RateService(const ServerLoad& aServer,
+                             const PlacementRequest& aRequest,
                              Duration aPermitWait) const
 {
   const std::uint32_t runs = aServer.GetRuns();
-  if (runs >= aServer.record_.slots_) {
+  const std::uint32_t slots = aServer.record_.slots_;
+  const bool isFull = runs >= slots;
+  if (isFull && !aRequest.mayQueueAtServer_) {
     return std::nullopt;
   }
   PlacementChoice choice;
-  choice.loadShare_ = static_cast<double>(runs + 1) / aServer.record_.slots_;
+  choice.loadShare_ = static_cast<double>(runs + 1) / slots;
+  const double rounds = std::max(choice.loadShare_, 1.0);
   choice.expectedSeconds_ =
-    ToSeconds(aPermitWait) + aServer.GetSecondsPerCall();
+    ToSeconds(aPermitWait) + rounds * aServer.GetSecondsPerCall();
+  const double left = ToSeconds(aRequest.timeToTarget_);
+  const bool isInTime = choice.expectedSeconds_ <= kUsableTimeShare * left;
+  const double maxLoad = isInTime ? kMaxServiceLoad : kMaxLateServiceLoad;
+  if (isFull && choice.loadShare_ > maxLoad) {
+    return std::nullopt;
+  }
   choice.cost_ = choice.loadShare_ + kSecondCost * choice.expectedSeconds_;
   return choice;
 }
@@ -195,7 +247,7 @@
   const Duration wait = isMoving ? Duration::zero() : permit.wait_;
   auto choice = aServer.engine_
                   ? RateEngine(aLoadTracker, aServer, aRequest, wait, aNow)
-                  : RateService(aServer, wait);
+                  : RateService(aServer, aRequest, wait);
   if (choice && isAwaited) {
     choice->awaitedPermit_ = permit.wait_;
   }
--- a/modules/azurecross_dispatch/placement/ServerPlacement.h
+++ b/modules/azurecross_dispatch/placement/ServerPlacement.h
@@ -26,6 +26,14 @@
   /** Time left until the answer or first event is late; negative if late. */
   Duration timeToTarget_{};
   std::vector<BackendServerId> excludedServers_;
+  /** The longest gap between events that isn't late; 0 if any gap is. */
+  Duration gapTarget_{};
+  /** Whether a plain call may wait in the queue of a server whose slots are all
+   * taken, if it is expected to be answered in time. */
+  bool mayQueueAtServer_ = false;
+  /** Whether the rank of the request among those of all daemons depends on what
+   * a delay costs its caller, instead of the priority alone. */
+  bool isRankedByCost_ = false;
   /** The preferred zone; if empty, the zone of this daemon. */
   AvailabilityZone preferredZone_;
   /** The longest usable wait for a permit of a server that limits its rate. */
@@ -42,6 +50,8 @@
   double cost_ = 0.0;
   /** Expected time to the first event or the answer. */
   double expectedSeconds_ = 0.0;
+  /** Expected longest gap between events; 0 if it is unknown. */
+  double expectedGapSeconds_ = 0.0;
   /** Used share of the server's memory or slots, the request included. */
   double loadShare_ = 0.0;
   std::uint32_t runs_ = 0;
@@ -63,6 +73,14 @@
  * adds a random part to the costs, which grows with the number of daemons, so
  * that they don't all choose the same server.
  *
+ * Where demand is near the capacity of engines of different speed, long streams
+ * avoid the engines whose gaps may exceed the target, and short ones leave the
+ * other engines to them.
+ *
+ * Load data about plain services is older than their calls. Where the tables
+ * allow it, a call is therefore sent to a server that looks full as long as it
+ * is expected to be answered in time.
+ *
  * A server that limits its rate competes with the others at its usual cost and
  * the wait for its next permit, and is left out while there is none.
  */
@@ -93,7 +111,15 @@
     const PlacementRequest& aRequest,
     Duration aPermitWait,
     Time aNow) const;
+  /** @returns the cost of gaps that are longer than their target.
+   * @param aGapSeconds the expected longest gap; 0 if it is unknown.
+   * @param aOutput expected remaining output tokens. */
+  double ComputeStallCost(const EngineTraits& aEngine,
+                          const PlacementRequest& aRequest,
+                          double aGapSeconds,
+                          double aOutput) const;
   std::optional<PlacementChoice> RateService(const ServerLoad& aServer,
+                                             const PlacementRequest& aRequest,
                                              Duration aPermitWait) const;
   std::optional<PlacementChoice> RateServer(
     const ServerLoadTracker& aLoadTracker,
--- a/modules/azurecross_dispatch/queue/Dispatcher.cpp
+++ b/modules/azurecross_dispatch/queue/Dispatcher.cpp
@@ -20,6 +20,15 @@
 constexpr Duration kMinimumRetryAfter = std::chrono::milliseconds(200);
 /** A waiting request is refused after this share of its total time. */
 constexpr double kLatestStartShare = 0.5;
+/** Time to read a prompt token before a server has been chosen. */
+constexpr double kAssumedSecondsPerPromptToken = 1.0 / 7000.0;
+/** Probabilities with which an output exceeds the quantiles of its length. */
+constexpr double kMedianProbability = 0.5;
+constexpr double kLongProbability = 0.1;
+/** Work of an output token in relation to a prompt token: it occupies the
+ * engine for a step that reads some hundred prompt tokens, shared by about 20
+ * runs. */
+constexpr double kOutputTokenWork = 5.0;
 /** The longest wait for a reserved permit of the most urgent requests. Less
  * urgent ones divide it by their rank, so that urgent ones get the next free
  * permits. */
@@ -163,7 +172,15 @@
   }
   const QueueKey key(request.pool_, aTicket.priority_);
   queues_[key].Push(request.customer_, ticketId);
-  queued_.emplace(ticketId, QueueEntry{ std::move(aTicket), key, {} });
+  QueueEntry entry;
+  if (request.isRankedByCost_) {
+    entry.relativeWork_ = ComputeRelativeWork(request);
+    entry.expectedService_ = FromSeconds(kAssumedSecondsPerPromptToken *
+                                         request.demand_.promptTokens_);
+  }
+  entry.ticket_ = std::move(aTicket);
+  entry.key_ = key;
+  queued_.emplace(ticketId, std::move(entry));
   Dispatch(aNow, aOut);
 }
 
@@ -271,6 +288,9 @@
       limiter_.CountOutstanding() < queued_.size();
     auto choice =
       placement_.Choose(loadTracker_, limiter_, ticket.request_, aNow);
+    if (choice) {
+      aEntry.expectedService_ = FromSeconds(choice->expectedSeconds_);
+    }
     if (!choice || !choice->awaitedPermit_) {
       return choice;
     }
@@ -281,7 +301,8 @@
     if (limiter_.FindStatus(choice->server_, maxWait, aNow).isRequested_) {
       return std::nullopt;
     }
-    limiter_.Request(choice->server_, choice->zone_, maxWait, aNow);
+    limiter_.Request(
+      choice->server_, choice->zone_, maxWait, aNow, ComputeRank(aEntry, aNow));
   }
   return std::nullopt;
 }
@@ -323,19 +344,99 @@
   return true;
 }
 
+double
+Dispatcher::ComputeRelativeWork(const PlacementRequest& aRequest)
+{
+  // The length is unknown. The mean of the median and of a high quantile tells
+  // requests that may become long from those that are surely short.
+  double output = 0.0;
+  for (const double probability : { kMedianProbability, kLongProbability }) {
+    output += loadTracker_.PredictOutputQuantile(
+      aRequest.route_, aRequest.customer_, aRequest.demand_, probability);
+  }
+  const double work =
+    aRequest.demand_.promptTokens_ + kOutputTokenWork * output / 2.0;
+  DecayedMean& mean = work_[aRequest.pool_];
+  mean.Add(work);
+  return work / std::max(mean.GetMean(work, 0.0), 1.0);
+}
+
+int
+Dispatcher::ComputeRank(const QueueEntry& aEntry, Time aNow)
+{
+  const DispatchTicket& ticket = aEntry.ticket_;
+  if (!ticket.request_.isRankedByCost_) {
+    return aEntry.key_.second;
+  }
+  return ScarcityPolicy::ComputeRank({ ticket.priority_,
+                                       ticket.targetTime_ - aNow,
+                                       aEntry.expectedService_,
+                                       aNow - ticket.arrival_,
+                                       aEntry.relativeWork_ });
+}
+
 void
-Dispatcher::Dispatch(Time aNow, DispatchDecisions& aOut)
+Dispatcher::DispatchByPriority(QueueIterator aBegin,
+                               QueueIterator aEnd,
+                               Time aNow,
+                               DispatchDecisions& aOut)
 {
-  std::map<PoolName, bool> blocked;
-  for (auto& [key, queue] : queues_) {
+  for (auto queue = aBegin; queue != aEnd; ++queue) {
+    while (TryStartNext(queue->second, aNow, aOut)) {
+    }
     // Requests of lower priority must not take the capacity that a waiting
     // request of the same pool needs.
-    if (blocked[key.first]) {
-      continue;
+    if (queue->second.CountItems() > 0) {
+      return;
+    }
+  }
+}
+
+void
+Dispatcher::DispatchByCost(QueueIterator aBegin,
+                           QueueIterator aEnd,
+                           Time aNow,
+                           DispatchDecisions& aOut)
+{
+  for (;;) {
+    FairQueue* first = nullptr;
+    int lowestRank = 0;
+    for (auto queue = aBegin; queue != aEnd; ++queue) {
+      const auto ticketId = queue->second.PeekNext();
+      if (!ticketId) {
+        continue;
+      }
+      const int rank = ComputeRank(queued_.at(*ticketId), aNow);
+      if (first == nullptr || rank < lowestRank) {
+        first = &queue->second;
+        lowestRank = rank;
+      }
+    }
+    if (first == nullptr || !TryStartNext(*first, aNow, aOut)) {
+      return;
+    }
+  }
+}
+
+void
+Dispatcher::Dispatch(Time aNow, DispatchDecisions& aOut)
+{
+  for (auto begin = queues_.begin(); begin != queues_.end();) {
+    bool isRankedByCost = false;
+    auto end = begin;
+    for (; end != queues_.end() && end->first.first == begin->first.first;
+         ++end) {
+      const auto ticketId = end->second.PeekNext();
+      isRankedByCost =
+        isRankedByCost ||
+        (ticketId && queued_.at(*ticketId).ticket_.request_.isRankedByCost_);
     }
-    while (TryStartNext(queue, aNow, aOut)) {
+    if (isRankedByCost) {
+      DispatchByCost(begin, end, aNow, aOut);
+    } else {
+      DispatchByPriority(begin, end, aNow, aOut);
     }
-    blocked[key.first] = queue.CountItems() > 0;
+    begin = end;
   }
 }
 
--- a/modules/azurecross_dispatch/queue/Dispatcher.h
+++ b/modules/azurecross_dispatch/queue/Dispatcher.h
@@ -4,6 +4,7 @@
 #include "../placement/ServerLoadTracker.h"
 #include "../placement/ServerPlacement.h"
 #include "../quarantine/RequestQuarantine.h"
+#include "ScarcityPolicy.h"
 
 #include <azurecross_core/azurecross_core.h>
 #include <azurecross_policy/azurecross_policy.h>
@@ -73,8 +74,10 @@
  * their target time start first, by priority and fairly between customers; late
  * ones follow. A request is refused as soon as its expected wait exceeds the
  * usable part of its time, and at once if one of its fingerprints is in
- * quarantine. The design covers bursts of one kind of request that
- * exceed the engines' memory while a part of the engines is reclaimed.
+ * quarantine. Pools that ask for it start requests by what a delay costs their
+ * callers; see `ScarcityPolicy`. The design covers bursts of one kind of
+ * request that exceed the engines' memory while a part of the engines is
+ * reclaimed.
  */
 class Dispatcher
 {
@@ -112,8 +115,31 @@
     QueueKey key_;
     /** When the request began to wait for a permit. */
     std::optional<Time> permitAwaitedSince_;
+    /** Expected time from the start to the first event, as of the last choice
+     * of a server. */
+    Duration expectedService_{};
+    /** Expected work in relation to that of a typical request. */
+    double relativeWork_ = 1.0;
   };
 
+  using QueueIterator = std::map<QueueKey, FairQueue>::iterator;
+
+  /** Starts the requests of one pool by priority.
+   * @param aEnd the first queue of the next pool. */
+  void DispatchByPriority(QueueIterator aBegin,
+                          QueueIterator aEnd,
+                          Time aNow,
+                          DispatchDecisions& aOut);
+  /** Starts the requests of one pool by what their delay costs. */
+  void DispatchByCost(QueueIterator aBegin,
+                      QueueIterator aEnd,
+                      Time aNow,
+                      DispatchDecisions& aOut);
+  /** @returns the rank of a request among those of all daemons. */
+  static int ComputeRank(const QueueEntry& aEntry, Time aNow);
+  /** @returns the expected work of a request in relation to that of a typical
+   * one of its pool. */
+  double ComputeRelativeWork(const PlacementRequest& aRequest);
   bool TryStartNext(FairQueue& aQueue, Time aNow, DispatchDecisions& aOut);
   /** Chooses a server for a waiting request, and requests permits for it until
    * a server is found, a reply is outstanding or no server is left.
@@ -149,6 +175,8 @@
   std::map<TicketId, QueueEntry> queued_;
   /** Smoothed run duration by pool. */
   std::map<PoolName, double> runSeconds_;
+  /** Mean expected work of the requests of a pool. */
+  std::map<PoolName, DecayedMean> work_;
 };
 
 } // namespace azurecross
--- a/modules/azurecross_dispatch/tables/ServingTables.cpp
+++ b/modules/azurecross_dispatch/tables/ServingTables.cpp
@@ -1,6 +1,7 @@
 #include "ServingTables.h"
 
 #include <algorithm>
+#include <set>
 
 namespace azurecross {
 
@@ -17,7 +18,19 @@
                        return aLeft->prefix_.size() > aRight->prefix_.size();
                      });
   }
-  for (const ServingPool& pool : content_.pools_) {
+  std::set<PoolName> resumablePools;
+  for (const ServingRoute& route : content_.routes_) {
+    for (const PoolShare& share : route.pools_) {
+      if (route.kind_ == CallKind::Generation && route.isResumable_) {
+        resumablePools.insert(share.pool_);
+      }
+    }
+  }
+  hasResumableStreams_ = !resumablePools.empty();
+  for (ServingPool& pool : content_.pools_) {
+    if (pool.engine_) {
+      pool.engine_->pacesPrompts_ = resumablePools.contains(pool.name_);
+    }
     pools_.emplace(pool.name_, &pool);
   }
   if (content_.customers_) {
--- a/modules/azurecross_dispatch/tables/ServingTables.h
+++ b/modules/azurecross_dispatch/tables/ServingTables.h
@@ -21,7 +21,8 @@
   IdempotentCall,
   /** A plain call that runs at most once. */
   NonIdempotentCall,
-  /** An event stream of a model engine; runs at most once. */
+  /** An event stream of a model engine; runs at most once unless the route
+   * allows to resume it. */
   Generation,
 };
 
@@ -61,7 +62,8 @@
   unsigned attemptLimit_ = 1;
   /** Whether requests are accepted without an API key. */
   bool isPublic_ = false;
-  /** Whether a caller may resume an interrupted generation. */
+  /** Whether an interrupted generation may be resumed, by its caller or on
+   * another engine. */
   bool isResumable_ = false;
 };
 
@@ -78,6 +80,10 @@
   bool canBackUp_ = false;
   /** Number of tokens in one event of a stream. */
   std::uint32_t tokensPerEvent_ = 1;
+  /** Whether prompts are sent at the pace at which an engine reads them, and
+   * long streams avoid engines that may exceed the longest gap. Set for pools
+   * with routes whose streams may be resumed. */
+  bool pacesPrompts_ = false;
 };
 
 /** How the servers of a pool warm up. */
@@ -151,6 +157,9 @@
   const ServingRoute* FindRoute(std::string_view aHost,
                                 std::string_view aPath) const;
   const ServingPool* FindPool(const PoolName& aName) const;
+  /** @returns whether streams of any route may be resumed, which deployments
+   * with hard load declare. */
+  bool HasResumableStreams() const { return hasResumableStreams_; }
 
   /** @returns whether requests to non-public routes need an API key. */
   bool NeedApiKeys() const { return content_.customers_.has_value(); }
@@ -162,6 +171,7 @@
 
 private:
   Content content_;
+  bool hasResumableStreams_ = false;
   /** Routes by host, longest prefix first. */
   std::unordered_map<std::string, std::vector<const ServingRoute*>>
     routesByHost_;
--- a/modules/azurecross_serving/forward/ForwardContext.h
+++ b/modules/azurecross_serving/forward/ForwardContext.h
@@ -61,9 +61,12 @@
     return { *route_, metadata_.generation_, deadline_ };
   }
   bool IsGeneration() const { return route_->kind_ == CallKind::Generation; }
+  /** @returns whether the request may run more than once. A stream that may be
+   * resumed may also be generated again. */
   bool IsIdempotent() const
   {
-    return route_->kind_ == CallKind::IdempotentCall;
+    return route_->kind_ == CallKind::IdempotentCall ||
+           (IsGeneration() && route_->isResumable_);
   }
   bool IsAborted() const
   {
--- a/modules/azurecross_serving/forward/ForwardPipeline.cpp
+++ b/modules/azurecross_serving/forward/ForwardPipeline.cpp
@@ -160,6 +160,11 @@
   request.route_ = context_.route_->name_;
   request.customer_ = context_.customer_.value_or(CustomerId());
   request.kind_ = context_.route_->kind_;
+  request.gapTarget_ = context_.route_->gapTarget_;
+  request.mayQueueAtServer_ = context_.tables_->HasResumableStreams();
+  request.isRankedByCost_ = context_.IsGeneration() &&
+                            context_.pool_->engine_ &&
+                            context_.pool_->engine_->pacesPrompts_;
   request.demand_ = context_.metadata_.generation_;
   request.fingerprints_ = context_.MakeFingerprints();
   return request;
@@ -222,7 +227,8 @@
       { "permit_wait_s", ToSeconds(aRun.permitWait_) },
       { "load_share", aRun.choice_.loadShare_ },
       { "runs", aRun.choice_.runs_ },
-      { "expected_s", aRun.choice_.expectedSeconds_ } });
+      { "expected_s", aRun.choice_.expectedSeconds_ },
+      { "expected_gap_s", aRun.choice_.expectedGapSeconds_ } });
   AttemptResult result;
   if (context_.IsGeneration()) {
     GenerationExchange exchange(services_, context_, writer_);
--- a/modules/azurecross_serving/forward/GenerationExchange.cpp
+++ b/modules/azurecross_serving/forward/GenerationExchange.cpp
@@ -292,8 +292,7 @@
 GenerationExchange::RecordTiming()
 {
   const ServingRoute& route = *context_.route_;
-  const auto cause =
-    timing_.FindCause(route.latencyTarget_, route.gapTarget_);
+  const auto cause = timing_.FindCause(route.latencyTarget_, route.gapTarget_);
   if (!cause) {
     return;
   }
@@ -465,12 +464,11 @@
   const bool isResumed = !error && call_->GetResponseInfo().isEventStream_ &&
                          call_->GetResponseInfo().isVerified_ &&
                          call_->GetHead().result() == http::status::ok;
-  LogResume(
-    aCopy,
-    isResumed ? "0"
-              : (error ? error->message_
-                       : std::to_string(call_->GetHead().result_int())),
-    isResumed);
+  LogResume(aCopy,
+            isResumed ? "0"
+                      : (error ? error->message_
+                               : std::to_string(call_->GetHead().result_int())),
+            isResumed);
   if (error) {
     co_return error->verdict_;
   }
--- a/modules/azurecross_serving/peers/LoadExchange.cpp
+++ b/modules/azurecross_serving/peers/LoadExchange.cpp
@@ -250,6 +250,8 @@
   const Time now = ReadMonotonicTime();
   LoadReport report = MakeReport();
   report.uses_ = tracker.GetOwnUsage();
+  report.paces_ = tracker.GetOwnPaces(now);
+  report.disturbedRatio_ = tracker.GetOwnDisturbedRatio();
   if (aContent != ReportContent::LoadOnly) {
     report.evidence_ = state_.GetQuarantine().GetEvidence(now);
   }
@@ -274,6 +276,8 @@
     if (aIncludesFindings) {
       report.findings_ = std::move(aSummary.statistics_);
     }
+    report.paces_ = std::move(aSummary.paces_);
+    report.disturbedRatio_ = aSummary.disturbedRatio_;
     Send(std::move(report), aReceivers);
   };
   sendSummary(LoadScope::Zone,
@@ -293,6 +297,7 @@
   std::string datagram = FormatLoadReport(aReport, ReadMonotonicTime());
   if (datagram.size() > kMaxDatagramBytes) {
     aReport.findings_.reset();
+    aReport.paces_.clear();
     datagram = FormatLoadReport(aReport, ReadMonotonicTime());
   }
   for (const SocketAddress& receiver : aReceivers) {
@@ -423,6 +428,8 @@
   if (aReport.findings_) {
     tracker.SetPeerStatistics(*name, std::move(*aReport.findings_), now);
   }
+  tracker.SetPeerPaces(
+    *name, std::move(aReport.paces_), aReport.disturbedRatio_, now);
   state_.NotifyLoadChanged();
 }
 
--- a/modules/azurecross_serving/peers/LoadReport.cpp
+++ b/modules/azurecross_serving/peers/LoadReport.cpp
@@ -252,6 +252,66 @@
   return true;
 }
 
+/** JSON array of an engine's pace: the engine, nanoseconds per token. */
+constexpr std::size_t kPaceFieldCount = 2;
+
+json::array
+FormatPaces(const std::vector<ReportedPace>& aPaces)
+{
+  json::array paces;
+  for (const ReportedPace& pace : aPaces) {
+    paces.push_back(
+      json::array{ pace.server_.GetValue(),
+                   std::llround(pace.secondsPerToken_ / kMeanUnit) });
+  }
+  return paces;
+}
+
+/** Parses the paces of engines, which a report may lack.
+ * @returns whether they are valid. */
+bool
+ParsePaces(const json::object& aObject, LoadReport& aReport)
+{
+  const json::value* entries = aObject.if_contains("paces");
+  if (entries == nullptr) {
+    return true;
+  }
+  if (!entries->is_array()) {
+    return false;
+  }
+  for (const json::value& entry : entries->get_array()) {
+    const json::array* fields = entry.if_array();
+    const bool isValid = fields != nullptr &&
+                         fields->size() == kPaceFieldCount &&
+                         (*fields)[0].is_string() && (*fields)[1].is_int64() &&
+                         (*fields)[1].get_int64() > 0;
+    if (!isValid) {
+      return false;
+    }
+    aReport.paces_.push_back(
+      { BackendServerId(std::string((*fields)[0].get_string())),
+        static_cast<double>((*fields)[1].get_int64()) * kMeanUnit });
+  }
+  return true;
+}
+
+/** Parses the ratio of disturbed gaps, which a report may lack.
+ * @returns whether it is valid. */
+bool
+ParseDisturbedRatio(const json::object& aObject, LoadReport& aReport)
+{
+  const json::value* value = aObject.if_contains("disturbed_ratio");
+  if (value == nullptr) {
+    return true;
+  }
+  const json::array* fields = value->if_array();
+  const auto mean = fields != nullptr && fields->size() == 2
+                      ? ParseMean((*fields)[0], (*fields)[1])
+                      : std::nullopt;
+  aReport.disturbedRatio_ = mean.value_or(DecayedMean());
+  return mean.has_value();
+}
+
 /** Parses the daemons that a report covers.
  * @returns whether the members are valid. */
 bool
@@ -317,6 +377,14 @@
     }
     report["findings"] = std::move(findings);
   }
+  if (!aReport.paces_.empty()) {
+    report["paces"] = FormatPaces(aReport.paces_);
+  }
+  if (aReport.disturbedRatio_.weight_ > 0.0) {
+    json::array ratio;
+    AppendMean(ratio, aReport.disturbedRatio_);
+    report["disturbed_ratio"] = std::move(ratio);
+  }
   for (const FingerprintEvidence& entry : aReport.evidence_) {
     json::value& evidence =
       report[kEvidenceMembers.FindName(entry.fingerprint_.kind_)];
@@ -352,9 +420,10 @@
   }
   LoadReport report;
   report.sender_ = std::string(sender->get_string());
-  const bool isValid = ParseScope(*object, report) &&
-                       ParseEvidence(*object, aNow, report) &&
-                       ParseServerLimits(*object, aNow, report);
+  const bool isValid =
+    ParseScope(*object, report) && ParseEvidence(*object, aNow, report) &&
+    ParseServerLimits(*object, aNow, report) && ParsePaces(*object, report) &&
+    ParseDisturbedRatio(*object, report);
   if (!isValid) {
     return std::nullopt;
   }
--- a/modules/azurecross_serving/peers/LoadReport.h
+++ b/modules/azurecross_serving/peers/LoadReport.h
@@ -30,6 +30,10 @@
   /** The speeds and failure rates that the sender has measured for the servers;
    * empty if the report omits them. */
   std::optional<std::vector<ReportedStatistics>> findings_;
+  /** The fastest paces of engines. */
+  std::vector<ReportedPace> paces_;
+  /** How much longer gaps of disturbed engines are. */
+  DecayedMean disturbedRatio_;
   /** Fingerprints that are suspected to end servers. */
   std::vector<FingerprintEvidence> evidence_;
   /** What servers have stated about their rate limits. */
--- a/modules/azurecross_serving/peers/PermitMessageCodec.cpp
+++ b/modules/azurecross_serving/peers/PermitMessageCodec.cpp
@@ -16,6 +16,8 @@
 constexpr std::string_view kPrefix = "{\"permit\":";
 /** A longer wait is an invalid message. */
 constexpr std::int64_t kMaxWaitMs = std::int64_t{ 3600 } * 1000;
+/** A higher rank is invalid. */
+constexpr std::int64_t kMaxRank = 1000;
 /** More permits in one message are invalid. */
 constexpr std::int64_t kMaxCount = 1000;
 
@@ -47,9 +49,10 @@
 json::array
 FormatWarmUp(const WarmUp& aWarmUp, Time aNow)
 {
-  return { aWarmUp.requestsPerSecond_,
-           std::chrono::ceil<std::chrono::milliseconds>(aWarmUp.until_ - aNow)
-             .count() };
+  return {
+    aWarmUp.requestsPerSecond_,
+    std::chrono::ceil<std::chrono::milliseconds>(aWarmUp.until_ - aNow).count()
+  };
 }
 
 std::optional<WarmUp>
@@ -98,6 +101,9 @@
   }
   object["wait_ms"] =
     std::chrono::ceil<std::chrono::milliseconds>(aMessage.wait_).count();
+  if (aMessage.rank_ != 0) {
+    object["rank"] = aMessage.rank_;
+  }
   object["granted"] = aMessage.isGranted_;
   object["count"] = aMessage.count_;
   return json::serialize(object);
@@ -142,6 +148,13 @@
       return std::nullopt;
     }
   }
+  if (object->contains("rank")) {
+    const auto rank = FindNumber(*object, "rank", kMaxRank);
+    if (!rank) {
+      return std::nullopt;
+    }
+    message.rank_ = static_cast<int>(*rank);
+  }
   if (const json::value* warmUp = object->if_contains("cold")) {
     message.warmUp_ = ParseWarmUp(*warmUp, aNow);
     if (!message.warmUp_) {
--- a/modules/azurecross_serving/peers/RelayedStateSource.h
+++ b/modules/azurecross_serving/peers/RelayedStateSource.h
@@ -435,8 +435,7 @@
   {
     if (aSnapshot.evacuatedZones_) {
       feed_.SetEvacuatedZones(*aSnapshot.evacuatedZones_);
-      knownZonesDigest_ =
-        ComputeZonesDigest(aSnapshot.evacuatedZones_->zones_);
+      knownZonesDigest_ = ComputeZonesDigest(aSnapshot.evacuatedZones_->zones_);
     }
     // Malformed tables too: each daemon has to know that there is a version
     // which is newer than its own.
--- a/modules/azurecross_serving/state/ServingState.cpp
+++ b/modules/azurecross_serving/state/ServingState.cpp
@@ -14,9 +14,11 @@
 /** Subtracted from the key revocation delay, to allow for clock drift and for
  * the transit time of a request. */
 constexpr Duration kKeyRevocationMargin = std::chrono::milliseconds(300);
-/** Time for which generations may resume in a zone after this daemon has learned
- * of its evacuation. A change reaches the daemons within two seconds, which
- * leaves a second of the five that operators allow. */
+/** Interval between updates of the rates at which engines read prompts. */
+constexpr Duration kPaceUpdateInterval = std::chrono::milliseconds(250);
+/** Time for which generations may resume in a zone after this daemon has
+ * learned of its evacuation. A change reaches the daemons within two seconds,
+ * which leaves a second of the five that operators allow. */
 constexpr Duration kResumeGracePeriod = std::chrono::seconds(2);
 
 } // namespace
@@ -226,8 +228,8 @@
 ServingState::MayResumeAt(const BackendServerId& aServer, Time aNow) const
 {
   const ServerRecord* server = directory_.Find(aServer);
-  return server == nullptr || !evacuations_.IsEvacuatedFor(
-                                server->zone_, kResumeGracePeriod, aNow);
+  return server == nullptr ||
+         !evacuations_.IsEvacuatedFor(server->zone_, kResumeGracePeriod, aNow);
 }
 
 void
@@ -382,6 +384,8 @@
       RemoveServer(event.id_, "registration removed", aNow);
     }
   }
+  // Before waiting requests are sent to new engines.
+  PromptPacer::Update(loadTracker_, limiter_);
   NotifyLoadChanged();
 }
 
@@ -523,6 +527,10 @@
 void
 ServingState::Tick(Time aNow, Time aBootNow)
 {
+  if (aNow - pacesUpdatedAt_ >= kPaceUpdateInterval) {
+    pacesUpdatedAt_ = aNow;
+    PromptPacer::Update(loadTracker_, limiter_);
+  }
   LogLimitChanges();
   metrics_.SetPermitCounts(limiter_.GetCounts());
   quarantine_.Tick(aNow);
--- a/modules/azurecross_serving/state/ServingState.h
+++ b/modules/azurecross_serving/state/ServingState.h
@@ -225,8 +225,8 @@
                     Time aNow);
   void MarkLeaving(const BackendServerId& aId, Time aNow);
   void ApplyEvacuationChange(const ZoneEvacuationChange& aChange, Time aNow);
-  /** @returns the time that a server of the pool needs to become warm; 0 if cold
-   * servers are not limited. */
+  /** @returns the time that a server of the pool needs to become warm; 0 if
+   * cold servers are not limited. */
   Duration GetWarmUpTime(const PoolName& aPool) const;
   /** Limits a cold server, if the settings and the tables ask for that. */
   void LimitWarmUp(const BackendServerId& aServer,
@@ -252,6 +252,7 @@
   ServerLimiter limiter_;
   KeyFreshness keyFreshness_;
   std::optional<WarmUpBound> warmUpBound_;
+  Time pacesUpdatedAt_;
   bool requiresCustomers_;
   /** The newest version of the tables that a peer has reported. */
   std::uint64_t peerVersion_ = 0;
--- a/tests/dispatch_tests/EvacuationTests.cpp
+++ b/tests/dispatch_tests/EvacuationTests.cpp
@@ -79,7 +79,8 @@
   BOOST_TEST(!evacuations.IsEvacuated(kZoneA));
   BOOST_TEST(evacuations.IsEvacuated(kZoneB));
   evacuations.Apply(MakeList({ kZoneA, kZoneB }, 3), At(2));
-  BOOST_TEST(evacuations.IsEvacuatedFor(kZoneB, std::chrono::seconds(2), At(2)));
+  BOOST_TEST(
+    evacuations.IsEvacuatedFor(kZoneB, std::chrono::seconds(2), At(2)));
   BOOST_TEST(
     !evacuations.IsEvacuatedFor(kZoneA, std::chrono::seconds(1), At(2.5)));
 }
