Faults found in the review of the new parts, and the check of a document

Corrected: a malformed document hid evacuations; the bound of a cold server left no margin for a second issuer; daemons extended a warm-up for each other; peers did not tell cold servers; servers read before the tables were not limited; a resume at a removed server of an evacuated zone; a move kept a target whose zone was evacuated; daemons of an older version polled the feed without a pause; a priority out of range made permit requests invalid; the head of a queue that no engine can serve in time held up others; a silent issuer held up a request for 200 ms; the search for evacuated pools at each tick.

--- a/apps/azurecross/Commands.cpp
+++ b/apps/azurecross/Commands.cpp
@@ -1,5 +1,6 @@
 #include "Commands.h"
 
+#include "CheckCommand.h"
 #include "EntryCommands.h"
 #include "TableCommands.h"
 #include "TraceCommand.h"
@@ -18,7 +19,7 @@
   int (*run_)(CommandContext&);
 };
 
-constexpr std::array<Command, 10> kCommands{ {
+constexpr std::array<Command, 11> kCommands{ {
   { "get", "[routes|pools|TABLE/NAME]: print the tables", RunGet },
   { "edit", "TABLE/NAME FIELD=VALUE...: change or --delete a row", RunEdit },
   { "diff", "FILE: print what apply would change", RunDiff },
@@ -28,6 +29,9 @@
   { "status", "print the status of --entries", RunStatus },
   { "explain", "METHOD PATH: how an entry would treat a request", RunExplain },
   { "send", "METHOD PATH: send a request to --entry", RunSend },
+  { "check-tables",
+    "FILE: check a document of the forwarding path before it is sent",
+    RunCheckTables },
   { "trace", "REQUEST-ID [FILE...]: tell a request from logs", RunTrace },
 } };
 
@@ -78,6 +82,9 @@
   parser.AddText("request-id", "", "X-Request-Id of the request");
   parser.AddText("idempotency-key", "", "Idempotency-Key of the request");
   parser.AddText("last-event-id", "", "Last-Event-ID of the request");
+  parser.AddText(
+    "in-force", "", "File with the document in force, for check-tables");
+  parser.AddText("output", "text", "Output of check-tables: text or json");
   parser.AddFlag("check", "Check the settings and exit");
   return parser;
 }
@@ -95,7 +102,7 @@
   }
   std::cerr << "azurecross: '" << name
             << "' is not a command; allowed: get, edit, diff, apply, watch, "
-               "audit, status, explain, send\n";
+               "audit, status, explain, send, check-tables, trace\n";
   return kExitInvalidSettings;
 }
 
--- a/modules/azurecross_dispatch/azurecross_dispatch.h
+++ b/modules/azurecross_dispatch/azurecross_dispatch.h
@@ -10,6 +10,7 @@
  */
 
 #include "tables/ServingTables.h"
+#include "tables/TablesCheck.h"
 
 #include "limits/IssuerSelector.h"
 #include "limits/KeyFreshness.h"
--- a/modules/azurecross_dispatch/limits/PermitIssuer.cpp
+++ b/modules/azurecross_dispatch/limits/PermitIssuer.cpp
@@ -56,9 +56,11 @@
     aNow < demand.until_ && demand.rank_ + kReservationMargin <= aRank;
   const bool isLesserTurn =
     demand.passedSlots_ >= kMaxPassedSlots && aNow < demand.lesserUntil_;
+  const bool isKeptForBest = isLesser && !isLesserTurn;
+  const bool isKeptForLesser = isLesserTurn && aRank < demand.lesserRank_;
   const bool isFree = FindNextSlot(aServer, aNow) <= aNow;
   PermitDecision decision;
-  if (isFree && isLesser != isLesserTurn) {
+  if (isFree && (isKeptForBest || isKeptForLesser)) {
     decision.wait_ = (isLesser ? demand.until_ : demand.lesserUntil_) - aNow;
   } else {
     decision = Issue(aServer, aRequestsPerSecond, Duration::zero(), aNow);
@@ -72,6 +74,7 @@
   const Time expectedAt = aNow + decision.wait_ + kReservationTime;
   if (isLesser) {
     demand.lesserUntil_ = expectedAt;
+    demand.lesserRank_ = aRank;
   } else if (aNow >= demand.until_ || aRank <= demand.rank_) {
     demand.rank_ = aRank;
     demand.until_ = expectedAt;
--- a/modules/azurecross_dispatch/limits/PermitIssuer.h
+++ b/modules/azurecross_dispatch/limits/PermitIssuer.h
@@ -62,6 +62,7 @@
     Time until_;
     /** Until when a request of a much worse rank is expected to ask again. */
     Time lesserUntil_;
+    int lesserRank_ = 0;
     /** Consecutive slots that such requests have not got. */
     unsigned passedSlots_ = 0;
   };
--- a/modules/azurecross_dispatch/limits/PromptPacer.h
+++ b/modules/azurecross_dispatch/limits/PromptPacer.h
@@ -6,8 +6,8 @@
 namespace azurecross {
 
 /**
- * Paces the prompts that all daemons together send to one engine at the rate at
- * which it reads them.
+ * Paces the prompts that all daemons together send to one engine, at twice the
+ * rate at which it reads them.
  *
  * An engine reads prompts one after the other. Without a common pace, all
  * daemons with waiting requests send to an engine at the moment at which it
@@ -21,7 +21,7 @@
   /** Sets the paces of the engines whose pools ask for that. */
   static void Update(const ServerLoadTracker& aTracker,
                      ServerLimiter& aLimiter);
-  /** @returns the prompts per second that the engine reads. */
+  /** @returns the prompts per second that the engine gets. */
   static double ComputeRate(const ServerLoad& aEngine,
                             double aMeanPromptTokens);
 };
--- a/modules/azurecross_dispatch/limits/ServerLimiter.cpp
+++ b/modules/azurecross_dispatch/limits/ServerLimiter.cpp
@@ -24,6 +24,9 @@
  * may be used some time after its slot, and the issuer keeps unused slots. */
 constexpr double kIssueTimePerSecond =
   1.0 + ToSeconds(kPermitLifetime) + ToSeconds(PermitIssuer::kBurstTime);
+/** Issuers and substitutes may issue this share of the rate together, while
+ * some daemons reach the issuer and others don't. */
+constexpr double kIssuedShare = 1.5;
 
 } // namespace
 
@@ -34,11 +37,24 @@
                          Duration aRemaining,
                          Time aNow)
 {
-  const double rate =
-    std::min(aRequestsPerSecond, aMaxInSecond / kIssueTimePerSecond);
+  const double rate = std::min(
+    aRequestsPerSecond, aMaxInSecond / (kIssueTimePerSecond * kIssuedShare));
   return warmUps_.Set(aServer, rate, aRemaining, aNow);
 }
 
+void
+ServerLimiter::MergeWarmUp(const BackendServerId& aServer,
+                           const WarmUp& aWarmUp,
+                           Time aNow)
+{
+  // The remaining time grows by the delay of each message, so that daemons
+  // would extend it for each other.
+  if (!warmUps_.Find(aServer, aNow)) {
+    warmUps_.Set(
+      aServer, aWarmUp.requestsPerSecond_, aWarmUp.until_ - aNow, aNow);
+  }
+}
+
 void
 ServerLimiter::Forget(const BackendServerId& aServer, Time aNow)
 {
@@ -311,10 +327,7 @@
     table_.Merge(*aMessage.limit_);
   }
   if (aMessage.warmUp_) {
-    warmUps_.Set(aMessage.server_,
-                 aMessage.warmUp_->requestsPerSecond_,
-                 aMessage.warmUp_->until_ - aNow,
-                 aNow);
+    MergeWarmUp(aMessage.server_, *aMessage.warmUp_, aNow);
   }
   switch (aMessage.kind_) {
     case PermitMessageKind::Request:
@@ -468,11 +481,16 @@
 }
 
 std::size_t
-ServerLimiter::CountOutstanding() const
+ServerLimiter::CountOutstanding(Time aNow) const
 {
   std::size_t count = 0;
   for (const auto& [server, holding] : holdings_) {
-    count += holding.permits_.size() + (holding.pending_ ? 1 : 0);
+    // Another engine can be asked instead of one whose issuer is silent.
+    const bool isPending =
+      holding.pending_ &&
+      (aNow - holding.pending_->requestedAt_ <= kUsualReplyTime ||
+       !HasPaceOnly(server, aNow));
+    count += holding.permits_.size() + (isPending ? 1 : 0);
   }
   return count;
 }
--- a/modules/azurecross_dispatch/limits/ServerLimiter.h
+++ b/modules/azurecross_dispatch/limits/ServerLimiter.h
@@ -88,7 +88,12 @@
                  double aMaxInSecond,
                  Duration aRemaining,
                  Time aNow);
-  /** Replaces the rates at which engines read prompts. */
+  /** Adds what a peer knows about a cold server, unless it is known. */
+  void MergeWarmUp(const BackendServerId& aServer,
+                   const WarmUp& aWarmUp,
+                   Time aNow);
+  const WarmUpTable& GetWarmUps() const { return warmUps_; }
+  /** Replaces the paces at which engines get prompts. */
   void SetPaces(std::map<BackendServerId, double> aPaces)
   {
     paces_ = std::move(aPaces);
@@ -124,7 +129,7 @@
   void Tick(std::size_t aNeeded, Time aNow);
 
   /** @returns the number of permits that are held or requested. */
-  std::size_t CountOutstanding() const;
+  std::size_t CountOutstanding(Time aNow) const;
   /** @returns the messages to be sent since the last call. */
   std::vector<PermitMessage> TakeMessages();
   const PermitCounts& GetCounts() const { return counts_; }
--- a/modules/azurecross_dispatch/limits/WarmUpTable.cpp
+++ b/modules/azurecross_dispatch/limits/WarmUpTable.cpp
@@ -4,6 +4,13 @@
 
 namespace azurecross {
 
+namespace {
+
+/** A shorter remaining time is over before the peers can use it. */
+constexpr Duration kMinReportedTime = std::chrono::milliseconds(50);
+
+} // namespace
+
 bool
 WarmUpTable::Set(const BackendServerId& aServer,
                  double aRequestsPerSecond,
@@ -36,6 +43,19 @@
   return found->second;
 }
 
+std::vector<std::pair<BackendServerId, WarmUp>>
+WarmUpTable::GetCold(Time aNow) const
+{
+  std::vector<std::pair<BackendServerId, WarmUp>> cold;
+  for (const auto& entry : warmUps_) {
+    if (cold.size() < kMaxReported &&
+        entry.second.until_ - aNow >= kMinReportedTime) {
+      cold.emplace_back(entry);
+    }
+  }
+  return cold;
+}
+
 void
 WarmUpTable::Tick(Time aNow)
 {
--- a/modules/azurecross_dispatch/limits/WarmUpTable.h
+++ b/modules/azurecross_dispatch/limits/WarmUpTable.h
@@ -6,6 +6,8 @@
 
 #include <map>
 #include <optional>
+#include <utility>
+#include <vector>
 
 namespace azurecross {
 
@@ -25,6 +27,8 @@
 public:
   /** A longer remaining time is taken for an error and shortened. */
   static constexpr Duration kMaxTime = std::chrono::minutes(1);
+  /** Number of servers in a report. */
+  static constexpr std::size_t kMaxReported = 64;
 
   /** Records that a server is cold. A shorter remaining time than the known one
    * changes nothing.
@@ -38,6 +42,9 @@
   /** @returns the warm-up in progress, if the server is cold. */
   std::optional<WarmUp> Find(const BackendServerId& aServer, Time aNow) const;
   std::size_t CountCold() const { return warmUps_.size(); }
+  /** @returns the servers that stay cold for a while, for the report to the
+   * peers. */
+  std::vector<std::pair<BackendServerId, WarmUp>> GetCold(Time aNow) const;
   /** Drops the servers that are warm. */
   void Tick(Time aNow);
 
--- a/modules/azurecross_dispatch/placement/ServerLoadTracker.cpp
+++ b/modules/azurecross_dispatch/placement/ServerLoadTracker.cpp
@@ -430,7 +430,7 @@
   }
   DecayedMean ratio = peerDisturbedRatio_;
   ratio.Add(stalls_.GetDisturbedRatio());
-  return *fastest * aEngine.engine_->tokensPerEvent_ * ratio.GetMean(1.0, 0.0);
+  return *fastest * aEngine.engine_->tokensPerEvent_ * ratio.GetMean(1.0, 1.0);
 }
 
 void
--- a/modules/azurecross_dispatch/placement/ServerLoadTracker.h
+++ b/modules/azurecross_dispatch/placement/ServerLoadTracker.h
@@ -192,6 +192,7 @@
   void SetWarmUpEnd(const BackendServerId& aServer, Time aEnd);
   /** Sets whether new requests are kept from the servers of a zone. */
   void SetEvacuated(const AvailabilityZone& aZone, bool aIsEvacuated);
+  bool HasEvacuatedZones() const { return !evacuatedZones_.empty(); }
   /** Sends a server nothing until this time. */
   void Pause(const BackendServerId& aServer, Time aUntil);
   /** Marks a server as draining and removes it if it has no runs. */
--- a/modules/azurecross_dispatch/placement/TokenPace.cpp
+++ b/modules/azurecross_dispatch/placement/TokenPace.cpp
@@ -26,6 +26,9 @@
 void
 TokenPace::Observe(double aSecondsPerToken, Time aNow)
 {
+  if (aSecondsPerToken <= 0.0) {
+    return;
+  }
   if (!current_.shortest_ || aNow - current_.start_ >= kPeriod) {
     previous_ = current_;
     current_ = { aNow, aSecondsPerToken };
--- a/modules/azurecross_dispatch/queue/Dispatcher.cpp
+++ b/modules/azurecross_dispatch/queue/Dispatcher.cpp
@@ -89,6 +89,9 @@
 bool
 Dispatcher::IsEvacuated(const PoolName& aPool) const
 {
+  if (!loadTracker_.HasEvacuatedZones()) {
+    return false;
+  }
   bool hasServers = false;
   for (const auto& [id, server] : loadTracker_.GetServers()) {
     if (server.record_.pool_ != aPool) {
@@ -285,7 +288,7 @@
   const std::size_t serverCount = loadTracker_.GetServers().size();
   for (std::size_t attempt = 0; attempt <= serverCount; ++attempt) {
     ticket.request_.mayRequestPermit_ =
-      limiter_.CountOutstanding() < queued_.size();
+      limiter_.CountOutstanding(aNow) < queued_.size();
     auto choice =
       placement_.Choose(loadTracker_, limiter_, ticket.request_, aNow);
     if (choice) {
@@ -366,7 +369,7 @@
 {
   const DispatchTicket& ticket = aEntry.ticket_;
   if (!ticket.request_.isRankedByCost_) {
-    return aEntry.key_.second;
+    return std::clamp(aEntry.key_.second, 0, ScarcityPolicy::kMaxRank);
   }
   return ScarcityPolicy::ComputeRank({ ticket.priority_,
                                        ticket.targetTime_ - aNow,
@@ -398,23 +401,25 @@
                            Time aNow,
                            DispatchDecisions& aOut)
 {
-  for (;;) {
-    FairQueue* first = nullptr;
-    int lowestRank = 0;
+  for (bool hasStarted = true; hasStarted;) {
+    std::vector<std::pair<int, FairQueue*>> heads;
     for (auto queue = aBegin; queue != aEnd; ++queue) {
       const auto ticketId = queue->second.PeekNext();
-      if (!ticketId) {
-        continue;
-      }
-      const int rank = ComputeRank(queued_.at(*ticketId), aNow);
-      if (first == nullptr || rank < lowestRank) {
-        first = &queue->second;
-        lowestRank = rank;
+      if (ticketId) {
+        heads.emplace_back(ComputeRank(queued_.at(*ticketId), aNow),
+                           &queue->second);
       }
     }
-    if (first == nullptr || !TryStartNext(*first, aNow, aOut)) {
-      return;
-    }
+    std::sort(
+      heads.begin(), heads.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.first < aRight.first;
+      });
+    // A request that no engine can serve in time doesn't hold up others that
+    // have more of it.
+    hasStarted =
+      std::any_of(heads.begin(), heads.end(), [&](const auto& aHead) {
+        return TryStartNext(*aHead.second, aNow, aOut);
+      });
   }
 }
 
--- a/modules/azurecross_serving/moves/GenerationMover.cpp
+++ b/modules/azurecross_serving/moves/GenerationMover.cpp
@@ -187,6 +187,14 @@
   co_return false;
 }
 
+bool
+GenerationMover::IsTargetEvacuated(const ActiveGeneration& aGeneration) const
+{
+  const ServerLoad* target =
+    services_.state_.GetLoadTracker().Find(aGeneration.copy_->server_);
+  return target != nullptr && target->isEvacuated_;
+}
+
 asio::awaitable<void>
 GenerationMover::MoveGeneration(GenerationPtr aGeneration, unsigned aMoveId)
 {
@@ -209,6 +217,12 @@
         aGeneration->isBroken_) {
       co_return;
     }
+    if (IsTargetEvacuated(*aGeneration)) {
+      co_await ReleaseCopy(*aGeneration->copy_);
+      isCopied = aGeneration->moveId_ == aMoveId && !aGeneration->isFinished_ &&
+                 co_await MakeFirstCopy(aGeneration);
+      continue;
+    }
     const Time copyStart = ReadMonotonicTime();
     const MoveResult result = co_await CopyWhileRunning(aGeneration);
     isCopied = result == MoveResult::Copied && aGeneration->moveId_ == aMoveId;
--- a/modules/azurecross_serving/moves/GenerationMover.h
+++ b/modules/azurecross_serving/moves/GenerationMover.h
@@ -83,6 +83,8 @@
   /** @returns whether a target engine was found and its capacity reserved. */
   bool ReserveTarget(ActiveGeneration& aGeneration,
                      const std::vector<BackendServerId>& aExcluded);
+  /** @returns whether the zone of the copy's engine has been evacuated. */
+  bool IsTargetEvacuated(const ActiveGeneration& aGeneration) const;
   /** Copies the KV cache without stopping the generation. */
   boost::asio::awaitable<MoveResult> CopyWhileRunning(
     GenerationPtr aGeneration);
--- a/modules/azurecross_serving/peers/LoadExchange.cpp
+++ b/modules/azurecross_serving/peers/LoadExchange.cpp
@@ -239,6 +239,7 @@
     state_.GetTables() ? state_.GetTables()->GetVersion() : 0;
   report.limits_ =
     state_.GetLimiter().GetTable().GetNewest(ReadMonotonicTime());
+  report.cold_ = state_.GetLimiter().GetWarmUps().GetCold(ReadMonotonicTime());
   return report;
 }
 
@@ -417,6 +418,9 @@
   HandleLeavingServers(aReport, now);
   HandlePromptEvidence(aReport, now);
   state_.MergeServerLimits(aReport.limits_);
+  for (const auto& [server, warmUp] : aReport.cold_) {
+    state_.GetLimiter().MergeWarmUp(server, warmUp, now);
+  }
   state_.RecordPeerVersion(aReport.tablesVersion_);
   const std::optional<std::string> name = FindPeerName(aReport);
   if (!name) {
--- a/modules/azurecross_serving/peers/LoadReport.cpp
+++ b/modules/azurecross_serving/peers/LoadReport.cpp
@@ -312,6 +312,30 @@
   return mean.has_value();
 }
 
+/** Parses the cold servers, which a report may lack.
+ * @returns whether they are valid. */
+bool
+ParseColdServers(const json::object& aObject, Time aNow, LoadReport& aReport)
+{
+  const json::value* entries = aObject.if_contains("cold");
+  if (entries == nullptr) {
+    return true;
+  }
+  const json::object* servers = entries->if_object();
+  if (servers == nullptr || servers->size() > WarmUpTable::kMaxReported) {
+    return false;
+  }
+  for (const auto& entry : *servers) {
+    const auto warmUp = ParseWarmUp(entry.value(), aNow);
+    if (!warmUp) {
+      return false;
+    }
+    aReport.cold_.emplace_back(BackendServerId(std::string(entry.key())),
+                               *warmUp);
+  }
+  return true;
+}
+
 /** Parses the daemons that a report covers.
  * @returns whether the members are valid. */
 bool
@@ -377,6 +401,13 @@
     }
     report["findings"] = std::move(findings);
   }
+  if (!aReport.cold_.empty()) {
+    json::object cold;
+    for (const auto& [server, warmUp] : aReport.cold_) {
+      cold[server.GetValue()] = FormatWarmUp(warmUp, aNow);
+    }
+    report["cold"] = std::move(cold);
+  }
   if (!aReport.paces_.empty()) {
     report["paces"] = FormatPaces(aReport.paces_);
   }
@@ -422,7 +453,8 @@
   report.sender_ = std::string(sender->get_string());
   const bool isValid =
     ParseScope(*object, report) && ParseEvidence(*object, aNow, report) &&
-    ParseServerLimits(*object, aNow, report) && ParsePaces(*object, report) &&
+    ParseServerLimits(*object, aNow, report) &&
+    ParseColdServers(*object, aNow, report) && ParsePaces(*object, report) &&
     ParseDisturbedRatio(*object, report);
   if (!isValid) {
     return std::nullopt;
--- a/modules/azurecross_serving/peers/LoadReport.h
+++ b/modules/azurecross_serving/peers/LoadReport.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace azurecross {
@@ -38,6 +39,8 @@
   std::vector<FingerprintEvidence> evidence_;
   /** What servers have stated about their rate limits. */
   std::vector<ServerLimit> limits_;
+  /** Servers that are cold. */
+  std::vector<std::pair<BackendServerId, WarmUp>> cold_;
 };
 
 /** @returns the report as JSON. Times are sent as ages, because the clocks of
--- a/modules/azurecross_serving/peers/PermitMessageCodec.cpp
+++ b/modules/azurecross_serving/peers/PermitMessageCodec.cpp
@@ -4,8 +4,6 @@
 
 #include <boost/json.hpp>
 
-#include <cmath>
-
 namespace azurecross {
 
 namespace json = boost::json;
@@ -45,37 +43,6 @@
   return *number;
 }
 
-/** JSON array of a cold server: requests per second, remaining milliseconds. */
-json::array
-FormatWarmUp(const WarmUp& aWarmUp, Time aNow)
-{
-  return {
-    aWarmUp.requestsPerSecond_,
-    std::chrono::ceil<std::chrono::milliseconds>(aWarmUp.until_ - aNow).count()
-  };
-}
-
-std::optional<WarmUp>
-ParseWarmUp(const json::value& aValue, Time aNow)
-{
-  constexpr std::size_t kFieldCount = 2;
-  const json::array* fields = aValue.if_array();
-  if (fields == nullptr || fields->size() != kFieldCount) {
-    return std::nullopt;
-  }
-  boost::system::error_code code;
-  const double rate =
-    (*fields)[0].is_number() ? (*fields)[0].to_number<double>(code) : 0.0;
-  const std::int64_t* remaining = (*fields)[1].if_int64();
-  const bool isValid = !code && std::isfinite(rate) && rate > 0.0 &&
-                       remaining != nullptr && *remaining >= 0 &&
-                       *remaining <= kMaxWaitMs;
-  if (!isValid) {
-    return std::nullopt;
-  }
-  return WarmUp{ rate, aNow + std::chrono::milliseconds(*remaining) };
-}
-
 } // namespace
 
 bool
--- a/modules/azurecross_serving/peers/ReportFields.cpp
+++ b/modules/azurecross_serving/peers/ReportFields.cpp
@@ -72,4 +72,35 @@
   return limit;
 }
 
+json::array
+FormatWarmUp(const WarmUp& aWarmUp, Time aNow)
+{
+  const std::int64_t remaining =
+    std::chrono::ceil<std::chrono::milliseconds>(aWarmUp.until_ - aNow).count();
+  return { aWarmUp.requestsPerSecond_, std::max<std::int64_t>(remaining, 0) };
+}
+
+std::optional<WarmUp>
+ParseWarmUp(const json::value& aValue, Time aNow)
+{
+  constexpr std::size_t kFieldCount = 2;
+  constexpr std::int64_t kMaxWarmUpMs = std::int64_t{ 3600 } * 1000;
+  constexpr double kMinWarmUpRate = 0.01;
+  const json::array* fields = aValue.if_array();
+  if (fields == nullptr || fields->size() != kFieldCount) {
+    return std::nullopt;
+  }
+  boost::system::error_code code;
+  const double rate =
+    (*fields)[0].is_number() ? (*fields)[0].to_number<double>(code) : 0.0;
+  const std::int64_t* remaining = (*fields)[1].if_int64();
+  const bool isValid = !code && std::isfinite(rate) && rate >= kMinWarmUpRate &&
+                       remaining != nullptr && *remaining >= 0 &&
+                       *remaining <= kMaxWarmUpMs;
+  if (!isValid) {
+    return std::nullopt;
+  }
+  return WarmUp{ rate, aNow + std::chrono::milliseconds(*remaining) };
+}
+
 } // namespace azurecross
--- a/modules/azurecross_serving/peers/ReportFields.h
+++ b/modules/azurecross_serving/peers/ReportFields.h
@@ -26,4 +26,12 @@
 std::optional<ServerLimit>
 ParseServerLimit(const boost::json::value& aValue, Time aNow);
 
+/** @returns a cold server as JSON: requests per second, remaining time. */
+boost::json::array
+FormatWarmUp(const WarmUp& aWarmUp, Time aNow);
+
+/** @returns the warm-up of a cold server, or nothing if it is malformed. */
+std::optional<WarmUp>
+ParseWarmUp(const boost::json::value& aValue, Time aNow);
+
 } // namespace azurecross
--- a/modules/azurecross_serving/peers/StateFeed.cpp
+++ b/modules/azurecross_serving/peers/StateFeed.cpp
@@ -487,10 +487,15 @@
 StateFeed::HandleTablesRequest(HttpRequest aRequest)
 {
   const std::uint64_t known = ParseQueryNumber(aRequest, "known");
+  // Daemons of an older version don't tell the zones that they know.
+  const bool tellsZones = !aRequest.FindQueryValue("zones").empty();
   const std::uint64_t knownZones = ParseQueryNumber(aRequest, "zones");
   const Duration wait = ParseWaitTime(aRequest);
   const Time deadline = ReadMonotonicTime() + wait;
-  while (version_ == known && zonesDigest_ == knownZones && confirmedAt_ &&
+  const auto areZonesKnown = [&] {
+    return !tellsZones || zonesDigest_ == knownZones;
+  };
+  while (version_ == known && areZonesKnown() && confirmedAt_ &&
          ReadMonotonicTime() < deadline) {
     co_await changed_.Wait(deadline - ReadMonotonicTime());
   }
--- a/modules/azurecross_serving/state/ServingState.cpp
+++ b/modules/azurecross_serving/state/ServingState.cpp
@@ -80,6 +80,11 @@
   tables_ = std::make_shared<const ServingTables>(std::move(*aContent));
   for (const auto& [id, record] : directory_.GetAll()) {
     loadTracker_.Update(record, FindEngineTraits(record.pool_), aNow);
+    // The servers may have been read before the tables.
+    const ServerLoad* server = loadTracker_.Find(id);
+    if (server != nullptr) {
+      LimitWarmUp(id, server->warmUpEnd_ - aNow, "registration", aNow);
+    }
   }
   metrics_.SetTablesVersion(tables_->GetVersion());
   log_.Write(Decision::TablesApplied,
@@ -227,9 +232,10 @@
 bool
 ServingState::MayResumeAt(const BackendServerId& aServer, Time aNow) const
 {
-  const ServerRecord* server = directory_.Find(aServer);
+  const ServerLoad* server = loadTracker_.Find(aServer);
   return server == nullptr ||
-         !evacuations_.IsEvacuatedFor(server->zone_, kResumeGracePeriod, aNow);
+         !evacuations_.IsEvacuatedFor(
+           server->record_.zone_, kResumeGracePeriod, aNow);
 }
 
 void
--- a/tests/serving_tests/FeedTests.cpp
+++ b/tests/serving_tests/FeedTests.cpp
@@ -40,6 +40,14 @@
     result.version_ = version_;
     result.text_ = std::to_string(version_);
     result.revision_ = version_;
+    if (evacuationRevision_ > 0) {
+      EvacuatedZones zones;
+      zones.revision_ = evacuationRevision_;
+      if (isZoneEvacuated_) {
+        zones.zones_.emplace("a");
+      }
+      result.evacuatedZones_ = std::move(zones);
+    }
     co_return result;
   }
   asio::awaitable<AsyncResult<TablesSnapshot>> WatchTables(std::uint64_t)
@@ -112,6 +120,9 @@
   std::atomic<bool> isRestored_ = false;
   std::atomic<bool> isServerDraining_ = false;
   std::atomic<std::uint64_t> version_ = 1;
+  /** 0 if the store tells no evacuations. */
+  std::atomic<std::uint64_t> evacuationRevision_ = 0;
+  std::atomic<bool> isZoneEvacuated_ = false;
 };
 
 std::vector<MemberRecord>
@@ -746,6 +757,39 @@
   BOOST_TEST((watch.get().error().code_ == ErrorCode::GenerationLost));
 }
 
+// Guards against an evacuation that daemons without access to the store learn
+// only with their next read, or not at all.
+BOOST_FIXTURE_TEST_CASE(EvacuationsAreRelayedAtOnce, FeedFixture)
+{
+  Daemon& reader = *readers_[0];
+  Daemon& other = *nonReaders_[0];
+  for (Daemon* daemon : readers_) {
+    daemon->store_.evacuationRevision_ = 5;
+    BOOST_TEST(Read(*daemon).has_value());
+  }
+  const auto before = Read(other);
+  BOOST_REQUIRE(before.has_value());
+  BOOST_REQUIRE(before->evacuatedZones_.has_value());
+  BOOST_TEST(before->evacuatedZones_->zones_.empty());
+  auto watch =
+    asio::co_spawn(context_, other.source_.WatchTables(1), asio::use_future);
+  BOOST_TEST((watch.wait_for(std::chrono::milliseconds(200)) ==
+              std::future_status::timeout));
+  for (Daemon* daemon : readers_) {
+    daemon->store_.evacuationRevision_ = 6;
+    daemon->store_.isZoneEvacuated_ = true;
+    BOOST_TEST(Read(*daemon).has_value());
+  }
+  BOOST_REQUIRE(
+    (watch.wait_for(std::chrono::seconds(1)) == std::future_status::ready));
+  const auto after = watch.get();
+  BOOST_REQUIRE(after.has_value());
+  BOOST_REQUIRE(after->evacuatedZones_.has_value());
+  BOOST_TEST(after->evacuatedZones_->zones_.contains(AvailabilityZone("a")));
+  BOOST_TEST(after->evacuatedZones_->revision_ == 6U);
+  BOOST_TEST(Read(reader)->evacuatedZones_.has_value());
+}
+
 // Guards against malformed responses of other daemons.
 BOOST_AUTO_TEST_CASE(FeedResponsesAreValidated)
 {
@@ -759,6 +803,13 @@
   BOOST_TEST(tables->version_ == 3U);
   BOOST_TEST((tables->age_ == std::chrono::microseconds(70)));
   BOOST_TEST(tables->text_ == "t");
+  for (const char* zones :
+       { "1", "{}", R"({"zones":[1],"restores":0,"revision":1})" }) {
+    const std::string text =
+      R"({"version":1,"age_us":0,"tables":"","evacuated":)" +
+      std::string(zones) + "}";
+    BOOST_TEST(!ParseTablesFeedResponse(text).has_value(), zones);
+  }
   for (const char* text : { "", "{}", R"({"members":[["a"]]})", "[1]" }) {
     BOOST_TEST(!ParseMembersFeedResponse(text).has_value());
   }
--- a/tests/serving_tests/ReportTests.cpp
+++ b/tests/serving_tests/ReportTests.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
+
 #include <map>
 #include <memory>
 #include <vector>
@@ -166,6 +168,41 @@
   }
 }
 
+// Guards against paces of engines that are lost on the way, and against
+// malformed ones that end a daemon.
+BOOST_AUTO_TEST_CASE(PacesOfEnginesAreReported)
+{
+  LoadReport report;
+  report.sender_ = "127.0.0.1:1";
+  report.paces_ = { { Daemon::kServer, 0.0075 } };
+  report.cold_ = { { Daemon::kServer, { 27.0, Time(1s) + 800ms } } };
+  report.disturbedRatio_.Add(5.5);
+  const std::string text = FormatLoadReport(report, Time(1s));
+  const auto read = ParseLoadReport(text, Time(1s));
+  BOOST_REQUIRE(read.has_value());
+  BOOST_REQUIRE(read->paces_.size() == 1U);
+  BOOST_TEST((read->paces_.front().server_ == Daemon::kServer));
+  BOOST_TEST(std::abs(read->paces_.front().secondsPerToken_ - 0.0075) < 1e-9);
+  BOOST_REQUIRE(read->cold_.size() == 1U);
+  BOOST_TEST(read->cold_.front().second.requestsPerSecond_ == 27.0);
+  BOOST_TEST((read->cold_.front().second.until_ == Time(1s) + 800ms));
+  BOOST_TEST(std::abs(read->disturbedRatio_.GetMean(0.0, 0.0) - 5.5) < 1e-6);
+  for (const char* invalid : { R"("paces":1)",
+                               R"("paces":[["e"]])",
+                               R"("paces":[["e",0]])",
+                               R"("paces":[["e",-5]])",
+                               R"("paces":[[1,5]])",
+                               R"("cold":[1])",
+                               R"("cold":{"e":[27]})",
+                               R"("cold":{"e":[0,5]})",
+                               R"("disturbed_ratio":[1])",
+                               R"("disturbed_ratio":[1,-2])" }) {
+    const std::string broken =
+      R"({"sender":"a","uses":[],)" + std::string(invalid) + "}";
+    BOOST_TEST(!ParseLoadReport(broken, Time(1s)).has_value(), invalid);
+  }
+}
+
 // Guards against permits that don't travel between daemons: without them, a
 // server that limits its rate would get no requests, or the limit from each.
 BOOST_AUTO_TEST_CASE(PermitIsIssuedByAnotherDaemon)
--- a/tests/serving_tests/StateTests.cpp
+++ b/tests/serving_tests/StateTests.cpp
@@ -248,4 +248,95 @@
   BOOST_TEST((deaths[1].at_ == newest));
 }
 
+namespace {
+
+/** The state of a daemon whose deployment limits cold servers, or not. */
+struct ColdServerState
+{
+  explicit ColdServerState(bool aIsLimited)
+  {
+    if (aIsLimited) {
+      settings_.warmUpBound_ = WarmUpBound{ 1.5, 5.0 };
+    }
+    state_.emplace(settings_, log_, metrics_);
+    ServingTables::Content tables;
+    tables.version_ = 1;
+    ServingPool pool;
+    pool.name_ = PoolName("engines");
+    pool.warmUp_ = PoolWarmUp{ std::chrono::seconds(1), 27.0 };
+    tables.pools_ = { pool };
+    state_->ApplyTables(std::move(tables), kNow);
+  }
+
+  void Register(Duration aRemainingWarmUp)
+  {
+    ServerRecord record;
+    record.id_ = BackendServerId("e1");
+    record.pool_ = PoolName("engines");
+    record.zone_ = AvailabilityZone("a");
+    record.remainingWarmUp_ = aRemainingWarmUp;
+    record.sequence_ = ++sequence_;
+    state_->ApplyServerEvents({ { record.id_, record, "" } }, false, kNow);
+  }
+  std::size_t CountCold() { return state_->GetLimiter().CountCold(); }
+
+  Metrics registry_;
+  DecisionLog log_;
+  ServingMetrics metrics_{ registry_ };
+  ServingSettings settings_;
+  std::optional<ServingState> state_;
+  std::uint64_t sequence_ = 0;
+};
+
+} // namespace
+
+// Guards against a cold server that is not limited, whichever way this daemon
+// learns that it is cold.
+BOOST_AUTO_TEST_CASE(ColdServersAreLimited)
+{
+  const BackendServerId server("e1");
+  ColdServerState registered(true);
+  registered.Register(Duration::zero());
+  BOOST_TEST(registered.CountCold() == 0U);
+  registered.Register(std::chrono::milliseconds(900));
+  BOOST_TEST(registered.CountCold() == 1U);
+
+  ColdServerState told(true);
+  told.Register(Duration::zero());
+  told.state_->RecordServerWarmUp(server, std::chrono::seconds(1), kNow);
+  BOOST_TEST(told.CountCold() == 1U);
+
+  // Its registration can't tell that it starts again.
+  ColdServerState unreachable(true);
+  unreachable.Register(Duration::zero());
+  for (const bool isStoreReachable : { true, false }) {
+    unreachable.state_->SetStoreReachable(isStoreReachable);
+    const RunId run = unreachable.state_->GetLoadTracker().Start(
+      { server, RouteName(), CustomerId(), CallKind::Generation, {}, 0, kNow });
+    unreachable.state_->FinishRun(run, RunOutcome::Unreachable, kNow);
+    BOOST_TEST(unreachable.CountCold() == (isStoreReachable ? 0U : 1U));
+  }
+
+  ColdServerState takenBack(true);
+  takenBack.Register(Duration::zero());
+  const AvailabilityZone zone("a");
+  takenBack.state_->ApplyEvacuatedZones({ { zone }, 0, 1 }, kNow);
+  BOOST_TEST(takenBack.CountCold() == 0U);
+  BOOST_TEST(takenBack.state_->MayResumeAt(server, kNow));
+  BOOST_TEST(
+    !takenBack.state_->MayResumeAt(server, kNow + std::chrono::seconds(3)));
+  takenBack.state_->ApplyEvacuatedZones({ {}, 0, 2 }, kNow);
+  BOOST_TEST(takenBack.CountCold() == 1U);
+}
+
+// Guards against limits in deployments that don't ask for them.
+BOOST_AUTO_TEST_CASE(ColdServersAreNotLimitedWithoutABound)
+{
+  ColdServerState state(false);
+  state.Register(std::chrono::milliseconds(900));
+  state.state_->RecordServerWarmUp(
+    BackendServerId("e1"), std::chrono::seconds(1), kNow);
+  BOOST_TEST(state.CountCold() == 0U);
+}
+
 } // namespace azurecross
--- a/tests/serving_tests/StreamTests.cpp
+++ b/tests/serving_tests/StreamTests.cpp
@@ -1,6 +1,7 @@
 #include "ServingFixture.h"
 
 #include "azurecross_serving/forward/EventBuffer.h"
+#include "azurecross_serving/forward/StreamTiming.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -240,4 +241,76 @@
   BOOST_TEST(buffer.TakeRemainder().empty());
 }
 
+// Guards against a resumable stream that fails although its engine ended before
+// the first event, and against one that is sent again after an event.
+BOOST_FIXTURE_TEST_CASE(ResumableStreamIsSentAgainBeforeItsFirstEvent,
+                        ServingFixture)
+{
+  std::atomic<int> breaks = 0;
+  std::atomic<bool> sendsEvent = false;
+  const FakeBackendServer::Script breakOnce = [&](FakeConnection& aConnection) {
+    if (aConnection.ReadRequest().empty()) {
+      return;
+    }
+    const bool isBroken = breaks++ == 0;
+    if (!isBroken || sendsEvent) {
+      aConnection.StartStream();
+      aConnection.SendChunk("id: 1\ndata: a\n\n");
+    }
+    if (!isBroken) {
+      aConnection.Send("0\r\n\r\n");
+    }
+  };
+  FakeBackendServer first(breakOnce);
+  FakeBackendServer second(breakOnce);
+  for (const bool isResumable : { false, true }) {
+    ServingTables::Content tables = MakeTables(isResumable ? 3 : 2);
+    for (ServingRoute& route : tables.routes_) {
+      route.isResumable_ = isResumable && route.kind_ == CallKind::Generation;
+      route.attemptLimit_ = 2;
+    }
+    SetTables(std::move(tables));
+    AddServer("e1", "engines", first);
+    AddServer("e2", "engines", second);
+    for (const bool hasEvent : { false, true }) {
+      breaks = 0;
+      sendsEvent = hasEvent;
+      const CallerAnswer response = Call(MakeRequest("/stream/x"));
+      BOOST_TEST_CONTEXT("resumable " << isResumable << ", event " << hasEvent)
+      {
+        const bool isServed = isResumable && !hasEvent;
+        BOOST_TEST((response.status_ == 200U && response.isWhole_) == isServed);
+        BOOST_TEST(breaks == (isServed ? 2 : 1));
+      }
+    }
+  }
+}
+
+// Guards against a record that names the wrong cause of a late stream.
+BOOST_AUTO_TEST_CASE(CauseOfALateStreamIsTold)
+{
+  const Time start(std::chrono::seconds(100));
+  const auto at = [&](int aMilliseconds) {
+    return start + std::chrono::milliseconds(aMilliseconds);
+  };
+  const Duration target = std::chrono::milliseconds(500);
+  const Duration gap = std::chrono::milliseconds(180);
+  StreamTiming timing;
+  timing.RecordEvents(start, at(400), nullptr);
+  timing.RecordEvents(start, at(500), nullptr);
+  BOOST_TEST(!timing.FindCause(target, gap).has_value());
+  BOOST_TEST(!timing.FindCause(Duration::zero(), Duration::zero()).has_value());
+  ServerLoad engine;
+  engine.record_.id_ = BackendServerId("e1");
+  timing.RecordEvents(start, at(700), &engine);
+  timing.RecordEvents(start, at(750), nullptr);
+  BOOST_TEST((timing.FindCause(target, gap) == LateCause::Gap));
+  BOOST_TEST((timing.GetEngineAtLongestGap().server_ == engine.record_.id_));
+  BOOST_TEST((timing.FindCause(std::chrono::milliseconds(300), gap) ==
+              LateCause::FirstEventAndGap));
+  BOOST_TEST(
+    (timing.FindCause(std::chrono::milliseconds(300),
+                      std::chrono::seconds(1)) == LateCause::FirstEvent));
+}
+
 } // namespace azurecross
--- a/tests/store_tests/CommandTests.cpp
+++ b/tests/store_tests/CommandTests.cpp
@@ -154,6 +154,30 @@
     kExitFailed);
 }
 
+// Guards against a document that is sent although the check has found an error,
+// because of its exit status, and against findings that scripts can't read.
+BOOST_AUTO_TEST_CASE(DocumentsAreCheckedBeforeTheyAreSent)
+{
+  const std::string sound =
+    R"({"version":3,"routes":[{"name":"r","host":"h","prefix":"/r/",)"
+    R"("kind":"idempotent","timeoutMs":800,"goalMs":100,"service":"desk"}],)"
+    R"("services":[{"name":"desk","maxConns":10}]})";
+  WriteFile(sound);
+  BOOST_TEST(RunCommandLine({ "check-tables", file_ }) == 0);
+  BOOST_TEST(output_ == "no findings\n");
+  BOOST_TEST(RunCommandLine({ "check-tables", file_, "--in-force=" + file_ }) ==
+             1);
+  BOOST_TEST(output_.find("error: version: 3 is not newer") !=
+             std::string::npos);
+  BOOST_TEST(
+    RunCommandLine({ "check-tables", file_, "--in-force=missing.json" }) == 2);
+  BOOST_TEST(RunCommandLine({ "check-tables", file_, "--output=xml" }) == 2);
+  BOOST_TEST(RunCommandLine({ "check-tables", "missing.json" }) == 2);
+  WriteFile(R"({"version":4,"routes":1,"services":[]})");
+  BOOST_TEST(RunCommandLine({ "check-tables", file_, "--output=json" }) == 1);
+  BOOST_TEST(output_.starts_with(R"({"findings":[{"level":"error")"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // Guards against a status without tables that counts as a known revision.
