Soak: evacuate a zone and take it back

Change: a disruption, planned too, that evacuates one of the two zones for 6 to 9 s, and a promise that its servers get no request later than 5 s after that from an entry that nothing unplanned happened to. Ruled out: both zones at once, which leaves nothing to serve.

--- a/soak/Backends.cpp
+++ b/soak/Backends.cpp
@@ -171,6 +171,28 @@
   }
 }
 
+void
+Backends::SetEvacuated(const std::string& aZone, bool aIsEvacuated)
+{
+  const std::string key = "op/evacuate/" + aZone;
+  if (aIsEvacuated) {
+    store_.Put(key, "{}");
+  } else {
+    store_.Remove(key);
+  }
+}
+
+std::map<std::string, std::string>
+Backends::GetServerZones() const
+{
+  const std::lock_guard lock(mutex_);
+  std::map<std::string, std::string> zones;
+  for (const auto& server : servers_) {
+    zones.emplace(server->id_, server->zone_);
+  }
+  return zones;
+}
+
 std::string
 Backends::ChooseServer(std::uint64_t aIndex) const
 {
--- a/soak/Backends.h
+++ b/soak/Backends.h
@@ -37,6 +37,10 @@
   void ReplaceServer(std::uint64_t aIndex);
   /** Removes the registrations of the servers that leave. */
   void RemoveLeavingServers();
+  /** Evacuates an availability zone, or takes it back. */
+  void SetEvacuated(const std::string& aZone, bool aIsEvacuated);
+  /** @returns the zone of each server. */
+  std::map<std::string, std::string> GetServerZones() const;
   /** @returns the id of one of the servers. */
   std::string ChooseServer(std::uint64_t aIndex) const;
   /** Disturbs the link to a server. */
--- a/soak/Disruptions.cpp
+++ b/soak/Disruptions.cpp
@@ -17,6 +17,11 @@
 constexpr unsigned kMaxGapMs = 3000;
 /** Latest time after a start at which a successor gets SIGHUP. */
 constexpr unsigned kMaxEarlyReloadMs = 12;
+/** Zones of the servers. */
+constexpr std::array kZones = { "worcester", "robertson" };
+/** A zone stays evacuated for this time and up to some seconds more, which is
+ * longer than the daemons have to notice it. */
+constexpr Milliseconds kEvacuationTime{ 6000 };
 /** A server that leaves is gone after this time. */
 constexpr Milliseconds kServerLeaveTime{ 4000 };
 
@@ -24,7 +29,7 @@
   Disruption::StopEntry,          Disruption::StopEntry,
   Disruption::StopSeveralEntries, Disruption::ReloadEntry,
   Disruption::RewriteSettings,    Disruption::ChangeConfiguration,
-  Disruption::ReplaceServer
+  Disruption::ReplaceServer,      Disruption::EvacuateZone
 };
 
 /** What replaces the list of customers. */
@@ -188,9 +193,34 @@
     case Disruption::RemoveCustomers:
       RemoveCustomers(aRandom);
       break;
+    case Disruption::EvacuateZone:
+      EvacuateZone(aRandom);
+      break;
   }
 }
 
+std::vector<DisturbedTime>
+Disruptions::GetEvacuations() const
+{
+  const std::lock_guard lock(mutex_);
+  return evacuations_;
+}
+
+void
+Disruptions::EvacuateZone(Random& aRandom)
+{
+  const std::lock_guard evacuationLock(evacuationMutex_);
+  DisturbedTime time;
+  time.server_ = kZones.at(aRandom.DrawBits() % kZones.size());
+  backends_.SetEvacuated(time.server_, true);
+  time.begin_ = Clock::now();
+  Wait(kEvacuationTime + DrawTime(aRandom, kMaxGapMs));
+  time.end_ = Clock::now();
+  backends_.SetEvacuated(time.server_, false);
+  const std::lock_guard lock(mutex_);
+  evacuations_.push_back(std::move(time));
+}
+
 void
 Disruptions::StopEntry(FleetEntry& aEntry, Random& aRandom)
 {
--- a/soak/Disruptions.h
+++ b/soak/Disruptions.h
@@ -31,9 +31,11 @@
   ConfuseServer,
   /** The configuration has no customers, or none that can be read. */
   RemoveCustomers,
+  /** An availability zone is evacuated and taken back. */
+  EvacuateZone,
 };
 
-inline constexpr NameTable<Disruption, 12> kDisruptionNames{
+inline constexpr NameTable<Disruption, 13> kDisruptionNames{
   { { { Disruption::StopEntry, "stop_entry" },
       { Disruption::StopSeveralEntries, "stop_several_entries" },
       { Disruption::KillEntry, "kill_entry" },
@@ -45,7 +47,8 @@
       { Disruption::DisturbServer, "disturb_server" },
       { Disruption::ReplaceServer, "replace_server" },
       { Disruption::ConfuseServer, "confuse_server" },
-      { Disruption::RemoveCustomers, "remove_customers" } } }
+      { Disruption::RemoveCustomers, "remove_customers" },
+      { Disruption::EvacuateZone, "evacuate_zone" } } }
 };
 
 /** Disrupts the system in several overlapping series until it is told to
@@ -69,6 +72,8 @@
   std::vector<DisturbedTime> GetServerFaults() const;
   /** @returns when the configuration had no customers. */
   std::vector<DisturbedTime> GetCustomerGaps() const;
+  /** @returns when zones were evacuated. */
+  std::vector<DisturbedTime> GetEvacuations() const;
 
 private:
   void Run(std::uint64_t aSeed);
@@ -80,6 +85,7 @@
   void DisturbServer(Random& aRandom);
   void ConfuseServer(Random& aRandom);
   void RemoveCustomers(Random& aRandom);
+  void EvacuateZone(Random& aRandom);
   /** Waits up to this time; shorter at the end of the test. */
   void Wait(review::Milliseconds aTime) const;
   void Write(const std::string& aText);
@@ -95,6 +101,9 @@
   /** One series at a time removes the customers. */
   std::mutex customersMutex_;
   std::vector<DisturbedTime> customerGaps_;
+  /** One zone at a time is evacuated: the other one serves all requests. */
+  std::mutex evacuationMutex_;
+  std::vector<DisturbedTime> evacuations_;
   std::vector<std::thread> threads_;
 };
 
--- a/soak/SoakChecks.cpp
+++ b/soak/SoakChecks.cpp
@@ -32,6 +32,9 @@
  * force, and after which no removed key is accepted. */
 constexpr Milliseconds kConfigurationTime{ 2000 };
 constexpr Milliseconds kRevocationTime{ 5000 };
+/** `evacMs` of the settings: the servers of an evacuated zone may still get
+ * requests for this long. */
+constexpr Milliseconds kEvacuationTime{ 5000 };
 
 bool
 IsPromiseOfNotRun(int aStatus)
@@ -119,6 +122,7 @@
       }
     }
     CheckLeavingServers(add);
+    CheckEvacuatedZones(add);
   }
 
 private:
@@ -236,6 +240,26 @@
     }
   }
 
+  template<typename Add>
+  void CheckEvacuatedZones(Add aAdd) const
+  {
+    for (const BackendRun& run : runs_) {
+      const auto zone = observations_.serverZones_.find(run.server_);
+      const bool isAgainst = std::ranges::any_of(
+        observations_.evacuations_, [&](const DisturbedTime& aTime) {
+          return zone != observations_.serverZones_.end() &&
+                 aTime.server_ == zone->second &&
+                 run.begin_ > aTime.begin_ + kEvacuationTime &&
+                 run.begin_ < aTime.end_;
+        });
+      if (isAgainst && !IsExcused() && !IsStoreDisturbed()) {
+        aAdd(Promise::SparesEvacuatedZones,
+             "ran at " + run.server_ + " in the evacuated zone " +
+               zone->second);
+      }
+    }
+  }
+
   bool IsStoreDisturbed() const
   {
     bool isDisturbed = false;
--- a/soak/SoakChecks.h
+++ b/soak/SoakChecks.h
@@ -34,12 +34,14 @@
   Serves,
   /** A server that leaves gets no requests after a few seconds. */
   SparesLeavingServers,
+  /** The servers of an evacuated zone get no requests after a few seconds. */
+  SparesEvacuatedZones,
   /** Requests run with keys only that a configuration has, and had some seconds
    * before. */
   ChecksKeys,
 };
 
-inline constexpr NameTable<Promise, 11> kPromiseNames{
+inline constexpr NameTable<Promise, 12> kPromiseNames{
   { { { Promise::StaysUp, "stays_up" },
       { Promise::StopsInTime, "stops_in_time" },
       { Promise::RunsOnce, "runs_once" },
@@ -50,6 +52,7 @@
       { Promise::AnswersInTime, "answers_in_time" },
       { Promise::Serves, "serves" },
       { Promise::SparesLeavingServers, "spares_leaving_servers" },
+      { Promise::SparesEvacuatedZones, "spares_evacuated_zones" },
       { Promise::ChecksKeys, "checks_keys" } } }
 };
 
@@ -59,8 +62,8 @@
   std::string detail_;
 };
 
-/** The time in which the link to a server was disturbed, or in which there were
- * no customers. */
+/** The time in which the link to a server was disturbed, in which there were no
+ * customers, or in which a zone, named instead of the server, was evacuated. */
 struct DisturbedTime
 {
   std::string server_;
@@ -80,6 +83,9 @@
   std::vector<DisturbedTime> serverFaults_;
   /** When the configuration had no customers; one after the other. */
   std::vector<DisturbedTime> customerGaps_;
+  /** When zones were evacuated. */
+  std::vector<DisturbedTime> evacuations_;
+  std::map<std::string, std::string> serverZones_;
   /** When the store accepted that a server leaves. */
   std::map<std::string, Clock::time_point> leavingServers_;
   review::Milliseconds gracePeriod_{ 8000 };
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -43,6 +43,7 @@
     settings.ip_ = platform::MakeLoopbackIp(kFirstEntryIpNumber + index);
     settings.zone_ = index % 2 == 0 ? "worcester" : "robertson";
     settings.store_ = aStore;
+    settings.hasEvacuations_ = true;
     entries.push_back(std::move(settings));
   }
   return entries;
@@ -79,6 +80,8 @@
   observations.ledger_ = &aBackends.GetLedger();
   observations.serverFaults_ = disruptions.GetServerFaults();
   observations.customerGaps_ = disruptions.GetCustomerGaps();
+  observations.evacuations_ = disruptions.GetEvacuations();
+  observations.serverZones_ = aBackends.GetServerZones();
   for (std::size_t index = 0; index < fleet.GetSize(); ++index) {
     const FleetEntry& entry = fleet.GetEntry(index);
     observations.histories_.push_back(entry.GetHistory());
