--- a/tests/store_tests/CommandTests.cpp
+++ b/tests/store_tests/CommandTests.cpp
@@ -160,7 +160,7 @@
 {
   const std::string sound =
     R"({"version":3,"routes":[{"name":"r","host":"h","prefix":"/r/",)"
-    R"("kind":"idempotent","timeoutMs":800,"goalMs":100,"service":"desk"}],)"
+    R"("kind":"idempotent","timeoutMs":800,"service":"desk"}],)"
     R"("services":[{"name":"desk","maxConns":10}]})";
   WriteFile(sound);
   BOOST_TEST(RunCommandLine({ "check-tables", file_ }) == 0);
