--- a/review/harness/Deployment.cpp
+++ b/review/harness/Deployment.cpp
@@ -146,8 +146,18 @@
 Attempt
 Deployment::Send(std::size_t aEntry,
                  bool aIsIdempotent,
-                 const std::string& aBody,
-                 std::size_t aBytesPerMillisecond)
+                 const std::string& aBody)
+{
+  std::unique_ptr<Connection> connection;
+  return SendOn(connection, aEntry, aIsIdempotent, aBody);
+}
+
+Attempt
+Deployment::SendOn(std::unique_ptr<Connection>& aConnection,
+                   std::size_t aEntry,
+                   bool aIsIdempotent,
+                   const std::string& aBody,
+                   std::size_t aBytesPerMillisecond)
 {
   const Entry& entry = *entries_.at(aEntry);
   std::array<char, 20> id{};
@@ -156,29 +166,35 @@
                 "%016llx",
                 static_cast<unsigned long long>(nextAttempt_++));
   Attempt attempt{ id.data(), entry.GetName(), Clock::now(), {} };
-  Connection connection(Connect(entry.GetFront(), kConnectTimeout));
-  attempt.isConnected_ = connection.IsOpen();
-  Message answer;
+  attempt.isOnKeptConnection_ = aConnection != nullptr;
+  if (!aConnection) {
+    aConnection =
+      std::make_unique<Connection>(Connect(entry.GetFront(), kConnectTimeout));
+  }
+  attempt.isConnected_ = aConnection->IsOpen();
+  const std::string line =
+    aIsIdempotent ? "GET /check/slots" : "POST /book/slot";
   const std::string head =
-    (!aIsIdempotent  ? "POST /book/slot"
-     : aBody.empty() ? "GET /check/slots"
-                     : "PUT /check/slots") +
-    (" HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: " + attempt.id_) +
+    line + " HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: " + attempt.id_ +
     "\r\nDeadline-Ms: " + std::to_string(kDeadline.count()) +
     "\r\nApi-Key: key-1\r\nContent-Length: " + std::to_string(aBody.size()) +
     "\r\n\r\n";
-  bool isSent = connection.IsOpen() && connection.Send(head);
+  bool isSent = aConnection->IsOpen() && aConnection->Send(head);
   const std::size_t step = aBytesPerMillisecond > 0
                              ? aBytesPerMillisecond * kSendInterval.count()
                              : aBody.size();
   for (std::size_t at = 0; at < aBody.size() && isSent; at += step) {
-    isSent = connection.Send(aBody.substr(at, step));
+    isSent = aConnection->Send(aBody.substr(at, step));
     std::this_thread::sleep_for(aBytesPerMillisecond > 0 ? kSendInterval
                                                          : Milliseconds(0));
   }
   // A refusal may come before the whole body has been read.
-  if (connection.IsOpen() && connection.Read(answer, kDeadline)) {
-    attempt.status_ = answer.GetStatus();
+  Message answer;
+  const bool isAnswered =
+    aConnection->IsOpen() && aConnection->Read(answer, kDeadline);
+  attempt.status_ = isAnswered ? answer.GetStatus() : 0;
+  if (!isAnswered || !isSent || answer.Find("connection") == "close") {
+    aConnection.reset();
   }
   attempt.endedAt_ = Clock::now();
   const std::lock_guard lock(mutex_);
--- a/review/harness/Deployment.h
+++ b/review/harness/Deployment.h
@@ -18,6 +18,8 @@
   /** The status of the answer, or 0 if there was none. */
   int status_ = 0;
   bool isConnected_ = false;
+  /** Whether the connection had carried other requests. */
+  bool isOnKeptConnection_ = false;
 };
 
 /** The size of a deployment. */
@@ -48,12 +50,18 @@
 
   /** Starts the entries. @returns whether all are ready in time. */
   bool Start();
-  /** Sends one request on a new connection and waits for its end.
-   * @param aBytesPerMillisecond the pace of the body; 0 for all at once. */
+  /** Sends one request on a new connection and waits for its end. */
   Attempt Send(std::size_t aEntry,
                bool aIsIdempotent,
-               const std::string& aBody,
-               std::size_t aBytesPerMillisecond = 0);
+               const std::string& aBody);
+  /** The same on a connection that is kept for further requests; it is made if
+   * there is none, and dropped if it ends.
+   * @param aBytesPerMillisecond the pace of the body; 0 for all at once. */
+  Attempt SendOn(std::unique_ptr<Connection>& aConnection,
+                 std::size_t aEntry,
+                 bool aIsIdempotent,
+                 const std::string& aBody,
+                 std::size_t aBytesPerMillisecond = 0);
   /** Sends requests to all entries in turn until the destruction. */
   void StartTraffic(unsigned aRequestsPerSecond);
   void StopTraffic();
--- a/review/harness/Server.cpp
+++ b/review/harness/Server.cpp
@@ -180,7 +180,7 @@
 void
 Server::SendWithoutEnd(Connection& aConnection, const Message& aRequest)
 {
-  arrivals_.Add({ Clock::now(), id_, aRequest.Find("attempt-id"), true });
+  arrivals_.Add({ Clock::now(), id_, aRequest.Find("attempt-id"), true, true });
   bool isOpen = aConnection.Send(
     "HTTP/1.1 200 OK\r\nAttempt-Id: " + aRequest.Find("attempt-id") +
     "\r\nReplica-Seal: " + kSeal + "\r\n\r\n");
@@ -204,7 +204,9 @@
                             "\r\nNot-Executed: 1\r\n",
                           "");
   }
-  Arrival arrival{ Clock::now(), id_, aRequest.Find("attempt-id"), false };
+  Arrival arrival{
+    Clock::now(), id_, aRequest.Find("attempt-id"), false, false
+  };
   std::string head;
   std::optional<int> turnsAwayFor;
   {
--- a/review/harness/Server.h
+++ b/review/harness/Server.h
@@ -15,6 +15,8 @@
   std::string server_;
   std::string attempt_;
   bool hasRun_ = false;
+  /** Whether the server sends a body without end. */
+  bool isEndless_ = false;
 };
 
 /** The requests that reached the servers. Used by several threads. */
