--- a/review/harness/Deployment.cpp
+++ b/review/harness/Deployment.cpp
@@ -243,6 +243,32 @@
   }
 }
 
+void
+Deployment::WriteSummary() const
+{
+  const std::vector<Attempt> attempts = GetAttempts();
+  std::map<std::string, int> ends;
+  for (const Attempt& attempt : attempts) {
+    const std::string unanswered = attempt.isConnected_
+                                     ? "a connection closed without an answer"
+                                     : "no connection";
+    ++ends[attempt.status_ == 0 ? unanswered : std::to_string(attempt.status_)];
+  }
+  record_.Write("requests sent: " + std::to_string(attempts.size()));
+  for (const auto& [end, count] : ends) {
+    record_.Write("  " + std::to_string(count) + " ended with " + end);
+  }
+  std::map<std::string, std::pair<int, int>> counts;
+  for (const Arrival& arrival : arrivals_.Get()) {
+    ++counts[arrival.server_].first;
+    counts[arrival.server_].second += arrival.hasRun_ ? 1 : 0;
+  }
+  for (const auto& [server, count] : counts) {
+    record_.Write("  " + server + " got " + std::to_string(count.first) +
+                  " and ran " + std::to_string(count.second));
+  }
+}
+
 std::vector<Attempt>
 Deployment::GetAttempts() const
 {
--- a/review/harness/Deployment.h
+++ b/review/harness/Deployment.h
@@ -65,6 +65,9 @@
   /** Sends requests to all entries in turn until the destruction. */
   void StartTraffic(unsigned aRequestsPerSecond);
   void StopTraffic();
+  /** Records how many requests were sent, how they ended, and how many reached
+   * each server and ran there. */
+  void WriteSummary() const;
   /** @returns all requests of callers that have ended. */
   std::vector<Attempt> GetAttempts() const;
 
