Review: case 13 with the check as the rule is written

The check counted the requests of all entries; the rule counts those of entries that had passed on an answer with the limit half a second before or earlier, from three seconds after the first such answer.

--- a/review/harness/Limits.cpp
+++ b/review/harness/Limits.cpp
@@ -10,6 +10,56 @@
 constexpr std::chrono::seconds kWindow{ 4 };
 constexpr double kAllowedRatio = 1.5;
 constexpr double kAllowedSlack = 5.0;
+constexpr Milliseconds kStableWindow{ 3000 };
+constexpr Milliseconds kPassedOnBefore{ 500 };
+
+/** When each entry first passed on an answer with the limit, by server. */
+using PassedOn =
+  std::map<std::string, std::map<std::string, Clock::time_point>>;
+
+using Attempts = std::map<std::string, Attempt>;
+
+PassedOn
+FindPassedOn(const std::vector<Arrival>& aArrivals,
+             const Attempts& aAttempts,
+             Clock::time_point aNamed)
+{
+  constexpr int kOk = 200;
+  PassedOn passedOn;
+  for (const Arrival& arrival : aArrivals) {
+    const auto attempt = aAttempts.find(arrival.attempt_);
+    if (arrival.at_ < aNamed || attempt == aAttempts.end() ||
+        attempt->second.status_ != kOk) {
+      continue;
+    }
+    const auto [first, isNew] = passedOn[arrival.server_].try_emplace(
+      attempt->second.entry_, attempt->second.endedAt_);
+    first->second = std::min(first->second, attempt->second.endedAt_);
+  }
+  return passedOn;
+}
+
+/** @returns when each server got the requests that the rule counts. */
+std::map<std::string, std::vector<Clock::time_point>>
+FindCounted(const std::vector<Arrival>& aArrivals,
+            const Attempts& aAttempts,
+            const PassedOn& aPassedOn)
+{
+  std::map<std::string, std::vector<Clock::time_point>> counted;
+  for (const Arrival& arrival : aArrivals) {
+    const auto attempt = aAttempts.find(arrival.attempt_);
+    const auto server = aPassedOn.find(arrival.server_);
+    if (attempt == aAttempts.end() || server == aPassedOn.end()) {
+      continue;
+    }
+    const auto entry = server->second.find(attempt->second.entry_);
+    if (entry != server->second.end() &&
+        arrival.at_ >= entry->second + kPassedOnBefore) {
+      counted[arrival.server_].push_back(arrival.at_);
+    }
+  }
+  return counted;
+}
 
 /** @returns the largest number of requests in a window that begins after a
  * time. */
@@ -37,7 +87,8 @@
   for (const Clock::time_point time : aTimes) {
     ++counts[static_cast<int>(aRecord.GetSeconds(time))];
   }
-  std::string text = "requests to " + aServer + " in each second:";
+  std::string text = "requests to " + aServer +
+                     " in each second, of entries that know its limit:";
   for (const auto& [second, count] : counts) {
     text += " " + std::to_string(second) + ":" + std::to_string(count);
   }
@@ -62,21 +113,29 @@
 CheckLimits(Record& aRecord,
             Deployment& aDeployment,
             int aRequestsPerSecond,
-            Clock::time_point aFrom)
+            Clock::time_point aNamed)
 {
-  std::map<std::string, std::vector<Clock::time_point>> times;
-  for (const Arrival& arrival : aDeployment.GetArrivals().Get()) {
-    times[arrival.server_].push_back(arrival.at_);
+  const std::vector<Arrival> arrivals = aDeployment.GetArrivals().Get();
+  Attempts attempts;
+  for (const Attempt& attempt : aDeployment.GetAttempts()) {
+    attempts.emplace(attempt.id_, attempt);
   }
+  const PassedOn passedOn = FindPassedOn(arrivals, attempts, aNamed);
   const auto allowed = static_cast<std::size_t>(
     kAllowedRatio * aRequestsPerSecond * kWindow.count() + kAllowedSlack);
+  auto counted = FindCounted(arrivals, attempts, passedOn);
   bool isBroken = false;
-  for (auto& [server, list] : times) {
-    std::ranges::sort(list);
-    WriteRates(aRecord, server, list);
-    const std::size_t most = FindMost(list, aFrom);
+  for (auto& [server, times] : counted) {
+    std::ranges::sort(times);
+    Clock::time_point firstNamed = Clock::time_point::max();
+    for (const auto& [entry, at] : passedOn.at(server)) {
+      firstNamed = std::min(firstNamed, at);
+    }
+    WriteRates(aRecord, server, times);
+    const std::size_t most = FindMost(times, firstNamed + kStableWindow);
     aRecord.Write(server + " got " + std::to_string(most) +
-                  " requests in some 4 s; allowed " + std::to_string(allowed));
+                  " such requests in some 4 s; allowed " +
+                  std::to_string(allowed));
     isBroken = isBroken || most > allowed;
   }
   return isBroken ? kRuleBroken : kRuleHeld;
